--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/backend/WorkerChoice.java
@@ -0,0 +1,109 @@
+package org.fennelstage.backend;
+
+import java.util.random.RandomGenerator;
+
+/** Chooses a worker for a request. Implementations are stateless but for their random source. */
+@FunctionalInterface
+public interface WorkerChoice {
+
+    /** No worker may be chosen. */
+    int NONE = -1;
+
+    /**
+     * Chooses a worker.
+     *
+     * @param loads what is known of the workers
+     * @param prefix the hash of the prompt's prefix
+     * @return the worker's index, or {@link #NONE}
+     */
+    int choose(WorkerLoads loads, long prefix);
+
+    /**
+     * Any worker with equal chance.
+     *
+     * @param random the source of chance
+     * @return the choice
+     */
+    static WorkerChoice random(final RandomGenerator random) {
+        return (loads, prefix) -> {
+            int seen = 0;
+            int chosen = NONE;
+            for (int i = 0; i < loads.size(); i++) {
+                if (!loads.isExcluded(i) && random.nextInt(++seen) == 0) {
+                    chosen = i;
+                }
+            }
+            return chosen;
+        };
+    }
+
+    /**
+     * The worker with the least known load; ties fall to chance.
+     *
+     * @param random the source of chance
+     * @return the choice
+     */
+    static WorkerChoice leastLoad(final RandomGenerator random) {
+        return (loads, prefix) -> {
+            int ties = 0;
+            int chosen = NONE;
+            double least = Double.POSITIVE_INFINITY;
+            for (int i = 0; i < loads.size(); i++) {
+                if (loads.isExcluded(i)) {
+                    continue;
+                }
+                final double utilisation = loads.utilisation(i);
+                if (utilisation < least) {
+                    least = utilisation;
+                    ties = 0;
+                }
+                if (utilisation == least && random.nextInt(++ties) == 0) {
+                    chosen = i;
+                }
+            }
+            return chosen;
+        };
+    }
+
+    /**
+     * The worker with the highest affinity to the prefix among those whose load is at most {@code
+     * bound} times the mean plus one request; so prompts with a common prefix meet in one cache,
+     * and a popular prefix spills over to the next worker instead of queueing.
+     *
+     * @param bound how far above the mean a worker may be loaded; above 1
+     * @return the choice
+     */
+    static WorkerChoice boundedAffinity(final double bound) {
+        return (loads, prefix) -> {
+            int candidates = 0;
+            double sum = 0;
+            for (int i = 0; i < loads.size(); i++) {
+                if (!loads.isExcluded(i)) {
+                    candidates++;
+                    sum += loads.utilisation(i);
+                }
+            }
+            final double mean = candidates == 0 ? 0 : sum / candidates;
+            int chosen = NONE;
+            int spare = NONE;
+            long highest = Long.MIN_VALUE;
+            double least = Double.POSITIVE_INFINITY;
+            for (int i = 0; i < loads.size(); i++) {
+                if (loads.isExcluded(i)) {
+                    continue;
+                }
+                final double utilisation = loads.utilisation(i);
+                if (utilisation < least) {
+                    least = utilisation;
+                    spare = i;
+                }
+                final long affinity = loads.affinity(i, prefix);
+                if (utilisation <= bound * mean && affinity >= highest) {
+                    highest = affinity;
+                    chosen = i;
+                }
+            }
+            return chosen == NONE ? spare : chosen;
+        };
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/configuration/ConfigurationTable.java
@@ -0,0 +1,104 @@
+package org.fennelstage.configuration;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+/**
+ * The newest known value of every configuration object; the merge of everything heard from the
+ * object API and from peers, in any order and any number of times.
+ *
+ * <p>Invariant: the revision held for a key never falls. Without the comparison a stale read, a
+ * repeated watch answer or a late peer message would bring back an old value: an operator would see
+ * a withdrawn version serving again. Tombstones are kept, since a forgotten deletion could be
+ * undone the same way.
+ *
+ * <p>Law: merging is commutative, associative and idempotent. Thread-safe; one monitor guards the
+ * map and the digest.
+ */
+public final class ConfigurationTable {
+
+    private final Map<ObjectKey, StoredObject> objects = new TreeMap<>();
+    private Digest digest = Digest.EMPTY;
+
+    private ConfigurationTable() {}
+
+    /**
+     * Returns a table that holds nothing.
+     *
+     * @return the table
+     */
+    public static ConfigurationTable empty() {
+        return new ConfigurationTable();
+    }
+
+    /**
+     * Merges objects into the table.
+     *
+     * @param incoming the objects
+     * @return those that were newer than what was held, in the given order
+     */
+    public synchronized List<StoredObject> merge(final Collection<StoredObject> incoming) {
+        Objects.requireNonNull(incoming, "incoming is null");
+        final List<StoredObject> accepted = new ArrayList<>();
+        for (final StoredObject object : incoming) {
+            if (accept(object)) {
+                accepted.add(object);
+            }
+        }
+        return accepted;
+    }
+
+    /**
+     * Returns the digest of what is held.
+     *
+     * @return the digest
+     */
+    public synchronized Digest digest() {
+        return digest;
+    }
+
+    /**
+     * Returns all objects newer than a revision, tombstones included.
+     *
+     * @param revision the revision
+     * @return the objects, ordered by key
+     */
+    public synchronized List<StoredObject> since(final Revision revision) {
+        return objects.values().stream().filter(o -> o.revision().isAfter(revision)).toList();
+    }
+
+    /**
+     * Returns all objects held, tombstones included.
+     *
+     * @return the objects, ordered by key
+     */
+    public synchronized List<StoredObject> all() {
+        return List.copyOf(objects.values());
+    }
+
+    private boolean accept(final StoredObject object) {
+        final StoredObject held = objects.get(object.key());
+        if (held != null && !object.revision().isAfter(held.revision())) {
+            return false;
+        }
+        objects.put(object.key(), object);
+        final long removed = held == null ? 0 : hash(held);
+        final Revision highest =
+                object.revision().isAfter(digest.highest()) ? object.revision() : digest.highest();
+        digest = new Digest(highest, digest.hash() - removed + hash(object));
+        return true;
+    }
+
+    private static long hash(final StoredObject object) {
+        return Hashing.komihash5_0()
+                .hashStream()
+                .putString(object.key().path())
+                .putLong(object.revision().value())
+                .getAsLong();
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/id/TeamId.java
@@ -0,0 +1,39 @@
+package org.fennelstage.id;
+
+import java.util.Objects;
+
+/**
+ * Identifies a team, the unit of authorisation, limits and billing.
+ *
+ * <p>Invariant: the value is a valid name in the sense of {@link Names}. Immutable and thread-safe.
+ *
+ * @param value the name
+ */
+public record TeamId(String value) implements Comparable<TeamId> {
+
+    public TeamId {
+        Objects.requireNonNull(value, "value is null");
+        Names.check("team", value);
+    }
+
+    /**
+     * Returns the id with this name.
+     *
+     * @param value the name
+     * @return the id
+     * @throws IllegalArgumentException if the value is not a valid name
+     */
+    public static TeamId of(final String value) {
+        return new TeamId(value);
+    }
+
+    @Override
+    public int compareTo(final TeamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/BodyAggregator.java
@@ -0,0 +1,41 @@
+package org.fennelstage.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+
+/** Collects a body up to a bound; beyond it answers 413 with a body and closes. */
+final class BodyAggregator extends HttpObjectAggregator {
+
+    private final int maxBytes;
+
+    BodyAggregator(final int maxBytes) {
+        super(maxBytes);
+        this.maxBytes = maxBytes;
+    }
+
+    @Override
+    protected void handleOversizedMessage(
+            final ChannelHandlerContext context, final HttpMessage oversized) {
+        final byte[] text =
+                Refusals.body("too_large", "the body may have at most " + maxBytes + " bytes")
+                        .getBytes(StandardCharsets.UTF_8);
+        final DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                        Unpooled.wrappedBuffer(text));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                .set(HttpHeaderNames.CONTENT_LENGTH, text.length)
+                .set(HttpHeaderNames.CONNECTION, "close");
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- /dev/null
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -0,0 +1,126 @@
+package org.fennelstage.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.CharsetUtil;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * Hands the requests of one connection to the handler one after the other.
+ *
+ * <p>Confined to the connection's event loop.
+ */
+final class ConnectionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private static final int MAX_PIPELINED = 16;
+    private static final System.Logger LOG = System.getLogger(ConnectionHandler.class.getName());
+
+    private final RequestHandler handler;
+    private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
+    private ServerExchange current;
+
+    ConnectionHandler(final RequestHandler handler) {
+        this.handler = handler;
+    }
+
+    @Override
+    protected void channelRead0(
+            final ChannelHandlerContext context, final FullHttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            refuse(context, HttpResponseStatus.BAD_REQUEST, request.decoderResult().cause());
+            return;
+        }
+        if (current == null) {
+            start(context, request);
+        } else if (waiting.size() < MAX_PIPELINED) {
+            waiting.add(request.retain());
+        } else {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(final ChannelHandlerContext context) {
+        if (current != null && context.channel().isWritable()) {
+            current.writable();
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext context) {
+        waiting.forEach(FullHttpRequest::release);
+        waiting.clear();
+        if (current != null) {
+            final ServerExchange exchange = current;
+            current = null;
+            exchange.closed();
+        }
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        if (!(event instanceof IdleStateEvent)) {
+            context.fireUserEventTriggered(event);
+            return;
+        }
+        // A request in work may be silent for long. A peer that neither sends the rest of its
+        // request nor reads our response holds memory for nothing; the symptom is a slowly growing
+        // count of open connections.
+        final boolean waitsForUs = current != null && context.channel().isWritable();
+        if (!waitsForUs) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOG.log(System.Logger.Level.DEBUG, "connection failed", cause);
+        }
+        context.close();
+    }
+
+    private void start(final ChannelHandlerContext context, final FullHttpRequest request) {
+        final ServerExchange exchange = new ServerExchange(context, request, () -> next(context));
+        current = exchange;
+        handler.handle(exchange);
+    }
+
+    private void next(final ChannelHandlerContext context) {
+        current = null;
+        final FullHttpRequest request = waiting.poll();
+        if (request != null) {
+            start(context, request);
+            request.release();
+        }
+    }
+
+    private static void refuse(
+            final ChannelHandlerContext context,
+            final HttpResponseStatus status,
+            final Throwable cause) {
+        final String text = Refusals.body("malformed", String.valueOf(cause.getMessage()));
+        final DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        status,
+                        Unpooled.copiedBuffer(text, CharsetUtil.UTF_8));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                .set(HttpHeaderNames.CONTENT_LENGTH, text.getBytes(CharsetUtil.UTF_8).length)
+                .set(HttpHeaderNames.CONNECTION, "close");
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- /dev/null
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -0,0 +1,134 @@
+package org.fennelstage.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * An HTTP/1.1 server on one address.
+ *
+ * <p>Invariant: requests of one connection are answered in order, one at a time. Thread-safe.
+ */
+public final class HttpServer implements AutoCloseable {
+
+    private final Channel listener;
+    private final ChannelGroup connections;
+
+    private HttpServer(final Channel listener, final ChannelGroup connections) {
+        this.listener = listener;
+        this.connections = connections;
+    }
+
+    /**
+     * Binds and serves without TLS.
+     *
+     * @param group the event loops
+     * @param address where to listen; port 0 takes any free one
+     * @param limits the bounds per connection
+     * @param handler answers the requests
+     * @return the running server
+     * @throws IOException if the address cannot be bound
+     */
+    public static HttpServer start(
+            final EventLoopGroup group,
+            final InetSocketAddress address,
+            final ServerLimits limits,
+            final RequestHandler handler)
+            throws IOException {
+        return start(group, address, limits, Optional::empty, handler);
+    }
+
+    /**
+     * Binds and serves.
+     *
+     * @param group the event loops
+     * @param address where to listen; port 0 takes any free one
+     * @param limits the bounds per connection
+     * @param tls asked at each new connection, so that renewed keys need no restart
+     * @param handler answers the requests
+     * @return the running server
+     * @throws IOException if the address cannot be bound
+     */
+    public static HttpServer start(
+            final EventLoopGroup group,
+            final InetSocketAddress address,
+            final ServerLimits limits,
+            final Supplier<Optional<SslContext>> tls,
+            final RequestHandler handler)
+            throws IOException {
+        Objects.requireNonNull(handler, "handler is null");
+        final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        final ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, 1024)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(final SocketChannel channel) {
+                                        connections.add(channel);
+                                        build(channel, limits, tls.get(), handler);
+                                    }
+                                });
+        final var bound = bootstrap.bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address, bound.cause());
+        }
+        return new HttpServer(bound.channel(), connections);
+    }
+
+    /**
+     * Returns the port it listens on.
+     *
+     * @return the TCP port
+     */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Stops accepting connections; open ones go on. */
+    public void stopAccepting() {
+        listener.close().awaitUninterruptibly();
+    }
+
+    /** Stops accepting and closes all connections. */
+    @Override
+    public void close() {
+        stopAccepting();
+        connections.close().awaitUninterruptibly();
+    }
+
+    private static void build(
+            final SocketChannel channel,
+            final ServerLimits limits,
+            final Optional<SslContext> tls,
+            final RequestHandler handler) {
+        tls.ifPresent(c -> channel.pipeline().addLast(c.newHandler(channel.alloc())));
+        channel.pipeline()
+                .addLast(
+                        new IdleStateHandler(0, 0, limits.idle().toMillis(), TimeUnit.MILLISECONDS))
+                .addLast(new StrictRequestDecoder(limits))
+                .addLast(new HttpResponseEncoder())
+                .addLast(new BodyAggregator(limits.maxBodyBytes()))
+                .addLast(new ConnectionHandler(handler));
+    }
+}
--- /dev/null
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/Refusals.java
@@ -0,0 +1,15 @@
+package org.fennelstage.http;
+
+/** Bodies of refusals that the HTTP layer itself sends. Stateless and thread-safe. */
+final class Refusals {
+
+    private Refusals() {}
+
+    static String body(final String reason, final String detail) {
+        return "{\"error\":{\"outcome\":\"refused-not-run\",\"reason\":\""
+                + reason
+                + "\",\"message\":\""
+                + detail.replaceAll("[^A-Za-z0-9 .,:;()_-]", "?")
+                + "\"}}";
+    }
+}
--- /dev/null
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/Responses.java
@@ -0,0 +1,59 @@
+package org.fennelstage.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.function.Consumer;
+
+/** Listeners for common cases. Stateless and thread-safe. */
+public final class Responses {
+
+    private Responses() {}
+
+    /**
+     * A whole response. Its array is not changed after construction.
+     *
+     * @param status the status code
+     * @param headers the headers
+     * @param body the body
+     */
+    public record Whole(int status, HttpHeaders headers, byte[] body) {}
+
+    /**
+     * Collects the whole response before handing it on.
+     *
+     * @param onWhole takes the response
+     * @param onFailure takes the failure
+     * @return the listener
+     */
+    public static ResponseListener collecting(
+            final Consumer<Whole> onWhole, final Consumer<CallFailure> onFailure) {
+        return new ResponseListener() {
+            private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+            private int status;
+            private HttpHeaders headers;
+
+            @Override
+            public void onHead(final int newStatus, final HttpHeaders newHeaders) {
+                status = newStatus;
+                headers = newHeaders;
+            }
+
+            @Override
+            public void onContent(final ByteBuf content) {
+                body.writeBytes(ByteBufUtil.getBytes(content));
+            }
+
+            @Override
+            public void onEnd() {
+                onWhole.accept(new Whole(status, headers, body.toByteArray()));
+            }
+
+            @Override
+            public void onFailure(final CallFailure failure) {
+                onFailure.accept(failure);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
@@ -0,0 +1,241 @@
+package org.fennelstage.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * One request on a connection and the single response to it.
+ *
+ * <p>Invariants: at most one response is begun and ended; calls after the end or after the
+ * connection closed do nothing. Confined to {@link #eventLoop()}.
+ */
+public final class ServerExchange {
+
+    private enum State {
+        OPEN,
+        STREAMING,
+        ENDED
+    }
+
+    private static final Runnable NOTHING = () -> {};
+
+    private final ChannelHandlerContext context;
+    private final FullHttpRequest request;
+    private final byte[] body;
+    private final boolean keepAlive;
+    private final Runnable afterEnd;
+    private State state = State.OPEN;
+    private Runnable onClosed = NOTHING;
+    private Runnable onWritable = NOTHING;
+
+    ServerExchange(
+            final ChannelHandlerContext context,
+            final FullHttpRequest request,
+            final Runnable afterEnd) {
+        this.context = context;
+        this.request = request;
+        this.afterEnd = afterEnd;
+        this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.body = new byte[request.content().readableBytes()];
+        request.content().readBytes(body);
+    }
+
+    public EventLoop eventLoop() {
+        return context.channel().eventLoop();
+    }
+
+    public String method() {
+        return request.method().name();
+    }
+
+    /**
+     * Returns the path and query as sent.
+     *
+     * @return the request target
+     */
+    public String uri() {
+        return request.uri();
+    }
+
+    /**
+     * Returns the path without the query.
+     *
+     * @return the path
+     */
+    public String path() {
+        final int query = request.uri().indexOf('?');
+        return query < 0 ? request.uri() : request.uri().substring(0, query);
+    }
+
+    public HttpHeaders headers() {
+        return request.headers();
+    }
+
+    public byte[] body() {
+        return body;
+    }
+
+    /**
+     * Registers what to do when the caller goes away before the end of the response.
+     *
+     * @param action the action
+     */
+    public void onClosed(final Runnable action) {
+        onClosed = action;
+        if (!context.channel().isActive() && state != State.ENDED) {
+            action.run();
+        }
+    }
+
+    /**
+     * Registers what to do when the caller can take more bytes again.
+     *
+     * @param action the action
+     */
+    public void onWritable(final Runnable action) {
+        onWritable = action;
+    }
+
+    /**
+     * Tells whether the caller keeps up with what is written.
+     *
+     * @return false while too much is queued
+     */
+    public boolean isWritable() {
+        return context.channel().isWritable();
+    }
+
+    public boolean isEnded() {
+        return state == State.ENDED;
+    }
+
+    /**
+     * Sends a whole response.
+     *
+     * @param status the status code
+     * @param headers the headers besides the length
+     * @param content the body
+     */
+    public void respond(final int status, final Map<String, String> headers, final byte[] content) {
+        if (state != State.OPEN) {
+            return;
+        }
+        final DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        Unpooled.wrappedBuffer(content));
+        headers.forEach((name, value) -> response.headers().set(name, value));
+        HttpUtil.setContentLength(response, content.length);
+        finish(response);
+    }
+
+    /**
+     * Sends a whole response of text.
+     *
+     * @param status the status code
+     * @param contentType the media type
+     * @param content the body
+     */
+    public void respond(final int status, final String contentType, final String content) {
+        respond(
+                status,
+                Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), contentType),
+                content.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Begins a response of unknown length.
+     *
+     * @param status the status code
+     * @param headers the headers
+     */
+    public void begin(final int status, final Map<String, String> headers) {
+        if (state != State.OPEN) {
+            return;
+        }
+        state = State.STREAMING;
+        final DefaultHttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        headers.forEach((name, value) -> response.headers().set(name, value));
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        context.write(response);
+    }
+
+    /**
+     * Sends a part of a begun response.
+     *
+     * @param content the bytes; ownership passes to this method
+     */
+    public void write(final ByteBuf content) {
+        if (state != State.STREAMING) {
+            ReferenceCountUtil.release(content);
+            return;
+        }
+        context.writeAndFlush(new DefaultHttpContent(content));
+    }
+
+    /** Ends a begun response so that the caller sees it as whole. */
+    public void end() {
+        if (state != State.STREAMING) {
+            return;
+        }
+        finish(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Closes the connection, so that a begun response cannot be taken for a whole one. */
+    public void abort() {
+        if (state == State.ENDED) {
+            return;
+        }
+        state = State.ENDED;
+        context.close();
+    }
+
+    void closed() {
+        if (state == State.ENDED) {
+            return;
+        }
+        state = State.ENDED;
+        onClosed.run();
+    }
+
+    void writable() {
+        if (state != State.ENDED) {
+            onWritable.run();
+        }
+    }
+
+    private void finish(final Object last) {
+        state = State.ENDED;
+        if (last instanceof DefaultFullHttpResponse response && !keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        final var written = context.writeAndFlush(last);
+        if (keepAlive) {
+            written.addListener(f -> afterEnd.run());
+        } else {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/fennelstage-platform/src/main/java/org/fennelstage/platform/ReadResult.java
@@ -0,0 +1,21 @@
+package org.fennelstage.platform;
+
+import org.fennelstage.configuration.StoredObject;
+
+/** The end of a read. Immutable and thread-safe. */
+public sealed interface ReadResult {
+
+    /**
+     * The object, perhaps not its newest revision.
+     *
+     * @param object the object; a tombstone with revision 0 if it never existed
+     */
+    record Found(StoredObject object) implements ReadResult {}
+
+    /**
+     * The object could not be read.
+     *
+     * @param detail text for a person
+     */
+    record Unavailable(String detail) implements ReadResult {}
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/BillWriter.java
@@ -0,0 +1,80 @@
+package org.fennelstage.control;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.fennelstage.bill.Bill;
+import org.fennelstage.bill.BillSegment;
+import org.fennelstage.configuration.ObjectKey;
+import org.fennelstage.configuration.Revision;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.VmId;
+import org.fennelstage.platform.CallPriority;
+import org.fennelstage.platform.Json;
+import org.fennelstage.platform.Keys;
+import org.fennelstage.platform.ObjectStore;
+import org.fennelstage.platform.WriteResult;
+
+/**
+ * Appends bills to segments that only this incarnation of this VM writes, so that keepers never
+ * compete for an object.
+ *
+ * <p>Invariant: at most one append is under way. After a lost answer the same segment is written
+ * again with the same expected revision; a conflict then means that the lost write stands, since
+ * nobody else writes the object. Not thread-safe but for the hand-over by its futures.
+ */
+final class BillWriter {
+
+    private final ObjectStore store;
+    private final DataCentreId dataCentre;
+    private final VmId vm;
+    private final long incarnation;
+    private long number;
+    private BillSegment segment = BillSegment.empty();
+    private Revision revision = Revision.NONE;
+
+    BillWriter(
+            final ObjectStore store,
+            final DataCentreId dataCentre,
+            final VmId vm,
+            final long incarnation) {
+        this.store = Objects.requireNonNull(store, "store is null");
+        this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre is null");
+        this.vm = Objects.requireNonNull(vm, "vm is null");
+        this.incarnation = incarnation;
+    }
+
+    /** Returns how many bills the next append may have. */
+    int room() {
+        return Math.max(1, BillSegment.CAPACITY - segment.bills().size());
+    }
+
+    CompletableFuture<Boolean> append(final List<Bill> bills) {
+        final BillSegment next = segment.plus(bills);
+        return store.write(key(), revision, Json.write(next), CallPriority.NORMAL)
+                .thenApply(result -> onWritten(result, next));
+    }
+
+    private boolean onWritten(final WriteResult result, final BillSegment next) {
+        if (result instanceof WriteResult.Written written) {
+            segment = next;
+            revision = written.revision();
+            if (segment.isFull()) {
+                number++;
+                segment = BillSegment.empty();
+                revision = Revision.NONE;
+            }
+            return true;
+        }
+        if (result instanceof WriteResult.Conflict conflict) {
+            // An earlier write of ours stands although its answer was lost. Its bills are still in
+            // the caller's hands and are added again on top, where the set drops them.
+            revision = conflict.current().revision();
+        }
+        return false;
+    }
+
+    private ObjectKey key() {
+        return Keys.bills(dataCentre, vm, incarnation, number);
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/log/Event.java
@@ -0,0 +1,71 @@
+package org.fennelstage.log;
+
+import java.lang.System.Logger.Level;
+
+/** Every event the router logs. Numbers are never used again. Immutable and thread-safe. */
+public enum Event {
+    STARTED(1001, Level.INFO, "VM started"),
+    READY(1002, Level.INFO, "VM is ready for callers"),
+    DRAINING(1003, Level.INFO, "VM stops; requests in flight go on"),
+    STOPPED(1004, Level.INFO, "VM stopped"),
+    DRAIN_CUT(1005, Level.WARNING, "VM stopped with requests still in flight"),
+    TLS_RELOADED(1006, Level.INFO, "TLS keys were read again"),
+    TLS_UNREADABLE(1007, Level.ERROR, "TLS keys cannot be read; the old ones stay in use"),
+
+    CONFIGURATION_CHANGED(2001, Level.INFO, "configuration is in force"),
+    CONFIGURATION_MALFORMED(2002, Level.ERROR, "configuration object cannot be understood"),
+    PLATFORM_LOST(2003, Level.WARNING, "object API cannot be reached"),
+    PLATFORM_BACK(2004, Level.INFO, "object API answers again"),
+    CONFIGURATION_SOURCE(2005, Level.INFO, "first configuration received"),
+
+    MEMBER_CHANGED(3001, Level.INFO, "another VM changed state"),
+
+    REQUEST_ENDED(4001, Level.DEBUG, "request ended"),
+    REQUEST_RETRIED(4002, Level.INFO, "request is tried on another backend server"),
+    REQUEST_UNKNOWN(4003, Level.WARNING, "request ended with its outcome unknown"),
+    SERVER_BROKEN(4004, Level.WARNING, "backend server is left out after failures"),
+    SERVER_MENDED(4005, Level.INFO, "backend server is used again"),
+
+    CLAIM_UNAVAILABLE(5001, Level.WARNING, "claim could not be made; request refused"),
+    CLAIM_RELEASE_FAILED(5002, Level.WARNING, "claim could not be given back; its key stays taken"),
+    CLAIM_LOG_LOADED(5003, Level.DEBUG, "claims of a slot were loaded"),
+
+    BILL_HELD_ALONE(6001, Level.WARNING, "no other VM holds this bill"),
+    BILLS_WAITING(6002, Level.WARNING, "bills wait for the object API"),
+    BILLS_WRITTEN(6003, Level.DEBUG, "bills are in the object API"),
+
+    ROLLOUT_HALTED(7001, Level.WARNING, "candidate version was found bad and gets no new work"),
+    ROLLOUT_STEP(7002, Level.INFO, "roll-out reached its next step"),
+    ROLLOUT_DONE(7003, Level.INFO, "roll-out is complete");
+
+    private final int number;
+    private final Level level;
+    private final String text;
+
+    Event(final int number, final Level level, final String text) {
+        this.number = number;
+        this.level = level;
+        this.text = text;
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public Level level() {
+        return level;
+    }
+
+    public String text() {
+        return text;
+    }
+
+    /**
+     * Returns the code found in the log.
+     *
+     * @return {@code FS} and the number
+     */
+    public String code() {
+        return "FS" + number;
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. The catalogue is docs/LOG-EVENTS.md. */
+package org.fennelstage.log;
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
@@ -0,0 +1,109 @@
+package org.fennelstage.main;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.fennelstage.log.LogSetup;
+import org.fennelstage.settings.InvalidSettingsException;
+import org.fennelstage.settings.Settings;
+import org.fennelstage.settings.SettingsFile;
+
+/**
+ * The {@code fennelstage} program: {@code trial}, {@code run} and {@code check}. Exit codes: 0
+ * done, 1 refused, 2 usage.
+ */
+public final class Main {
+
+    private static final int DONE = 0;
+    private static final int REFUSED = 1;
+    private static final int USAGE = 2;
+    private static final String HELP =
+            String.join(
+                    System.lineSeparator(),
+                    "usage: fennelstage trial [--port PORT]        one process with stand-ins",
+                    "       fennelstage run --settings FILE.ini    one entry VM",
+                    "       fennelstage check --settings FILE.ini  every mistake in the settings");
+
+    private Main() {}
+
+    /**
+     * Runs a command.
+     *
+     * @param args the command and its options
+     */
+    public static void main(final String[] args) {
+        final int code = run(args);
+        if (code != DONE) {
+            System.exit(code);
+        }
+    }
+
+    private static int run(final String[] args) {
+        final Options options =
+                new Options()
+                        .addOption(Option.builder().longOpt("settings").hasArg().build())
+                        .addOption(Option.builder().longOpt("port").hasArg().build());
+        try {
+            final CommandLine line = new DefaultParser().parse(options, args);
+            final String command = line.getArgs().length == 1 ? line.getArgs()[0] : "";
+            return switch (command) {
+                case "trial" -> trial(Integer.parseInt(line.getOptionValue("port", "8080")));
+                case "run" -> serve(settings(line));
+                case "check" -> check(settings(line));
+                default -> usage("unknown command");
+            };
+        } catch (final ParseException | NumberFormatException e) {
+            return usage(e.getMessage());
+        } catch (final InvalidSettingsException e) {
+            e.mistakes().forEach(System.err::println);
+            return REFUSED;
+        } catch (final IOException e) {
+            System.err.println(e.getMessage() + cause(e));
+            return REFUSED;
+        }
+    }
+
+    private static Settings settings(final CommandLine line)
+            throws ParseException, InvalidSettingsException {
+        final String file = line.getOptionValue("settings");
+        if (file == null) {
+            throw new ParseException("--settings FILE.ini is missing");
+        }
+        return SettingsFile.read(Path.of(file));
+    }
+
+    private static int check(final Settings settings) {
+        System.out.println("settings of " + settings.vm().id() + " are in order");
+        return DONE;
+    }
+
+    private static int serve(final Settings settings) throws IOException {
+        LogSetup.apply(settings.log().json(), settings.log().level());
+        final RouterNode node = RouterNode.start(settings, RouterNode.Environment.standard());
+        Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "graceful-stop"));
+        return DONE;
+    }
+
+    private static int trial(final int port) throws IOException {
+        LogSetup.apply(false, "warn");
+        final Trial trial = Trial.start(port);
+        System.out.print(trial.greeting());
+        System.out.flush();
+        Runtime.getRuntime().addShutdownHook(new Thread(trial::close, "graceful-stop"));
+        return DONE;
+    }
+
+    private static int usage(final String problem) {
+        System.err.println(problem);
+        System.err.println(HELP);
+        return USAGE;
+    }
+
+    private static String cause(final Throwable e) {
+        return e.getCause() == null ? "" : ": " + e.getCause().getMessage();
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/RouterNode.java
@@ -0,0 +1,473 @@
+package org.fennelstage.main;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fennelstage.configuration.Configuration;
+import org.fennelstage.configuration.ConfigurationTable;
+import org.fennelstage.configuration.Digest;
+import org.fennelstage.configuration.StoredObject;
+import org.fennelstage.control.Bills;
+import org.fennelstage.control.ClaimKeeper;
+import org.fennelstage.control.Claims;
+import org.fennelstage.control.ConfigurationWatcher;
+import org.fennelstage.control.Duties;
+import org.fennelstage.control.Rollouts;
+import org.fennelstage.control.StatusReporter;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.http.HttpServer;
+import org.fennelstage.http.ServerLimits;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.member.Member;
+import org.fennelstage.member.MemberTable;
+import org.fennelstage.peer.PeerGroup;
+import org.fennelstage.peer.PeerNetwork;
+import org.fennelstage.peer.PeerTiming;
+import org.fennelstage.peer.PeerTls;
+import org.fennelstage.peer.Reachability;
+import org.fennelstage.peer.generated.Envelope;
+import org.fennelstage.platform.CallBudget;
+import org.fennelstage.platform.Declarations;
+import org.fennelstage.platform.Json;
+import org.fennelstage.platform.ObjectApiClient;
+import org.fennelstage.platform.ObjectStore;
+import org.fennelstage.request.RequestIds;
+import org.fennelstage.rollout.ExposurePolicy;
+import org.fennelstage.rollout.HaltTable;
+import org.fennelstage.route.AdminApi;
+import org.fennelstage.route.Router;
+import org.fennelstage.route.RouterMetrics;
+import org.fennelstage.settings.Settings;
+
+/**
+ * One entry VM: its tables, its duties and its servers, from start to graceful stop.
+ *
+ * <p>Lock order: every shared table has one monitor, and no method holds one while it calls another
+ * table, a peer or the object API; so there is no order to keep. Thread-safe.
+ */
+public final class RouterNode implements AutoCloseable {
+
+    private static final Duration PEER_GRACE = Duration.ofMillis(400);
+    private static final Duration STOP_STEP = Duration.ofMillis(20);
+    private static final Duration TLS_CHECK = Duration.ofSeconds(5);
+    private static final double LEAST_RATED_SHARE = 0.01;
+
+    private final Settings settings;
+    private final EventLoopGroup group;
+    private final EventLoop control;
+    private final ConfigurationTable table = ConfigurationTable.empty();
+    private final HaltTable halts = HaltTable.empty();
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final MemberTable members;
+    private final PeerNetwork network;
+    private final PeerGroup peers;
+    private final Duties duties;
+    private final ClaimKeeper claimKeeper;
+    private final Claims claims;
+    private final Bills bills;
+    private final Rollouts rollouts;
+    private final ConfigurationWatcher watcher;
+    private final StatusReporter status;
+    private final Router router;
+    private final HttpServer callers;
+    private final HttpServer admin;
+    private final ObjectStore store;
+    private volatile Configuration configuration = Configuration.empty();
+    private volatile boolean draining;
+
+    /**
+     * What a node may be given instead of what it would make itself.
+     *
+     * @param store the object API, empty to reach the one in the settings
+     * @param clock the clock
+     * @param reachability which peers may be connected to
+     * @param timing how often VMs talk to each other
+     * @param policy how much a candidate may get
+     * @param threads the number of event loops
+     */
+    public record Environment(
+            Optional<ObjectStore> store,
+            InstantSource clock,
+            Reachability reachability,
+            PeerTiming timing,
+            ExposurePolicy policy,
+            int threads) {
+
+        /**
+         * Returns the environment of a VM in service.
+         *
+         * @return the environment
+         */
+        public static Environment standard() {
+            return new Environment(
+                    Optional.empty(),
+                    InstantSource.system(),
+                    Reachability.ALL,
+                    PeerTiming.DEFAULT,
+                    ExposurePolicy.DEFAULT,
+                    2);
+        }
+
+        /**
+         * Returns this environment with another object API.
+         *
+         * @param other the object API
+         * @return the environment
+         */
+        public Environment withStore(final ObjectStore other) {
+            return new Environment(
+                    Optional.of(other), clock, reachability, timing, policy, threads);
+        }
+    }
+
+    private RouterNode(final Settings settings, final Environment environment) throws IOException {
+        this.settings = settings;
+        this.group = new NioEventLoopGroup(environment.threads());
+        this.control = group.next();
+        final InstantSource clock = environment.clock();
+        final SplittableRandom random =
+                new SplittableRandom(settings.vm().id().hashCode() ^ clock.millis());
+        this.store = environment.store().orElseGet(() -> client(clock));
+        final PeerTls tls = peerTls();
+        this.network =
+                PeerNetwork.start(
+                        group,
+                        settings.vm().id(),
+                        new InetSocketAddress(
+                                settings.listen().host(), settings.listen().peerPort()),
+                        tls,
+                        environment.reachability(),
+                        this::onMessage);
+        this.members =
+                MemberTable.of(
+                        new Member(
+                                settings.vm().id(),
+                                settings.vm().dataCentre(),
+                                settings.listen().host(),
+                                network.port(),
+                                clock.millis(),
+                                Member.State.ALIVE),
+                        clock,
+                        random.split(),
+                        environment.timing().suspicion());
+        this.peers =
+                new PeerGroup(
+                        new PeerGroup.Tables(members, table, halts),
+                        control,
+                        environment.timing(),
+                        random.split(),
+                        settings.seeds(),
+                        new Changes());
+        this.duties = new Duties(members, peers, network);
+        this.claimKeeper =
+                new ClaimKeeper(
+                        store, control, clock, random.split(), settings.claims().patience());
+        this.claims =
+                new Claims(
+                        duties,
+                        claimKeeper,
+                        control,
+                        clock,
+                        settings.claims().slots(),
+                        settings.claims().patience());
+        this.bills = new Bills(duties, store, control, clock);
+        this.rollouts =
+                new Rollouts(
+                        new Rollouts.Surroundings(() -> configuration, duties, peers, halts, store),
+                        control,
+                        clock,
+                        environment.policy(),
+                        Math.max(LEAST_RATED_SHARE, settings.rating().share()));
+        this.watcher =
+                new ConfigurationWatcher(store, duties, peers, table, control, random.split());
+        this.status =
+                new StatusReporter(duties, members, table, store, control, clock, this::isReady);
+        this.router =
+                new Router(
+                        new Router.Dependencies(
+                                () -> configuration,
+                                clock,
+                                RequestIds.of(settings.vm().id(), members.self().incarnation()),
+                                claims,
+                                bills,
+                                rollouts,
+                                metrics),
+                        settings.vm().dataCentre(),
+                        this::vmCount,
+                        settings.rating().address(),
+                        settings.rating().share());
+        this.callers = startCallers();
+        this.admin =
+                HttpServer.start(
+                        group,
+                        new InetSocketAddress(
+                                settings.listen().adminHost(), settings.listen().adminPort()),
+                        ServerLimits.DEFAULT,
+                        new AdminApi(this::isReady, metrics, this::statusJson));
+    }
+
+    /**
+     * Starts a VM.
+     *
+     * @param settings its settings
+     * @param environment what it is given
+     * @return the running VM; it is ready once it has a configuration
+     * @throws IOException if an address cannot be bound or a key file not be read
+     */
+    public static RouterNode start(final Settings settings, final Environment environment)
+            throws IOException {
+        final RouterNode node = new RouterNode(settings, environment);
+        node.begin();
+        return node;
+    }
+
+    public int port() {
+        return callers.port();
+    }
+
+    public int adminPort() {
+        return admin.port();
+    }
+
+    public int peerPort() {
+        return network.port();
+    }
+
+    /**
+     * Tells whether the VM takes callers.
+     *
+     * @return true while it has a configuration and does not stop
+     */
+    public boolean isReady() {
+        return !draining && !configuration.digest().equals(Digest.EMPTY);
+    }
+
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    public MemberTable members() {
+        return members;
+    }
+
+    public HaltTable halts() {
+        return halts;
+    }
+
+    public PeerNetwork network() {
+        return network;
+    }
+
+    public Bills bills() {
+        return bills;
+    }
+
+    /**
+     * Stops without cutting a request: refuses new ones, lets those in flight end, brings bills to
+     * safety, and closes, at the latest after the settings' bound.
+     */
+    public void stop() {
+        EventLog.write(Event.DRAINING, "vm", settings.vm().id(), "in_flight", router.inFlight());
+        draining = true;
+        peers.leave();
+        callers.stopAccepting();
+        router.drain();
+        final long deadline = System.nanoTime() + settings.drain().toNanos();
+        awaitUntil(deadline, () -> router.inFlight() == 0);
+        if (router.inFlight() > 0) {
+            EventLog.write(Event.DRAIN_CUT, "in_flight", router.inFlight());
+        }
+        final long billsDeadline = System.nanoTime() + Duration.ofSeconds(3).toNanos();
+        awaitUntil(
+                billsDeadline,
+                () -> {
+                    bills.flush();
+                    return bills.waiting() == 0;
+                });
+        if (bills.waiting() > 0) {
+            bills.handOver().orTimeout(2, TimeUnit.SECONDS).exceptionally(e -> null).join();
+        }
+        close();
+        EventLog.write(Event.STOPPED, "vm", settings.vm().id());
+    }
+
+    /** Stops at once, as if the VM had died. */
+    @Override
+    public void close() {
+        watcher.close();
+        peers.close();
+        callers.close();
+        admin.close();
+        network.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private void begin() {
+        peers.start(network);
+        watcher.start(settings.seeds().isEmpty() ? Duration.ZERO : PEER_GRACE);
+        bills.start();
+        rollouts.start();
+        status.start();
+        metrics.gauge("fennelstage_bills_waiting", "Bills not yet stored", () -> bills.waiting());
+        metrics.gauge("fennelstage_claims_cached", "Claims in memory", () -> claimKeeper.cached());
+        metrics.gauge(
+                "fennelstage_configuration_revision",
+                "Highest configuration revision in force",
+                () -> configuration.digest().highest().value());
+        metrics.gauge("fennelstage_peer_messages_sent", "Peer messages", network::messagesSent);
+        metrics.gauge("fennelstage_peer_bytes_sent", "Peer bytes", network::bytesSent);
+        EventLog.write(
+                Event.STARTED,
+                "vm",
+                settings.vm().id(),
+                "data_centre",
+                settings.vm().dataCentre(),
+                "port",
+                port(),
+                "admin_port",
+                adminPort(),
+                "peer_port",
+                peerPort());
+    }
+
+    private HttpServer startCallers() throws IOException {
+        final Settings.Limits limits = settings.limits();
+        final ServerLimits serverLimits =
+                new ServerLimits(limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.idle());
+        final InetSocketAddress address =
+                new InetSocketAddress(settings.listen().host(), settings.listen().port());
+        if (settings.tls().callers().isEmpty()) {
+            return HttpServer.start(group, address, serverLimits, router);
+        }
+        final TlsContexts tls = TlsContexts.load(settings.tls().callers().get());
+        watchKeys(tls);
+        return HttpServer.start(group, address, serverLimits, tls::server, router);
+    }
+
+    private PeerTls peerTls() throws IOException {
+        if (settings.tls().peers().isEmpty()) {
+            return PeerTls.NONE;
+        }
+        final TlsContexts tls = TlsContexts.load(settings.tls().peers().get());
+        watchKeys(tls);
+        return new PeerTls(tls::server, tls::client);
+    }
+
+    private void watchKeys(final TlsContexts tls) {
+        final long period = TLS_CHECK.toMillis();
+        control.scheduleWithFixedDelay(tls::refresh, period, period, TimeUnit.MILLISECONDS);
+    }
+
+    private ObjectStore client(final InstantSource clock) {
+        final Settings.Platform platform = settings.platform();
+        return new ObjectApiClient(
+                new HttpClient(control),
+                platform.objects(),
+                CallBudget.of(clock, platform.callsPerSecond(), platform.burst()),
+                platform.timeout());
+    }
+
+    private void onMessage(final Envelope message, final Consumer<Envelope.Builder> reply) {
+        final boolean taken =
+                peers.handle(message, reply)
+                        || claims.handle(message, reply)
+                        || bills.handle(message, reply)
+                        || rollouts.handle(message, reply)
+                        || status.handle(message);
+        if (!taken) {
+            reply.accept(Envelope.newBuilder());
+        }
+    }
+
+    private int vmCount() {
+        final int own = members.dutyVms().size();
+        return own * (1 + members.remotes().size());
+    }
+
+    private byte[] statusJson() {
+        final Map<String, Object> state = new TreeMap<>();
+        state.put("vm", settings.vm().id());
+        state.put("ready", isReady());
+        state.put("revision", configuration.digest().highest().value());
+        state.put("in_flight", router.inFlight());
+        state.put("bills_waiting", bills.waiting());
+        state.put("members", members.all());
+        state.put("halted", halts.all());
+        return Json.write(state);
+    }
+
+    private static void awaitUntil(
+            final long deadlineNanos, final java.util.function.BooleanSupplier condition) {
+        while (!condition.getAsBoolean() && System.nanoTime() < deadlineNanos) {
+            try {
+                Thread.sleep(STOP_STEP.toMillis());
+            } catch (final InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private final class Changes implements PeerGroup.Listener {
+
+        @Override
+        public void onConfiguration(final List<StoredObject> changed) {
+            final boolean wasReady = isReady();
+            synchronized (this) {
+                // Built under a lock so that a slower builder of an older table cannot put its
+                // result over a newer one: a withdrawn version would seem to serve again.
+                final Declarations.Decoded decoded = Declarations.decodeAll(table);
+                decoded.malformed()
+                        .forEach(m -> EventLog.write(Event.CONFIGURATION_MALFORMED, "detail", m));
+                configuration = decoded.configuration();
+            }
+            EventLog.write(
+                    Event.CONFIGURATION_CHANGED,
+                    "revision",
+                    configuration.digest().highest(),
+                    "objects",
+                    changed.size());
+            if (!wasReady && isReady()) {
+                EventLog.write(Event.READY, "vm", settings.vm().id());
+            }
+            status.changed();
+        }
+
+        @Override
+        public void onMember(final Member member) {
+            EventLog.write(
+                    Event.MEMBER_CHANGED,
+                    "member",
+                    member.id(),
+                    "state",
+                    member.state(),
+                    "incarnation",
+                    member.incarnation());
+        }
+
+        @Override
+        public void onHalts() {
+            halts.all()
+                    .forEach(
+                            (rollout, signal) ->
+                                    EventLog.write(
+                                            Event.ROLLOUT_HALTED,
+                                            "rollout",
+                                            rollout,
+                                            "signal",
+                                            signal));
+        }
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/Trial.java
@@ -0,0 +1,252 @@
+package org.fennelstage.main;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import org.fennelstage.backend.BackendServer;
+import org.fennelstage.configuration.Revision;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.ModelId;
+import org.fennelstage.id.ProfileId;
+import org.fennelstage.id.ServiceName;
+import org.fennelstage.id.TeamId;
+import org.fennelstage.id.VersionId;
+import org.fennelstage.id.VmId;
+import org.fennelstage.model.ModelVersion;
+import org.fennelstage.platform.CallPriority;
+import org.fennelstage.platform.DeclarationKind;
+import org.fennelstage.platform.Declarations;
+import org.fennelstage.platform.Keys;
+import org.fennelstage.platform.MemoryObjectStore;
+import org.fennelstage.profile.Profile;
+import org.fennelstage.session.KeyRing;
+import org.fennelstage.settings.Settings;
+import org.fennelstage.standin.ModelEngine;
+import org.fennelstage.standin.ObjectApiStandIn;
+import org.fennelstage.standin.PlainService;
+import org.fennelstage.standin.RatingService;
+import org.fennelstage.standin.VersionBehaviour;
+import org.fennelstage.team.KeyHash;
+import org.fennelstage.team.Team;
+
+/**
+ * One process on loopback with everything a first request needs: an object API in memory, engines
+ * of two models with two versions each, a plain service, a rating service and two teams.
+ *
+ * <p>Thread-safe.
+ */
+final class Trial implements AutoCloseable {
+
+    private static final String HOST = "127.0.0.1";
+    private static final DataCentreId DATA_CENTRE = DataCentreId.of("sofia-lozenets");
+    private static final int SLOTS = 8;
+    private static final long SEED = 7;
+    private static final List<VersionBehaviour> BEHAVIOURS =
+            List.of(
+                    VersionBehaviour.parse("pero-small@v1,0.75,0,0,4,10"),
+                    VersionBehaviour.parse("pero-small@v2,0.78,0,0,4,10"),
+                    VersionBehaviour.parse("pero-large@v1,0.92,0,0,10,40"),
+                    VersionBehaviour.parse("pero-large@v2,0.40,0,0,10,40"));
+
+    private final EventLoopGroup group = new NioEventLoopGroup(2);
+    private final MemoryObjectStore store = MemoryObjectStore.empty();
+    private final List<AutoCloseable> standIns = new ArrayList<>();
+    private final ObjectApiStandIn objects;
+    private final RouterNode node;
+
+    private Trial(final int port) throws IOException {
+        objects = ObjectApiStandIn.start(group, any(), store, SEED);
+        standIns.add(objects);
+        final RatingService rating = RatingService.start(group, any(), 200);
+        standIns.add(rating);
+        declare();
+        node =
+                RouterNode.start(
+                        settings(port, rating.port()),
+                        RouterNode.Environment.standard().withStore(store));
+        awaitReady();
+    }
+
+    static Trial start(final int port) throws IOException {
+        return new Trial(port);
+    }
+
+    int port() {
+        return node.port();
+    }
+
+    String greeting() {
+        final String address = "http://" + HOST + ":" + node.port();
+        return String.join(
+                System.lineSeparator(),
+                "fennelstage trial listens on " + address,
+                "operators: http://"
+                        + HOST
+                        + ":"
+                        + node.adminPort()
+                        + " (/readyz /metrics /status)",
+                "object API for fennelctl: --store " + HOST + ":" + objects.port(),
+                "team editors:  key editors-key  profiles subject-line, full-issue, send",
+                "team auditors: key auditors-key profile  subject-line",
+                "plain service: /services/klub-portal-api/",
+                "try:",
+                "curl -N "
+                        + address
+                        + "/v1/chat/completions -H 'Authorization: Bearer editors-key'"
+                        + " -d '{\"model\":\"subject-line\",\"stream\":true,"
+                        + "\"messages\":[{\"role\":\"user\",\"content\":\"Three subject lines\"}]}'",
+                "");
+    }
+
+    @Override
+    public void close() {
+        node.stop();
+        for (final AutoCloseable standIn : standIns) {
+            try {
+                standIn.close();
+            } catch (final Exception e) {
+                System.err.println("stand-in did not close: " + e.getMessage());
+            }
+        }
+        store.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void awaitReady() throws IOException {
+        final long deadline = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (!node.isReady()) {
+            if (System.nanoTime() > deadline) {
+                throw new IOException("the trial did not become ready");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private void declare() throws IOException {
+        for (final VersionBehaviour behaviour : BEHAVIOURS) {
+            final boolean isFirst = behaviour.version().version().equals("v1");
+            final double cost = behaviour.version().model().value().equals("pero-small") ? 1 : 12;
+            put(
+                    DeclarationKind.VERSION,
+                    behaviour.version().toString(),
+                    new ModelVersion(
+                            behaviour.version(),
+                            isFirst ? ModelVersion.State.SERVING : ModelVersion.State.DRAINING,
+                            cost));
+        }
+        engine("pero-small", "pero-worker-1");
+        engine("pero-small", "pero-worker-2");
+        engine("pero-large", "pero-worker-3");
+        engine("pero-large", "pero-worker-4");
+        final PlainService service = PlainService.start(group, any());
+        standIns.add(service);
+        server("klub-1", service.port(), Set.of(), Optional.of(ServiceName.of("klub-portal-api")));
+        profile("subject-line", "pero-small", 0.6, true, 16);
+        profile("full-issue", "pero-large", 0.85, true, 200);
+        profile("send", "pero-small", 0.6, false, 16);
+        team("editors", Set.of("subject-line", "full-issue", "send"), true);
+        team("auditors", Set.of("subject-line"), false);
+        put(DeclarationKind.KEY_RING, "sessions", KeyRing.of("k1", UUID.randomUUID().toString()));
+    }
+
+    private void engine(final String model, final String name) throws IOException {
+        final List<VersionBehaviour> behaviours =
+                BEHAVIOURS.stream().filter(b -> b.version().model().value().equals(model)).toList();
+        final ModelEngine engine =
+                ModelEngine.start(group, any(), behaviours, SLOTS, name.hashCode());
+        standIns.add(engine);
+        final Set<VersionId> versions =
+                Set.of(VersionId.of(model, "v1"), VersionId.of(model, "v2"));
+        server(name, engine.port(), versions, Optional.empty());
+    }
+
+    private void server(
+            final String name,
+            final int port,
+            final Set<VersionId> versions,
+            final Optional<ServiceName> service) {
+        put(
+                DeclarationKind.BACKEND_SERVER,
+                name,
+                new BackendServer(
+                        BackendServerId.of(name),
+                        DATA_CENTRE,
+                        HOST,
+                        port,
+                        versions,
+                        service,
+                        SLOTS,
+                        false));
+    }
+
+    private void profile(
+            final String name,
+            final String model,
+            final double quality,
+            final boolean idempotent,
+            final int tokens) {
+        put(
+                DeclarationKind.PROFILE,
+                name,
+                new Profile(
+                        ProfileId.of(name),
+                        List.of(ModelId.of(model)),
+                        quality,
+                        Duration.ofMillis(1300),
+                        Duration.ofSeconds(30),
+                        idempotent,
+                        tokens));
+    }
+
+    private void team(final String name, final Set<String> profiles, final boolean explain) {
+        put(
+                DeclarationKind.TEAM,
+                name,
+                new Team(
+                        TeamId.of(name),
+                        KeyHash.ofKey(name + "-salt", name + "-key"),
+                        profiles.stream()
+                                .map(ProfileId::of)
+                                .collect(java.util.stream.Collectors.toSet()),
+                        Set.of(ModelId.of("pero-small"), ModelId.of("pero-large")),
+                        200,
+                        100,
+                        explain));
+    }
+
+    private void put(final DeclarationKind kind, final String id, final Object declaration) {
+        store.write(
+                        Keys.declaration(kind, id),
+                        Revision.NONE,
+                        Declarations.encode("trial", declaration),
+                        CallPriority.NORMAL)
+                .join();
+    }
+
+    private static Settings settings(final int port, final int ratingPort) {
+        return new Settings(
+                new Settings.Vm(VmId.of("trial-vm"), DATA_CENTRE),
+                new Settings.Listen(HOST, port, HOST, 0, 0),
+                new Settings.Platform(any(), 100, 100, Duration.ofSeconds(2)),
+                List.of(),
+                new Settings.Limits(16 * 1024, 1024 * 1024, Duration.ofSeconds(30)),
+                new Settings.Claims(16, Duration.ofSeconds(2)),
+                new Settings.Rating(Optional.of(new InetSocketAddress(HOST, ratingPort)), 1),
+                new Settings.Tls(Optional.empty(), Optional.empty()),
+                new Settings.Log(false, "warn"),
+                Duration.ofSeconds(5));
+    }
+
+    private static InetSocketAddress any() {
+        return new InetSocketAddress(HOST, 0);
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Attempts.java
@@ -0,0 +1,141 @@
+package org.fennelstage.route;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.fennelstage.backend.BackendServer;
+import org.fennelstage.backend.WorkerChoice;
+import org.fennelstage.http.Call;
+import org.fennelstage.http.CallFailure;
+import org.fennelstage.http.CallOptions;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.http.ResponseListener;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+
+/**
+ * The attempts of one request at backend servers, one at a time.
+ *
+ * <p>Invariants: no server is tried twice; bytes of an attempt that was given up reach nobody,
+ * since its call is cancelled; the number of requests in flight at a server counts each attempt
+ * once. Confined to the request's event loop.
+ */
+final class Attempts {
+
+    private static final int MOST = 3;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final WorkerTable workers;
+    private final HttpClient client;
+    private final Set<BackendServerId> tried = new HashSet<>();
+    private Optional<BackendServer> current = Optional.empty();
+    private Call call;
+
+    Attempts(final WorkerTable workers, final HttpClient client) {
+        this.workers = workers;
+        this.client = client;
+    }
+
+    boolean isFirst() {
+        return tried.isEmpty();
+    }
+
+    boolean mayTryAgain() {
+        return tried.size() < MOST;
+    }
+
+    /**
+     * Sends the request to a server that was not tried yet.
+     *
+     * @param pool the servers
+     * @param choice how to choose
+     * @param prefix the hash of the prompt's prefix
+     * @param options the bounds of the call, with or without a fresh connection
+     * @param request makes the request
+     * @param listener hears the response
+     * @return the server, empty if there is none left
+     */
+    Optional<BackendServer> send(
+            final Pool pool,
+            final WorkerChoice choice,
+            final long prefix,
+            final CallOptions options,
+            final Supplier<FullHttpRequest> request,
+            final ResponseListener listener) {
+        release();
+        current = pool.choose(choice, prefix, tried);
+        if (current.isEmpty()) {
+            return current;
+        }
+        final BackendServer server = current.get();
+        tried.add(server.id());
+        final WorkerState state = workers.state(server.id());
+        state.inFlight().incrementAndGet();
+        state.breaker().onTry();
+        call =
+                client.send(
+                        new InetSocketAddress(server.host(), server.port()),
+                        request.get(),
+                        options,
+                        listener);
+        return current;
+    }
+
+    static CallOptions options(final Duration silence, final boolean idempotent) {
+        return new CallOptions(CONNECT_TIMEOUT, silence, !idempotent);
+    }
+
+    /** Notes that the present server answered. */
+    void onAnswer() {
+        current.ifPresent(
+                s -> {
+                    if (workers.state(s.id()).breaker().onSuccess()) {
+                        EventLog.write(Event.SERVER_MENDED, "server", s.id());
+                    }
+                });
+    }
+
+    /**
+     * Notes that the present attempt failed.
+     *
+     * @param failure how
+     */
+    void onFailure(final CallFailure failure) {
+        current.ifPresent(
+                s -> {
+                    final boolean connectionFailed =
+                            failure.phase() != CallFailure.Phase.RESPONDING;
+                    if (connectionFailed && workers.state(s.id()).breaker().onFailure()) {
+                        EventLog.write(
+                                Event.SERVER_BROKEN, "server", s.id(), "detail", failure.detail());
+                    }
+                });
+        release();
+    }
+
+    void pause(final boolean paused) {
+        if (call != null) {
+            call.pause(paused);
+        }
+    }
+
+    /** Gives the present attempt up. */
+    void cancel() {
+        if (call != null) {
+            call.cancel();
+        }
+        release();
+    }
+
+    /** Notes that the present attempt is over. */
+    void release() {
+        current.ifPresent(s -> workers.state(s.id()).inFlight().decrementAndGet());
+        current = Optional.empty();
+        call = null;
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -0,0 +1,539 @@
+package org.fennelstage.route;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fennelstage.backend.BackendServer;
+import org.fennelstage.bill.Bill;
+import org.fennelstage.configuration.Configuration;
+import org.fennelstage.control.ClaimAnswer;
+import org.fennelstage.control.Claims;
+import org.fennelstage.control.Share;
+import org.fennelstage.http.CallFailure;
+import org.fennelstage.http.ResponseListener;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.id.RequestId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.model.ModelVersion;
+import org.fennelstage.model.VersionChooser;
+import org.fennelstage.outcome.Outcome;
+import org.fennelstage.outcome.Reason;
+import org.fennelstage.platform.Json;
+import org.fennelstage.profile.Profile;
+import org.fennelstage.rollout.Rollout;
+import org.fennelstage.rollout.Signal;
+import org.fennelstage.session.Session;
+import org.fennelstage.team.Team;
+
+/**
+ * One request to a profile, from its admission to its outcome.
+ *
+ * <p>Invariants: exactly one outcome; a non-idempotent request is sent at most once, and only while
+ * this run holds its claim; "not run" is told only if no byte of the request was sent and none will
+ * be; the end of an answer is shown only after its bill is in two memories. Confined to the event
+ * loop of the caller's connection.
+ */
+final class ChatRun {
+
+    private static final Duration NO_BACKEND_RETRY = Duration.ofSeconds(2);
+    private static final int PREFIX_CHARACTERS = 256;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+    private static final int OK = 200;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Services services;
+    private final LoopContext loop;
+    private final ServerExchange exchange;
+    private final Team team;
+    private final Profile profile;
+    private final ChatRequest request;
+    private final Optional<Session> session;
+    private final RequestId id;
+    private final Configuration configuration;
+    private final long startNanos = System.nanoTime();
+    private final Attempts attempts;
+    private final ChatAnswer answer;
+    private ScheduledFuture<?> deadlineTimer;
+    private ModelVersion version;
+    private Optional<Rollout> exposure = Optional.empty();
+    private boolean claimed;
+    private boolean sent;
+    private boolean ended;
+
+    ChatRun(
+            final Services services,
+            final LoopContext loop,
+            final ServerExchange exchange,
+            final Team team,
+            final Profile profile,
+            final ChatRequest request,
+            final Optional<Session> session,
+            final RequestId id) {
+        this.services = services;
+        this.loop = loop;
+        this.exchange = exchange;
+        this.team = team;
+        this.profile = profile;
+        this.request = request;
+        this.session = session;
+        this.id = id;
+        this.configuration = services.configuration().get();
+        this.attempts = new Attempts(services.workers(), loop.client());
+        this.answer = new ChatAnswer(exchange, id, profile.id(), request.stream());
+    }
+
+    /** Begins; the request has been admitted. */
+    void start() {
+        services.metrics().begin();
+        final Duration limit =
+                request.deadline()
+                        .filter(d -> d.compareTo(profile.deadline()) < 0)
+                        .orElse(profile.deadline());
+        deadlineTimer =
+                exchange.eventLoop()
+                        .schedule(this::onDeadline, limit.toMillis(), TimeUnit.MILLISECONDS);
+        exchange.onClosed(this::onCallerGone);
+        exchange.onWritable(() -> attempts.pause(false));
+        chooseVersion();
+    }
+
+    private void chooseVersion() {
+        final VersionChooser.Choice choice =
+                session.map(s -> VersionChooser.choose(configuration, team, s, services.rollouts()))
+                        .orElseGet(
+                                () ->
+                                        VersionChooser.choose(
+                                                configuration,
+                                                team,
+                                                profile.models().get(0),
+                                                services.rollouts()));
+        if (choice instanceof VersionChooser.Choice.Refused refused) {
+            end(refused.outcome());
+        } else if (choice instanceof VersionChooser.Choice.Chosen chosen) {
+            version = chosen.version();
+            final Optional<Rollout> trial = chosen.trial().filter(this::isSampled);
+            if (trial.isPresent()) {
+                askForShare(trial.get());
+            } else {
+                claim();
+            }
+        }
+    }
+
+    private boolean isSampled(final Rollout rollout) {
+        final String key = rollout.id() + "/" + id;
+        return Ratings.fraction(key) < services.rollouts().share(rollout);
+    }
+
+    private void askForShare(final Rollout rollout) {
+        services.rollouts()
+                .request(rollout)
+                .thenAccept(share -> onLoop(() -> onShare(rollout, share)));
+    }
+
+    private void onShare(final Rollout rollout, final Share share) {
+        final Optional<ModelVersion> candidate = configuration.version(rollout.candidate());
+        if (share.granted() && candidate.isPresent()) {
+            version = candidate.get();
+            exposure = Optional.of(rollout);
+            services.rollouts().exposed(rollout.id());
+        }
+        claim();
+    }
+
+    private void claim() {
+        if (profile.idempotent()) {
+            dispatch();
+            return;
+        }
+        services.claims()
+                .take(claimKey(), id)
+                .thenAccept(result -> onLoopAlways(() -> onClaim(result)));
+    }
+
+    private void onClaim(final ClaimAnswer result) {
+        if (result instanceof ClaimAnswer.Refused refused) {
+            end(duplicate(refused));
+            return;
+        }
+        claimed = true;
+        if (ended) {
+            // The caller left or the deadline passed while the claim was on its way. Nothing was
+            // sent, so the key is given back; kept, it would block the caller's next attempt.
+            giveClaimBack();
+        } else if (result instanceof ClaimAnswer.Unavailable unavailable) {
+            EventLog.write(Event.CLAIM_UNAVAILABLE, "request", id, "detail", unavailable.detail());
+            end(
+                    Outcome.notRun(
+                            Reason.CLAIM_UNAVAILABLE,
+                            "at-most-once cannot be ensured at present: " + unavailable.detail(),
+                            NO_BACKEND_RETRY));
+        } else {
+            dispatch();
+        }
+    }
+
+    private static Outcome duplicate(final ClaimAnswer.Refused refused) {
+        final RequestId holder = refused.held().holder();
+        return switch (refused.held().state()) {
+            case DONE ->
+                    new Outcome.FailedAfterRun(
+                            "this idempotency key already ran to its end as request " + holder);
+            default ->
+                    new Outcome.Unknown(
+                            "this idempotency key is held by request "
+                                    + holder
+                                    + ", which may be running or have run");
+        };
+    }
+
+    private void dispatch() {
+        if (ended) {
+            return;
+        }
+        if (attempts.isFirst()) {
+            services.retries().onAttempt();
+        }
+        // The declarations may have changed while the share or the claim was on its way; a version
+        // withdrawn meanwhile must not get this request.
+        final Configuration now = services.configuration().get();
+        final boolean usable =
+                now.version(version.id())
+                        .filter(v -> session.isPresent() ? v.acceptsSession() : v.acceptsNew())
+                        .isPresent();
+        if (!usable) {
+            end(
+                    Outcome.notRun(
+                            Reason.NO_BACKEND,
+                            "version " + version.id() + " was withdrawn",
+                            NO_BACKEND_RETRY));
+            return;
+        }
+        final Optional<BackendServer> server =
+                attempts.send(
+                        loop.pool(now, version.id()),
+                        loop.forModels(),
+                        prefix(),
+                        Attempts.options(profile.deadline(), profile.idempotent()),
+                        this::backendRequest,
+                        new Listener());
+        if (server.isEmpty()) {
+            endWithoutServer();
+            return;
+        }
+        sent = true;
+        services.metrics().sent(version.id());
+        answer.onChosen(version.id(), server.get().id(), explanation(), team.explain());
+    }
+
+    private void endWithoutServer() {
+        final String detail = "no backend server for version " + version.id();
+        end(
+                sent
+                        ? new Outcome.FailedAfterRun(detail + " is left to try")
+                        : Outcome.notRun(Reason.NO_BACKEND, detail, NO_BACKEND_RETRY));
+    }
+
+    private String explanation() {
+        if (session.isPresent()) {
+            return "session";
+        }
+        return exposure.map(r -> "rollout " + r.id()).orElse("proven");
+    }
+
+    private FullHttpRequest backendRequest() {
+        final ObjectNode body = Json.mapper().createObjectNode();
+        body.put("model", version.id().toString());
+        body.set("messages", request.messages());
+        final int limit =
+                request.maxTokens() == 0
+                        ? profile.maxTokens()
+                        : Math.min(request.maxTokens(), profile.maxTokens());
+        body.put("max_tokens", limit);
+        body.put("stream", true);
+        final FullHttpRequest message =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.POST,
+                        "/v1/chat/completions",
+                        Unpooled.wrappedBuffer(Json.write(body)));
+        message.headers().set("content-type", "application/json");
+        message.headers().set(OutcomeResponse.REQUEST_ID, id.value());
+        request.idempotencyKey()
+                .ifPresent(k -> message.headers().set(ChatRequest.IDEMPOTENCY_KEY, k));
+        final String trace = exchange.headers().get("traceparent");
+        if (trace != null) {
+            message.headers().set("traceparent", trace);
+        }
+        return message;
+    }
+
+    private long prefix() {
+        final String text = request.messages().toString();
+        return Hashing.komihash5_0()
+                .hashStream()
+                .putChars(text.substring(0, Math.min(PREFIX_CHARACTERS, text.length())))
+                .getAsLong();
+    }
+
+    private String claimKey() {
+        return Claims.key(team.id(), request.idempotencyKey().orElseThrow());
+    }
+
+    private void onDeadline() {
+        if (ended) {
+            return;
+        }
+        attempts.cancel();
+        end(
+                sent
+                        ? lateAfterSending()
+                        : Outcome.notRun(
+                                Reason.DEADLINE,
+                                "the deadline passed before the request ran",
+                                NO_BACKEND_RETRY));
+    }
+
+    private Outcome lateAfterSending() {
+        return answer.hasBegun()
+                ? new Outcome.FailedAfterRun("the deadline passed during the answer")
+                : new Outcome.Unknown("the deadline passed before an answer came");
+    }
+
+    private void onCallerGone() {
+        if (ended) {
+            return;
+        }
+        attempts.cancel();
+        end(new Outcome.Unknown("the caller went away"));
+    }
+
+    private void onFailure(final CallFailure failure) {
+        attempts.onFailure(failure);
+        final boolean notSent = failure.phase() == CallFailure.Phase.NOT_SENT;
+        if (!notSent) {
+            judge(Signal.ERROR, true);
+        }
+        final boolean repeatable = notSent || (profile.idempotent() && !answer.hasBegun());
+        if (repeatable && tryAgain(failure.detail())) {
+            return;
+        }
+        if (notSent) {
+            sent = false;
+            end(Outcome.notRun(Reason.NO_BACKEND, failure.detail(), NO_BACKEND_RETRY));
+        } else if (failure.phase() == CallFailure.Phase.MAYBE_SENT) {
+            end(new Outcome.Unknown("the backend server gave no answer: " + failure.detail()));
+        } else {
+            end(new Outcome.FailedAfterRun("the answer broke off: " + failure.detail()));
+        }
+    }
+
+    private void onErrorStatus(final int status) {
+        attempts.cancel();
+        final boolean refused = status == NOT_FOUND || status == TOO_MANY || status == UNAVAILABLE;
+        if (!refused) {
+            judge(Signal.ERROR, true);
+        }
+        final String detail = "the backend server answered " + status;
+        if ((refused || profile.idempotent()) && tryAgain(detail)) {
+            return;
+        }
+        if (refused) {
+            end(Outcome.notRun(Reason.NO_BACKEND, detail, NO_BACKEND_RETRY));
+        } else {
+            end(new Outcome.FailedAfterRun(detail));
+        }
+    }
+
+    private boolean tryAgain(final String detail) {
+        if (ended || !attempts.mayTryAgain() || !services.retries().tryRetry()) {
+            return false;
+        }
+        EventLog.write(Event.REQUEST_RETRIED, "request", id, "detail", detail);
+        services.metrics().retried();
+        if (exposure.isPresent()) {
+            // The candidate failed this caller once; the proven version answers the next attempt.
+            final Optional<ModelVersion> proven =
+                    configuration.version(exposure.get().proven()).filter(ModelVersion::acceptsNew);
+            exposure = Optional.empty();
+            proven.ifPresent(v -> version = v);
+        }
+        dispatch();
+        return true;
+    }
+
+    private void judge(final Signal signal, final boolean isBad) {
+        exposure.ifPresent(r -> services.rollouts().judged(r.id(), signal, isBad));
+    }
+
+    private void onWholeAnswer() {
+        attempts.onAnswer();
+        attempts.release();
+        judge(Signal.ERROR, false);
+        judge(Signal.TRUNCATION, answer.isTruncated());
+        if (!profile.idempotent()) {
+            services.claims().done(claimKey(), id);
+        }
+        final int tokens = answer.tokens();
+        final Bill bill =
+                new Bill(
+                        id,
+                        team.id(),
+                        profile.id(),
+                        version.id(),
+                        tokens,
+                        tokens * version.costPerThousandTokens() / 1000,
+                        services.clock().millis());
+        services.bills().record(bill).thenAccept(done -> onLoop(this::finishAnswer));
+    }
+
+    private void finishAnswer() {
+        final Optional<String> token =
+                SessionIssue.token(configuration.keys(), request, session, team, version.id());
+        answer.finish(token);
+        final Optional<Rollout> rollout = exposure;
+        services.ratings()
+                .rate(
+                        loop.client(),
+                        id.value(),
+                        answer.text(),
+                        rating ->
+                                rollout.ifPresent(
+                                        r ->
+                                                services.rollouts()
+                                                        .judged(
+                                                                r.id(),
+                                                                Signal.POOR_RATING,
+                                                                rating < profile.quality())));
+        end(new Outcome.Complete());
+    }
+
+    private void end(final Outcome outcome) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        deadlineTimer.cancel(false);
+        services.admission().end(team);
+        services.metrics().end(profile.id(), team.id(), outcome, seconds());
+        if (outcome instanceof Outcome.NotRun && claimed) {
+            giveClaimBack();
+        }
+        if (outcome instanceof Outcome.Unknown) {
+            EventLog.write(Event.REQUEST_UNKNOWN, "request", id);
+        }
+        EventLog.write(
+                Event.REQUEST_ENDED,
+                "request",
+                id,
+                "team",
+                team.id(),
+                "profile",
+                profile.id(),
+                "outcome",
+                outcome.kind());
+        if (!(outcome instanceof Outcome.Complete)) {
+            answer.fail(outcome);
+        }
+    }
+
+    private void giveClaimBack() {
+        services.claims().release(claimKey(), id);
+    }
+
+    private double seconds() {
+        return (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+    }
+
+    private void onLoop(final Runnable action) {
+        onLoopAlways(
+                () -> {
+                    if (!ended) {
+                        action.run();
+                    }
+                });
+    }
+
+    private void onLoopAlways(final Runnable action) {
+        if (exchange.eventLoop().inEventLoop()) {
+            action.run();
+        } else {
+            exchange.eventLoop().execute(action);
+        }
+    }
+
+    /** Hears one attempt. A new one is made for each, so nothing of an old attempt remains. */
+    private final class Listener implements ResponseListener {
+
+        private final ServerEvents events = new ServerEvents(this::onData);
+        private int status;
+        private boolean whole;
+
+        @Override
+        public void onHead(final int newStatus, final HttpHeaders headers) {
+            status = newStatus;
+            if (status != OK) {
+                onErrorStatus(status);
+            }
+        }
+
+        @Override
+        public void onContent(final ByteBuf content) {
+            if (status == OK) {
+                events.feed(content);
+                if (!exchange.isWritable()) {
+                    attempts.pause(true);
+                }
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            if (whole) {
+                onWholeAnswer();
+            } else {
+                ChatRun.this.onFailure(
+                        new CallFailure(
+                                CallFailure.Phase.RESPONDING, "the answer ended too early"));
+            }
+        }
+
+        @Override
+        public void onFailure(final CallFailure failure) {
+            ChatRun.this.onFailure(failure);
+        }
+
+        private void onData(final String data) {
+            if (data.equals("[DONE]")) {
+                whole = true;
+                return;
+            }
+            final JsonNode chunk;
+            try {
+                chunk = Json.mapper().readTree(data);
+            } catch (final IOException e) {
+                return;
+            }
+            if (!answer.hasBegun()) {
+                services.metrics().firstToken(profile.id(), seconds());
+                judge(Signal.LATE, seconds() * 1000 > profile.firstToken().toMillis());
+            }
+            answer.add(chunk);
+        }
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Router.java
@@ -0,0 +1,116 @@
+package org.fennelstage.route;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.fennelstage.configuration.Configuration;
+import org.fennelstage.control.Bills;
+import org.fennelstage.control.Claims;
+import org.fennelstage.control.Rollouts;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.http.RequestHandler;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.request.RequestIds;
+import org.fennelstage.request.RetryBudget;
+
+/** Serves callers on one VM. Thread-safe. */
+public final class Router implements RequestHandler {
+
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_RESERVE = 10;
+
+    private final Services services;
+    private final DataCentreId dataCentre;
+    private final CallerApi api;
+    private final Map<EventLoop, LoopContext> loops = new ConcurrentHashMap<>();
+    private volatile boolean draining;
+
+    /**
+     * What a router works with.
+     *
+     * @param configuration what is in force
+     * @param clock the clock
+     * @param ids makes request ids
+     * @param claims for requests that may not run twice
+     * @param bills takes what requests cost
+     * @param rollouts the roll-outs
+     * @param metrics counts
+     */
+    public record Dependencies(
+            Supplier<Configuration> configuration,
+            InstantSource clock,
+            RequestIds ids,
+            Claims claims,
+            Bills bills,
+            Rollouts rollouts,
+            RouterMetrics metrics) {}
+
+    /**
+     * Creates a router.
+     *
+     * @param dependencies what it works with
+     * @param dataCentre where it stands
+     * @param vms tells how many VMs share a team's rate
+     * @param rating the rating service, empty if there is none
+     * @param ratedShare the share of answers sent to it
+     */
+    public Router(
+            final Dependencies dependencies,
+            final DataCentreId dataCentre,
+            final IntSupplier vms,
+            final Optional<InetSocketAddress> rating,
+            final double ratedShare) {
+        this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre is null");
+        this.services =
+                new Services(
+                        dependencies.configuration(),
+                        dependencies.clock(),
+                        dependencies.ids(),
+                        dependencies.claims(),
+                        dependencies.bills(),
+                        dependencies.rollouts(),
+                        new Admission(dependencies.clock(), vms),
+                        new WorkerTable(dependencies.clock()),
+                        new Ratings(rating, ratedShare),
+                        RetryBudget.of(RETRY_SHARE, RETRY_RESERVE),
+                        dependencies.metrics());
+        this.api = new CallerApi(services, this::loop, () -> draining);
+    }
+
+    @Override
+    public void handle(final ServerExchange exchange) {
+        api.handle(exchange);
+    }
+
+    /** Refuses new requests from now on; those in flight go on. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Returns how many requests are admitted and not ended.
+     *
+     * @return the count
+     */
+    public int inFlight() {
+        return services.admission().inFlight();
+    }
+
+    private LoopContext loop(final EventLoop eventLoop) {
+        return loops.computeIfAbsent(
+                eventLoop,
+                e ->
+                        new LoopContext(
+                                new HttpClient(e),
+                                dataCentre,
+                                services.workers(),
+                                System.identityHashCode(e)));
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/main/java/org/fennelstage/settings/InvalidSettingsException.java
@@ -0,0 +1,25 @@
+package org.fennelstage.settings;
+
+import java.util.List;
+
+/** Settings with mistakes; all of them are listed. */
+public final class InvalidSettingsException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient List<String> mistakes;
+
+    InvalidSettingsException(final List<String> mistakes) {
+        super(String.join(System.lineSeparator(), mistakes));
+        this.mistakes = List.copyOf(mistakes);
+    }
+
+    /**
+     * Returns the mistakes, each with file, section, key, what was found and what is allowed.
+     *
+     * @return one line each
+     */
+    public List<String> mistakes() {
+        return mistakes;
+    }
+}
