Prove configuration, claims, sessions, bills and roll-outs over a loopback fleet; add fennelctl

Cause: the path served requests, but nothing showed what holds when VMs, peers or the platform fail. Change: real VMs of several data centres in one process, object APIs that go down, lose answers and serve stale reads, peers cut off, VMs killed; fennelctl with check, plan, apply, status, lifecycle and reconcile; INI reading shared by both programs.

--- /dev/null
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Commands.java
@@ -0,0 +1,235 @@
+package org.fennelstage.ctl;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.UUID;
+import org.fennelstage.configuration.ObjectKey;
+import org.fennelstage.configuration.Revision;
+import org.fennelstage.configuration.StoredObject;
+import org.fennelstage.id.RequestId;
+import org.fennelstage.id.RolloutId;
+import org.fennelstage.id.VersionId;
+import org.fennelstage.ini.IniException;
+import org.fennelstage.model.ModelVersion;
+import org.fennelstage.platform.DeclarationKind;
+import org.fennelstage.platform.Declarations;
+import org.fennelstage.platform.Json;
+import org.fennelstage.platform.Keys;
+import org.fennelstage.platform.MalformedValueException;
+import org.fennelstage.platform.ObjectStore;
+import org.fennelstage.rollout.Rollout;
+import org.fennelstage.rollout.RolloutProgress;
+import org.fennelstage.rollout.Tolerance;
+import org.fennelstage.team.KeyHash;
+
+/** What {@code fennelctl} can do. Not thread-safe. */
+final class Commands {
+
+    private final Store store;
+    private final InForce inForce;
+    private final Duration wait;
+    private final PrintStream out;
+
+    Commands(
+            final ObjectStore objects,
+            final InstantSource clock,
+            final Duration wait,
+            final PrintStream out) {
+        this.store = new Store(objects);
+        this.inForce = new InForce(store, clock);
+        this.wait = wait;
+        this.out = out;
+    }
+
+    static void check(final Path directory, final PrintStream out) throws CommandException {
+        out.println(declared(directory).size() + " declarations are in order");
+    }
+
+    /**
+     * Prints a new team key and the two lines that declare it.
+     *
+     * @param out where to
+     */
+    static void teamKey(final PrintStream out) {
+        final String key = "fs-" + UUID.randomUUID() + UUID.randomUUID();
+        final String salt = UUID.randomUUID().toString();
+        out.println("key (give it to the team; it is stored nowhere): " + key);
+        out.println("key_salt = " + salt);
+        out.println("key_hash = " + KeyHash.ofKey(salt, key).hash());
+    }
+
+    void plan(final Path directory) throws CommandException {
+        final List<Change> changes = changes(directory);
+        changes.forEach(this::show);
+        out.println(changes.size() + " changes");
+    }
+
+    void apply(final Path directory) throws CommandException {
+        final List<Change> changes = changes(directory);
+        Revision last = Revision.NONE;
+        int made = 0;
+        for (final Change change : changes) {
+            try {
+                last = store.make(change);
+            } catch (final CommandException e) {
+                throw new CommandException(
+                        e.exit(),
+                        e.getMessage() + "; " + made + " of " + changes.size() + " were made");
+            }
+            show(change);
+            made++;
+        }
+        if (made == 0) {
+            out.println("nothing to change");
+        } else {
+            awaitInForce(last);
+        }
+    }
+
+    void status(final boolean json) throws CommandException {
+        final Map<String, Object> whole = new TreeMap<>();
+        final Map<?, ?> vms = new TreeMap<>(inForce.states());
+        whole.put("vms", vms);
+        whole.put("rollouts", progress());
+        if (json) {
+            out.println(new String(Json.write(whole), java.nio.charset.StandardCharsets.UTF_8));
+            return;
+        }
+        vms.forEach((vm, state) -> out.println(vm + " " + state));
+        progress().forEach((id, state) -> out.println("rollout " + id + " " + state));
+    }
+
+    void setState(final String model, final String version, final ModelVersion.State state)
+            throws CommandException {
+        final VersionId id = VersionId.of(model, version);
+        final ObjectKey key = Keys.declaration(DeclarationKind.VERSION, id.toString());
+        final StoredObject stored = store.read(key);
+        final ModelVersion current = decode(stored, ModelVersion.class);
+        if (current.state() == state) {
+            out.println(id + " is " + state + " already");
+            return;
+        }
+        awaitInForce(
+                store.make(
+                        new Change(key, stored.revision(), Optional.of(current.withState(state)))));
+    }
+
+    void startRollout(final String id, final String proven, final String candidate)
+            throws CommandException {
+        final Rollout rollout =
+                new Rollout(
+                        RolloutId.of(id),
+                        VersionId.parse(proven),
+                        VersionId.parse(candidate),
+                        Rollout.State.RUNNING,
+                        List.of(0.05, 0.25, 1.0),
+                        Tolerance.DEFAULT);
+        awaitInForce(
+                store.make(
+                        new Change(
+                                Keys.declaration(DeclarationKind.ROLLOUT, id),
+                                Revision.NONE,
+                                Optional.of(rollout))));
+    }
+
+    void setRollout(final String id, final Rollout.State state) throws CommandException {
+        final ObjectKey key = Keys.declaration(DeclarationKind.ROLLOUT, id);
+        final StoredObject stored = store.read(key);
+        final Rollout current = decode(stored, Rollout.class);
+        awaitInForce(
+                store.make(
+                        new Change(key, stored.revision(), Optional.of(current.withState(state)))));
+    }
+
+    void reconcile(final Path completeFile) throws CommandException {
+        final Set<RequestId> complete = new HashSet<>();
+        try {
+            Files.readAllLines(completeFile).stream()
+                    .filter(l -> !l.isBlank())
+                    .forEach(l -> complete.add(RequestId.of(l.trim())));
+        } catch (final IOException e) {
+            throw new CommandException(Exit.USAGE, "cannot read " + completeFile);
+        }
+        final Reconciliation result = Reconciliation.of(store, complete);
+        out.println("complete requests: " + complete.size());
+        out.println("bills: " + result.bills().size() + ", stored twice: " + result.copies());
+        result.unbilled().forEach(r -> out.println("complete but not billed: " + r));
+        result.unexpected().forEach(r -> out.println("billed but not known as complete: " + r));
+        result.differing().forEach(r -> out.println("two different bills: " + r));
+        final boolean isClean = result.unbilled().isEmpty() && result.differing().isEmpty();
+        if (!isClean) {
+            throw new CommandException(Exit.REFUSED, "bills and outcomes differ");
+        }
+    }
+
+    private Map<RolloutId, RolloutProgress> progress() throws CommandException {
+        final Map<RolloutId, RolloutProgress> all = new TreeMap<>();
+        for (final StoredObject object : store.list(Keys.ROLLOUTS)) {
+            if (object.value().isPresent()) {
+                try {
+                    all.put(
+                            RolloutId.of(object.key().name()),
+                            Json.read(object.value().get(), RolloutProgress.class));
+                } catch (final MalformedValueException e) {
+                    throw new CommandException(Exit.REFUSED, e.getMessage());
+                }
+            }
+        }
+        return all;
+    }
+
+    private void awaitInForce(final Revision revision) throws CommandException {
+        final InForce.Count count = inForce.await(revision, wait);
+        out.println(
+                "revision "
+                        + revision
+                        + " is in force on "
+                        + count.have()
+                        + " of "
+                        + count.all()
+                        + " VMs");
+    }
+
+    private List<Change> changes(final Path directory) throws CommandException {
+        return Planner.plan(declared(directory), store.list(Keys.CONFIGURATION));
+    }
+
+    private void show(final Change change) {
+        out.println(
+                change.sign()
+                        + " "
+                        + change.key()
+                        + change.declaration().map(d -> " " + d).orElse(""));
+    }
+
+    private static Map<ObjectKey, Object> declared(final Path directory) throws CommandException {
+        try {
+            return DeclarationFiles.read(directory);
+        } catch (final IniException e) {
+            throw new CommandException(Exit.REFUSED, e.getMessage());
+        }
+    }
+
+    private static <T> T decode(final StoredObject stored, final Class<T> type)
+            throws CommandException {
+        try {
+            final Optional<Object> declaration = Declarations.decode(stored);
+            if (declaration.isPresent()) {
+                return type.cast(declaration.get());
+            }
+        } catch (final MalformedValueException e) {
+            throw new CommandException(Exit.REFUSED, e.getMessage());
+        }
+        throw new CommandException(Exit.REFUSED, stored.key() + " is not declared");
+    }
+}
--- /dev/null
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Main.java
@@ -0,0 +1,158 @@
+package org.fennelstage.ctl;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.ini.IniFile;
+import org.fennelstage.model.ModelVersion;
+import org.fennelstage.platform.CallBudget;
+import org.fennelstage.platform.ObjectApiClient;
+import org.fennelstage.platform.ObjectStore;
+import org.fennelstage.rollout.Rollout;
+
+/** The {@code fennelctl} program. Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown. */
+public final class Main {
+
+    private static final double CALLS_PER_SECOND = 200;
+    private static final double BURST = 200;
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final String HELP =
+            String.join(
+                    System.lineSeparator(),
+                    "usage: fennelctl check DIR",
+                    "       fennelctl team-key",
+                    "       fennelctl --store IP:PORT plan DIR",
+                    "       fennelctl --store IP:PORT apply DIR [--wait-ms 10000]",
+                    "       fennelctl --store IP:PORT status [--json]",
+                    "       fennelctl --store IP:PORT drain MODEL VERSION",
+                    "       fennelctl --store IP:PORT withdraw MODEL VERSION",
+                    "       fennelctl --store IP:PORT serve MODEL VERSION",
+                    "       fennelctl --store IP:PORT rollout start ID PROVEN CANDIDATE",
+                    "       fennelctl --store IP:PORT rollout pause|resume|abort ID",
+                    "       fennelctl --store IP:PORT reconcile FILE   request ids known as complete",
+                    "exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown");
+
+    private Main() {}
+
+    /**
+     * Runs a command.
+     *
+     * @param args the command and its options
+     */
+    public static void main(final String[] args) {
+        System.exit(run(args, System.out, System.err).code());
+    }
+
+    static Exit run(final String[] args, final PrintStream out, final PrintStream err) {
+        try {
+            final CommandLine line = new DefaultParser().parse(options(), args);
+            execute(line, line.getArgList(), out);
+            return Exit.DONE;
+        } catch (final ParseException | IllegalArgumentException e) {
+            err.println(e.getMessage());
+            err.println(HELP);
+            return Exit.USAGE;
+        } catch (final CommandException e) {
+            err.println(e.getMessage());
+            return e.exit();
+        }
+    }
+
+    private static void execute(
+            final CommandLine line, final List<String> words, final PrintStream out)
+            throws ParseException, CommandException {
+        final String command = words.isEmpty() ? "" : words.get(0);
+        if (command.equals("check")) {
+            Commands.check(Path.of(word(words, 1)), out);
+        } else if (command.equals("team-key")) {
+            Commands.teamKey(out);
+        } else {
+            withStore(line, command, words, out);
+        }
+    }
+
+    private static void withStore(
+            final CommandLine line,
+            final String command,
+            final List<String> words,
+            final PrintStream out)
+            throws ParseException, CommandException {
+        if (line.getOptionValue("store") == null) {
+            throw new ParseException("--store IP:PORT is missing, or the command is unknown");
+        }
+        final EventLoopGroup group = new NioEventLoopGroup(1);
+        try {
+            final ObjectStore objects =
+                    new ObjectApiClient(
+                            new HttpClient(group.next()),
+                            IniFile.address(line.getOptionValue("store")),
+                            CallBudget.of(InstantSource.system(), CALLS_PER_SECOND, BURST),
+                            TIMEOUT);
+            final Duration wait =
+                    Duration.ofMillis(Long.parseLong(line.getOptionValue("wait-ms", "10000")));
+            final Commands commands = new Commands(objects, InstantSource.system(), wait, out);
+            dispatch(commands, command, words, line);
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void dispatch(
+            final Commands commands,
+            final String command,
+            final List<String> words,
+            final CommandLine line)
+            throws ParseException, CommandException {
+        switch (command) {
+            case "plan" -> commands.plan(Path.of(word(words, 1)));
+            case "apply" -> commands.apply(Path.of(word(words, 1)));
+            case "status" -> commands.status(line.hasOption("json"));
+            case "drain" ->
+                    commands.setState(word(words, 1), word(words, 2), ModelVersion.State.DRAINING);
+            case "withdraw" ->
+                    commands.setState(word(words, 1), word(words, 2), ModelVersion.State.WITHDRAWN);
+            case "serve" ->
+                    commands.setState(word(words, 1), word(words, 2), ModelVersion.State.SERVING);
+            case "rollout" -> rollout(commands, words);
+            case "reconcile" -> commands.reconcile(Path.of(word(words, 1)));
+            default -> throw new ParseException("unknown command '" + command + "'");
+        }
+    }
+
+    private static void rollout(final Commands commands, final List<String> words)
+            throws ParseException, CommandException {
+        final String id = word(words, 2);
+        switch (word(words, 1)) {
+            case "start" -> commands.startRollout(id, word(words, 3), word(words, 4));
+            case "pause" -> commands.setRollout(id, Rollout.State.PAUSED);
+            case "resume" -> commands.setRollout(id, Rollout.State.RUNNING);
+            case "abort" -> commands.setRollout(id, Rollout.State.ABORTED);
+            default -> throw new ParseException("rollout start, pause, resume or abort");
+        }
+    }
+
+    private static String word(final List<String> words, final int index) throws ParseException {
+        if (words.size() <= index) {
+            throw new ParseException("an argument is missing");
+        }
+        return words.get(index);
+    }
+
+    private static Options options() {
+        return new Options()
+                .addOption(Option.builder().longOpt("store").hasArg().build())
+                .addOption(Option.builder().longOpt("wait-ms").hasArg().build())
+                .addOption(Option.builder().longOpt("json").build());
+    }
+}
--- a/fennelstage-router/src/main/java/org/fennelstage/settings/InvalidSettingsException.java
+++ b/fennelstage-platform/src/main/java/org/fennelstage/ini/IniException.java
@@ -1,15 +1,20 @@
-package org.fennelstage.settings;
+package org.fennelstage.ini;
 
 import java.util.List;
 
-/** Settings with mistakes; all of them are listed. */
-public final class InvalidSettingsException extends Exception {
+/** An INI file with mistakes; all of them are listed. */
+public final class IniException extends Exception {
 
     private static final long serialVersionUID = 1L;
 
     private final transient List<String> mistakes;
 
-    InvalidSettingsException(final List<String> mistakes) {
+    /**
+     * Creates an exception.
+     *
+     * @param mistakes one line each
+     */
+    public IniException(final List<String> mistakes) {
         super(String.join(System.lineSeparator(), mistakes));
         this.mistakes = List.copyOf(mistakes);
     }
--- a/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
@@ -7,8 +7,8 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.fennelstage.ini.IniException;
 import org.fennelstage.log.LogSetup;
-import org.fennelstage.settings.InvalidSettingsException;
 import org.fennelstage.settings.Settings;
 import org.fennelstage.settings.SettingsFile;
 
@@ -58,7 +58,7 @@
             };
         } catch (final ParseException | NumberFormatException e) {
             return usage(e.getMessage());
-        } catch (final InvalidSettingsException e) {
+        } catch (final IniException e) {
             e.mistakes().forEach(System.err::println);
             return REFUSED;
         } catch (final IOException e) {
@@ -67,8 +67,7 @@
         }
     }
 
-    private static Settings settings(final CommandLine line)
-            throws ParseException, InvalidSettingsException {
+    private static Settings settings(final CommandLine line) throws ParseException, IniException {
         final String file = line.getOptionValue("settings");
         if (file == null) {
             throw new ParseException("--settings FILE.ini is missing");
--- /dev/null
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/FleetRolloutTest.java
@@ -0,0 +1,129 @@
+package org.fennelstage.main;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import org.fennelstage.id.RolloutId;
+import org.fennelstage.platform.DeclarationKind;
+import org.fennelstage.rollout.Rollout;
+import org.fennelstage.rollout.Tolerance;
+import org.fennelstage.standin.ObjectApiFaults;
+import org.junit.jupiter.api.Test;
+
+/** A bad candidate is stopped early over the whole fleet; a good one gets through. */
+class FleetRolloutTest {
+
+    private static final RolloutId ID = RolloutId.of("june");
+    private static final int MOST_EXPOSED = 50;
+
+    /**
+     * Symptom: a version that fails every request reaches hundreds of callers, since each VM alone
+     * needs some before it knows. Cause: evidence and exposure were counted per VM.
+     */
+    @Test
+    void aCandidateThatFailsIsHaltedOnAllVmsWithFewExposed() throws IOException {
+        try (Fleet fleet = fleet(0.9, 1)) {
+            start(fleet);
+            Fleet.await("the halt", () -> work(fleet) && isHaltedEverywhere(fleet));
+            final long exposed = fleet.ranOn(Fleet.BAD);
+            assertThat(exposed).isBetween(1L, (long) MOST_EXPOSED);
+
+            for (int i = 0; i < 30; i++) {
+                assertThat(fleet.chat(i % 9, "draft").status()).isEqualTo(200);
+            }
+            assertThat(fleet.ranOn(Fleet.BAD)).isEqualTo(exposed);
+        }
+    }
+
+    /** Answers that come in time but are rated poor must halt a roll-out as failures do. */
+    @Test
+    void aCandidateThatIsRatedPoorIsHalted() throws IOException {
+        try (Fleet fleet = fleet(0.3, 0)) {
+            start(fleet);
+            Fleet.await("the halt", () -> work(fleet) && isHaltedEverywhere(fleet));
+            assertThat(fleet.ranOn(Fleet.BAD)).isBetween(1L, (long) MOST_EXPOSED);
+        }
+    }
+
+    /**
+     * Symptom: during a platform outage a cut-off data centre goes on sending callers to an
+     * unproven version that nobody stops. Events: the platform goes down after a roll-out began;
+     * the halt is found in one data centre. Cause: the halt would travel through the platform.
+     */
+    @Test
+    void aHaltSpreadsFromPeerToPeerWhileThePlatformIsDown() throws IOException {
+        try (Fleet fleet = fleet(0.9, 1)) {
+            start(fleet);
+            Fleet.await("a first exposure", () -> work(fleet) && fleet.ranOn(Fleet.BAD) > 0);
+            fleet.platformDown(true);
+            Fleet.await("the halt", () -> work(fleet) && isHaltedEverywhere(fleet));
+            assertThat(fleet.ranOn(Fleet.BAD)).isLessThanOrEqualTo(MOST_EXPOSED);
+        }
+    }
+
+    /** Without the platform nobody can share out exposure, so there is none. */
+    @Test
+    void aDataCentreCutOffBeforeARolloutBeganExposesNobody() throws IOException {
+        try (Fleet fleet = fleet(0.9, 0)) {
+            for (int dc = 0; dc < 3; dc++) {
+                fleet.platform(dc, new ObjectApiFaults(dc == 2, 0, 0, 0));
+            }
+            start(fleet);
+            Fleet.await(
+                    "the roll-out to be known in the cut-off data centre",
+                    () -> !fleet.node(8).configuration().rollouts().isEmpty());
+            for (int i = 0; i < 100; i++) {
+                final Fleet.Answer answer = fleet.chat(6 + i % 3, "draft");
+                assertThat(answer.explained()).contains("version=pero@v1");
+            }
+        }
+    }
+
+    @Test
+    void aGoodCandidateReachesAllTraffic() throws IOException {
+        try (Fleet fleet = fleet(0.95, 0)) {
+            start(fleet);
+            Fleet.await(
+                    "all traffic on the candidate",
+                    () ->
+                            work(fleet)
+                                    && fleet.chat(0, "draft")
+                                            .explained()
+                                            .contains("version=pero@v2 ")
+                                    && fleet.chat(0, "draft").explained().contains("why=proven"));
+        }
+    }
+
+    private static Fleet fleet(final double skill, final double errors) throws IOException {
+        return new Fleet(
+                3,
+                3,
+                Fleet.behaviour(Fleet.GOOD, 0.95, 0),
+                Fleet.behaviour(Fleet.BAD, skill, errors));
+    }
+
+    private static void start(final Fleet fleet) {
+        fleet.declare(
+                DeclarationKind.ROLLOUT,
+                ID.value(),
+                new Rollout(
+                        ID,
+                        Fleet.GOOD,
+                        Fleet.BAD,
+                        Rollout.State.RUNNING,
+                        List.of(0.5, 1.0),
+                        Tolerance.DEFAULT));
+    }
+
+    private static boolean work(final Fleet fleet) {
+        for (int node = 0; node < 9; node++) {
+            assertThat(fleet.chat(node, "draft").status()).isEqualTo(200);
+        }
+        return true;
+    }
+
+    private static boolean isHaltedEverywhere(final Fleet fleet) {
+        return fleet.nodes().stream().allMatch(n -> n.halts().find(ID).isPresent());
+    }
+}
