--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/backend/BreakerTest.java
@@ -0,0 +1,40 @@
+package org.fennelstage.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import org.junit.jupiter.api.Test;
+
+class BreakerTest {
+
+    private Instant now = Instant.ofEpochMilli(0);
+    private final InstantSource clock = () -> now;
+    private final Breaker breaker = Breaker.of(clock);
+
+    @Test
+    void oneFailureDoesNotOpen() {
+        assertThat(breaker.onFailure()).isFalse();
+        assertThat(breaker.isClosed()).isTrue();
+    }
+
+    @Test
+    void twoFailuresInARowOpenAndASuccessCloses() {
+        breaker.onFailure();
+        assertThat(breaker.onFailure()).isTrue();
+        assertThat(breaker.isClosed()).isFalse();
+        assertThat(breaker.onSuccess()).isTrue();
+        assertThat(breaker.isClosed()).isTrue();
+    }
+
+    /** After the pause a crowd of waiting requests must not all try the dead worker. */
+    @Test
+    void afterThePauseOneRequestTriesAndTheOthersStayAway() {
+        breaker.onFailure();
+        breaker.onFailure();
+        now = now.plusSeconds(3);
+        assertThat(breaker.isClosed()).isTrue();
+        breaker.onTry();
+        assertThat(breaker.isClosed()).isFalse();
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/test/java/org/fennelstage/control/ClaimKeeperTest.java
@@ -0,0 +1,169 @@
+package org.fennelstage.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fennelstage.claim.Claim;
+import org.fennelstage.claim.ClaimChange;
+import org.fennelstage.claim.ClaimSegment;
+import org.fennelstage.id.RequestId;
+import org.fennelstage.id.VmId;
+
+/**
+ * The real keepers over an object API that loses answers, serves stale reads, delays and fails, in
+ * generated interleavings. The same invariants as in spec/claims.als: a key runs at most once, and
+ * "not run" is true.
+ */
+class ClaimKeeperTest {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(2);
+    private static final int KEYS = 3;
+
+    /** One attempt of a caller: asks, and runs if it hears "made" before it gives up. */
+    private static final class Attempt {
+        private final RequestId id;
+        private final String key;
+        private CompletableFuture<ClaimAnswer> answer;
+        private boolean gaveUp;
+        private boolean ran;
+
+        Attempt(final int number, final int key) {
+            this.id = RequestId.of("attempt-" + number);
+            this.key = "key-" + key;
+        }
+
+        void look() {
+            final boolean isMade = answer.isDone() && answer.join() instanceof ClaimAnswer.Made;
+            if (!gaveUp && isMade) {
+                ran = true;
+            }
+        }
+    }
+
+    @Property(seed = "61", tries = 400)
+    void aKeyRunsAtMostOnceInEveryInterleavingOfFaults(@ForAll final long seed) {
+        final Run run = new Run(seed);
+        run.play(120);
+        run.settle();
+        run.assertInvariants();
+    }
+
+    /**
+     * With a capacity of 200 the log seals segments on the way; the invariants must hold over it.
+     */
+    @Property(seed = "62", tries = 5)
+    void manyKeysOverSealedSegmentsRunAtMostOnce(@ForAll final long seed) {
+        final Run run = new Run(seed);
+        run.playManyKeys(2 * ClaimSegment.CAPACITY + 50);
+        run.settle();
+        run.assertInvariants();
+    }
+
+    private static final class Run {
+        private final Random random;
+        private final FaultyStore store;
+        private final ManualScheduler timer = new ManualScheduler(Instant.ofEpochMilli(1_000_000));
+        private final List<ClaimKeeper> keepers = new ArrayList<>();
+        private final List<Attempt> attempts = new ArrayList<>();
+
+        Run(final long seed) {
+            random = new Random(seed);
+            store = new FaultyStore(random);
+            for (int i = 0; i < 2; i++) {
+                keepers.add(keeper(i));
+            }
+        }
+
+        void play(final int steps) {
+            for (int i = 0; i < steps; i++) {
+                final int choice = random.nextInt(10);
+                if (choice < 2 && attempts.size() < 12) {
+                    ask(random.nextInt(KEYS));
+                } else if (choice == 2 && !attempts.isEmpty()) {
+                    giveUp(attempts.get(random.nextInt(attempts.size())));
+                } else if (choice == 3) {
+                    timer.advance(Duration.ofMillis(random.nextInt(400)));
+                } else if (choice == 4 && random.nextInt(10) == 0) {
+                    // A VM is replaced: its keeper's memory is gone.
+                    final int index = random.nextInt(keepers.size());
+                    keepers.set(index, keeper(100 + i));
+                } else {
+                    store.step();
+                }
+                attempts.forEach(Attempt::look);
+            }
+        }
+
+        void playManyKeys(final int keys) {
+            for (int key = 0; key < keys; key++) {
+                ask(key);
+                ask(key);
+                for (int i = 0; i < 4; i++) {
+                    store.step();
+                }
+                attempts.forEach(Attempt::look);
+            }
+        }
+
+        void settle() {
+            store.heal();
+            for (int i = 0; i < 4000 && (store.hasPending() || timer.hasPending()); i++) {
+                store.step();
+                timer.advance(Duration.ofMillis(50));
+                attempts.forEach(Attempt::look);
+            }
+        }
+
+        void assertInvariants() {
+            final Map<String, Integer> runs = new HashMap<>();
+            final Set<RequestId> ran = new HashSet<>();
+            for (final Attempt attempt : attempts) {
+                assertThat(attempt.answer).isDone();
+                if (attempt.ran) {
+                    runs.merge(attempt.key, 1, Integer::sum);
+                    ran.add(attempt.id);
+                }
+            }
+            assertThat(runs.values()).allMatch(n -> n == 1);
+            attempts.stream()
+                    .filter(a -> a.gaveUp)
+                    .forEach(a -> assertThat(ran).doesNotContain(a.id));
+        }
+
+        private void ask(final int key) {
+            final Attempt attempt = new Attempt(attempts.size(), key);
+            attempt.answer = submit(attempt, Claim.State.HELD);
+            attempts.add(attempt);
+        }
+
+        private void giveUp(final Attempt attempt) {
+            if (!attempt.ran && !attempt.gaveUp) {
+                attempt.gaveUp = true;
+                submit(attempt, Claim.State.RELEASED);
+            }
+        }
+
+        private CompletableFuture<ClaimAnswer> submit(
+                final Attempt attempt, final Claim.State state) {
+            final Claim claim = new Claim(attempt.id, VmId.of("vm"), state, 1);
+            final ClaimKeeper keeper = keepers.get(random.nextInt(keepers.size()));
+            return keeper.submit(0, new ClaimChange(attempt.key, claim));
+        }
+
+        private ClaimKeeper keeper(final int seed) {
+            return new ClaimKeeper(store, timer, timer, new SplittableRandom(seed), PATIENCE);
+        }
+    }
+}
--- /dev/null
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/BadInputTest.java
@@ -0,0 +1,117 @@
+package org.fennelstage.main;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Bad input gets a clear refusal; the connection stays usable or is closed. */
+class BadInputTest {
+
+    private static final String HEAD =
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                    + Fleet.KEY
+                    + "\r\n";
+    private static Fleet fleet;
+
+    @BeforeAll
+    static void start() throws IOException {
+        fleet = new Fleet(1, 1);
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+    }
+
+    @Test
+    void malformedJsonIsRefusedAndTheConnectionStaysUsable() throws IOException {
+        final String bad = HEAD + "Content-Length: 3\r\n\r\n{a:";
+        final String good =
+                "GET /v1/models HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer "
+                        + Fleet.KEY
+                        + "\r\n\r\n";
+        final String answers = raw(bad + good);
+        assertThat(answers).contains("400 Bad Request").contains("the body is not JSON");
+        assertThat(answers).contains("200 OK").contains("\"id\":\"draft\"");
+    }
+
+    @Test
+    void bothLengthAndTransferEncodingAreRefusedAndTheConnectionIsClosed() throws IOException {
+        final String answer =
+                raw(
+                        HEAD
+                                + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + "0\r\n\r\nGET /v1/models HTTP/1.1\r\n\r\n");
+        assertThat(answer).contains("400 Bad Request").doesNotContain("200 OK");
+    }
+
+    @Test
+    void anOversizeBodyIsRefused() throws IOException {
+        final String answer = raw(HEAD + "Content-Length: 10000000\r\n\r\n" + "x".repeat(1000));
+        assertThat(answer).contains("413").contains("too_large");
+    }
+
+    @Test
+    void anOversizeHeaderIsRefused() throws IOException {
+        final String answer = raw(HEAD + "X-Long: " + "y".repeat(20_000) + "\r\n\r\n");
+        assertThat(answer).contains("400 Bad Request").contains("refused-not-run");
+    }
+
+    @Test
+    void aWrongKeyIsRefused() {
+        final Fleet.Answer answer = fleet.send(0, "GET", "/v1/models", "", "x-unused", "1").join();
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(
+                        rawUnchecked(
+                                "GET /v1/models HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                                        + "Authorization: Bearer wrong\r\n\r\n"))
+                .contains("401")
+                .contains("unauthenticated");
+    }
+
+    @Test
+    void anUnknownProfileIsRefusedWithTheAllowedOnes() {
+        final Fleet.Answer answer = fleet.chat(0, "no-such");
+        assertThat(answer.status()).isEqualTo(404);
+        assertThat(answer.body()).contains("[draft, send]");
+    }
+
+    @Test
+    void aFlippedSessionTokenIsRefused() {
+        final String session = fleet.chat(0, "draft", "x-session", "new").session();
+        final String flipped = session.substring(0, session.length() - 2) + "AA";
+        final Fleet.Answer answer = fleet.chat(0, "draft", "x-session", flipped);
+        assertThat(answer.status()).isEqualTo(400);
+        assertThat(answer.body()).contains("invalid_session");
+    }
+
+    @Test
+    void aDeadlineThatCannotBeMetEndsWithoutTheAnswer() {
+        final Fleet.Answer answer = fleet.chat(0, "draft", "x-deadline-ms", "1");
+        assertThat(answer.outcome())
+                .isIn("refused-not-run", "outcome-unknown", "failed-after-run", "complete");
+        assertThat(fleet.chat(0, "draft", "x-deadline-ms", "soon").status()).isEqualTo(400);
+    }
+
+    private static String rawUnchecked(final String request) {
+        try {
+            return raw(request);
+        } catch (final IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static String raw(final String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", fleet.node(0).port())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+}
--- /dev/null
+++ b/spec/guards/run.py
@@ -0,0 +1,108 @@
+#!/usr/bin/env python3
+"""Shows that each proof can fail: removes one guard at a time in a scratch copy and runs its test.
+
+Usage: spec/guards/run.py [NAME ...]; prints one line a guard: 'fails without it' is the good end.
+"""
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+CORE = "fennelstage-core/src/main/java/org/fennelstage/"
+PLATFORM = "fennelstage-platform/src/main/java/org/fennelstage/"
+PEER = "fennelstage-peer/src/main/java/org/fennelstage/"
+ROUTER = "fennelstage-router/src/main/java/org/fennelstage/"
+
+# name, file, text of the guard, text without it, test that must fail
+GUARDS = [
+    ("revision-never-falls", CORE + "configuration/ConfigurationTable.java",
+     "if (held != null && !object.revision().isAfter(held.revision())) {", "if (held != null && false) {",
+     "ConfigurationTableTest"),
+    ("conditional-claim", PLATFORM + "platform/MemoryObjectStore.java",
+     "if (!actual.equals(expected)) {", "if (!actual.equals(expected) && !key.path().startsWith(\"claims\")) {",
+     "ClaimKeeperTest"),
+    ("claim-before-sending", ROUTER + "route/ChatRun.java",
+     "        if (profile.idempotent()) {\n            dispatch();\n            return;", "        if (!ended) {\n            dispatch();\n            return;",
+     "FleetClaimsTest"),
+    ("unconfirmed-claim-is-refused", ROUTER + "route/ChatRun.java",
+     "} else if (result instanceof ClaimAnswer.Unavailable unavailable) {", "} else if (ended && result instanceof ClaimAnswer.Unavailable unavailable) {",
+     "FleetClaimsTest"),
+    ("late-claim-after-release", CORE + "claim/ClaimLog.java",
+     "return wanted.state() == Claim.State.HELD && !sameHolder;", "return wanted.state() == Claim.State.HELD;",
+     "ClaimLogTest"),
+    ("release-when-not-run", ROUTER + "control/Claims.java",
+     "settle(key, holder, Claim.State.RELEASED, RELEASE_TRIES);", "",
+     "FleetClaimsTest"),
+    ("bill-in-two-memories", ROUTER + "control/Bills.java",
+     "return hold(bill, duties.others(DUTY), 0);", "return CompletableFuture.completedFuture(null);",
+     "FleetBillsTest"),
+    ("bills-resent-to-next-keeper", ROUTER + "control/Bills.java",
+     "duties.send(keeper.get(), encode(late));", "",
+     "FleetBillsTest"),
+    ("lost-bill-write-recognised", ROUTER + "control/BillWriter.java",
+     "revision = conflict.current().revision();", "",
+     "FleetBillsTest"),
+    ("stop-waits-for-requests", ROUTER + "main/RouterNode.java",
+     "awaitUntil(deadline, () -> router.inFlight() == 0);", "",
+     "FleetBillsTest"),
+    ("stop-hands-bills-over", ROUTER + "main/RouterNode.java",
+     "bills.handOver().orTimeout(2, TimeUnit.SECONDS).exceptionally(e -> null).join();", "",
+     "FleetBillsTest"),
+    ("configuration-through-peers", PEER + "peer/PeerGroup.java",
+     "push(accepted, true);", "",
+     "FleetConfigurationTest"),
+    ("configuration-pulled-after-cut", PEER + "peer/PeerGroup.java",
+     "if (highest.isAfter(ours.highest())) {", "if (false) {",
+     "FleetConfigurationTest"),
+    ("session-keeps-version", CORE + "model/VersionChooser.java",
+     "return new Choice.Chosen(version.get(), Optional.empty());", "return choose(configuration, team, id.model(), progress);",
+     "FleetConfigurationTest"),
+    ("withdrawn-session-refused", CORE + "model/VersionChooser.java",
+     "configuration.version(id).filter(ModelVersion::acceptsSession);", "configuration.version(id);",
+     "FleetConfigurationTest"),
+    ("leaving-server-left-out", CORE + "configuration/Configuration.java",
+     "if (server.leaving()) {", "if (false) {",
+     "FleetConfigurationTest"),
+    ("exposure-needs-a-share", ROUTER + "route/ChatRun.java",
+     "if (share.granted() && candidate.isPresent()) {", "if (candidate.isPresent()) {",
+     "FleetRolloutTest"),
+    ("halt-on-evidence", CORE + "rollout/ExposurePolicy.java",
+     "if (exceeds) {", "if (exceeds && false) {",
+     "FleetRolloutTest"),
+    ("halt-spreads-by-peers", ROUTER + "control/Rollouts.java",
+     "group.publishHalts();", "",
+     "FleetRolloutTest"),
+]
+
+
+def run(name, path, guard, without, test):
+    with tempfile.TemporaryDirectory() as scratch:
+        copy = pathlib.Path(scratch) / "copy"
+        shutil.copytree(ROOT, copy, ignore=shutil.ignore_patterns(".git"))
+        source = copy / path
+        text = source.read_text()
+        if guard not in text:
+            return "guard not found in " + path
+        source.write_text(text.replace(guard, without, 1))
+        done = subprocess.run(
+            ["mvn", "-q", "-B", "-o", "test", "-Dspotless.check.skip", "-pl", "fennelstage-core,fennelstage-http,fennelstage-platform,fennelstage-peer,fennelstage-standin,fennelstage-router",
+             "-Dtest=" + test, "-Dsurefire.failIfNoSpecifiedTests=false"],
+            cwd=copy, capture_output=True, text=True)
+        output = done.stdout + done.stderr
+        if "COMPILATION ERROR" in output:
+            return "does not compile without it"
+        failed = sorted({l.split("Test.")[1].split(":")[0] for l in output.splitlines()
+                         if l.startswith("[ERROR]   ") and "Test." in l})
+        return "fails without it: " + ", ".join(failed) if done.returncode else "STILL PASSES"
+
+
+def main():
+    wanted = sys.argv[1:]
+    for guard in GUARDS:
+        if not wanted or guard[0] in wanted:
+            print(f"{guard[0]}: {run(*guard)}", flush=True)
+
+
+main()
