--- a/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
@@ -43,6 +43,7 @@
     }
 
     private static int run(final String[] args) {
+        LogSetup.apply(false, "warn");
         final Options options =
                 new Options()
                         .addOption(Option.builder().longOpt("settings").hasArg().build())
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
@@ -258,7 +258,15 @@
     }
 
     private String text(final Run run, final int index) {
-        return index == 0 ? "[[q=" + quality(run) + "]] " : "token" + index + " ";
+        return index == 0
+                ? "[[q=" + quality(run) + "]] " + echo(run.prompt())
+                : "token" + index + " ";
+    }
+
+    /** Repeats the prompt's mark {@code r}, by which a caller sees that the answer is its own. */
+    private static String echo(final String prompt) {
+        final var mark = Marks.read(prompt, "r");
+        return mark.isPresent() ? "[[r=" + (long) mark.getAsDouble() + "]] " : "";
     }
 
     private synchronized String quality(final Run run) {
