Place requests by a shared count of slots; let each VM ask for a slot where the prefix is cached

Counts are stated whole with every message, so lost messages and new keepers heal; counts of dead VMs are dropped.

--- a/fennelstage-core/src/main/java/org/fennelstage/backend/WorkerChoice.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/backend/WorkerChoice.java
@@ -106,4 +106,64 @@
             return chosen == NONE ? spare : chosen;
         };
     }
+
+    /**
+     * Finds the workers with the highest affinity to a prefix, for which exact loads are then
+     * asked.
+     *
+     * @param loads the workers
+     * @param prefix the hash of the prompt's prefix
+     * @param best receives their indexes, highest affinity first, {@link #NONE} where there are
+     *     fewer
+     */
+    static void firstByAffinity(final WorkerLoads loads, final long prefix, final int[] best) {
+        java.util.Arrays.fill(best, NONE);
+        for (int i = 0; i < loads.size(); i++) {
+            if (loads.isExcluded(i)) {
+                continue;
+            }
+            int candidate = i;
+            for (int place = 0; place < best.length; place++) {
+                final boolean isBetter =
+                        best[place] == NONE
+                                || loads.affinity(candidate, prefix)
+                                        > loads.affinity(best[place], prefix);
+                if (isBetter) {
+                    final int moved = best[place];
+                    best[place] = candidate;
+                    candidate = moved;
+                }
+                if (candidate == NONE) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /**
+     * Chooses among candidates whose loads are exact: the first that has a free slot, else the
+     * least loaded.
+     *
+     * @param loads the workers
+     * @param candidates their indexes, highest affinity first
+     * @return the worker's index, or {@link #NONE}
+     */
+    static int amongCandidates(final WorkerLoads loads, final int[] candidates) {
+        int chosen = NONE;
+        double least = Double.POSITIVE_INFINITY;
+        for (final int candidate : candidates) {
+            if (candidate == NONE || loads.isExcluded(candidate)) {
+                continue;
+            }
+            final double utilisation = loads.utilisation(candidate);
+            if (utilisation < 1) {
+                return candidate;
+            }
+            if (utilisation < least) {
+                least = utilisation;
+                chosen = candidate;
+            }
+        }
+        return chosen;
+    }
 }
--- a/fennelstage-router/src/main/java/org/fennelstage/main/RouterNode.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/RouterNode.java
@@ -85,6 +85,7 @@
     private final ObjectStore store;
     private volatile Configuration configuration = Configuration.empty();
     private volatile boolean draining;
+    private volatile boolean begun;
 
     /**
      * What a node may be given instead of what it would make itself.
@@ -202,7 +203,9 @@
                                 claims,
                                 bills,
                                 rollouts,
-                                metrics),
+                                metrics,
+                                duties,
+                                control),
                         settings.vm().dataCentre(),
                         this::vmCount,
                         settings.rating().address(),
@@ -314,10 +317,12 @@
     }
 
     private void begin() {
+        begun = true;
         peers.start(network);
         watcher.start(settings.seeds().isEmpty() ? Duration.ZERO : PEER_GRACE);
         bills.start();
         rollouts.start();
+        router.ledger().start();
         status.start();
         metrics.gauge("fennelstage_bills_waiting", "Bills not yet stored", () -> bills.waiting());
         metrics.gauge("fennelstage_claims_cached", "Claims in memory", () -> claimKeeper.cached());
@@ -379,11 +384,17 @@
     }
 
     private void onMessage(final Envelope message, final Consumer<Envelope.Builder> reply) {
+        if (!begun) {
+            // Peers may connect before this VM's parts are all there. They get no answer and ask
+            // again, as they would a moment earlier.
+            return;
+        }
         final boolean taken =
                 peers.handle(message, reply)
                         || claims.handle(message, reply)
                         || bills.handle(message, reply)
                         || rollouts.handle(message, reply)
+                        || router.ledger().handle(message, reply)
                         || status.handle(message);
         if (!taken) {
             reply.accept(Envelope.newBuilder());
@@ -446,6 +457,9 @@
 
         @Override
         public void onMember(final Member member) {
+            if (member.state() == Member.State.DEAD) {
+                router.ledger().forget(member.id());
+            }
             EventLog.write(
                     Event.MEMBER_CHANGED,
                     "member",
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Attempts.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Attempts.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ObjIntConsumer;
 import java.util.function.Supplier;
 import org.fennelstage.backend.BackendServer;
 import org.fennelstage.backend.WorkerChoice;
@@ -32,13 +33,25 @@
 
     private final WorkerTable workers;
     private final HttpClient client;
+    private final ObjIntConsumer<BackendServerId> onReleased;
     private final Set<BackendServerId> tried = new HashSet<>();
     private Optional<BackendServer> current = Optional.empty();
     private Call call;
 
-    Attempts(final WorkerTable workers, final HttpClient client) {
+    /**
+     * Creates attempts.
+     *
+     * @param workers what is known of servers
+     * @param client makes the calls
+     * @param onReleased hears that a server has one request of this VM less, and how many are left
+     */
+    Attempts(
+            final WorkerTable workers,
+            final HttpClient client,
+            final ObjIntConsumer<BackendServerId> onReleased) {
         this.workers = workers;
         this.client = client;
+        this.onReleased = onReleased;
     }
 
     boolean isFirst() {
@@ -49,6 +62,35 @@
         return tried.size() < MOST;
     }
 
+    Set<BackendServerId> tried() {
+        return Set.copyOf(tried);
+    }
+
+    /**
+     * Sends the request to a server that was placed, and so counted, for it.
+     *
+     * @param server the server
+     * @param options the bounds of the call, with or without a fresh connection
+     * @param request makes the request
+     * @param listener hears the response
+     */
+    void sendTo(
+            final BackendServer server,
+            final CallOptions options,
+            final Supplier<FullHttpRequest> request,
+            final ResponseListener listener) {
+        release();
+        current = Optional.of(server);
+        tried.add(server.id());
+        workers.state(server.id()).breaker().onTry();
+        call =
+                client.send(
+                        new InetSocketAddress(server.host(), server.port()),
+                        request.get(),
+                        options,
+                        listener);
+    }
+
     /**
      * Sends the request to a server that was not tried yet.
      *
@@ -68,22 +110,13 @@
             final Supplier<FullHttpRequest> request,
             final ResponseListener listener) {
         release();
-        current = pool.choose(choice, prefix, tried);
-        if (current.isEmpty()) {
-            return current;
-        }
-        final BackendServer server = current.get();
-        tried.add(server.id());
-        final WorkerState state = workers.state(server.id());
-        state.inFlight().incrementAndGet();
-        state.breaker().onTry();
-        call =
-                client.send(
-                        new InetSocketAddress(server.host(), server.port()),
-                        request.get(),
-                        options,
-                        listener);
-        return current;
+        final Optional<BackendServer> chosen = pool.choose(choice, prefix, tried);
+        chosen.ifPresent(
+                server -> {
+                    workers.state(server.id()).inFlight().incrementAndGet();
+                    sendTo(server, options, request, listener);
+                });
+        return chosen;
     }
 
     static CallOptions options(final Duration silence, final boolean idempotent) {
@@ -134,7 +167,11 @@
 
     /** Notes that the present attempt is over. */
     void release() {
-        current.ifPresent(s -> workers.state(s.id()).inFlight().decrementAndGet());
+        current.ifPresent(
+                s -> {
+                    final int left = workers.state(s.id()).inFlight().decrementAndGet();
+                    onReleased.accept(s.id(), left);
+                });
         current = Optional.empty();
         call = null;
     }
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fennelstage.backend.BackendServer;
@@ -93,7 +94,7 @@
         this.session = session;
         this.id = id;
         this.configuration = services.configuration().get();
-        this.attempts = new Attempts(services.workers(), loop.client());
+        this.attempts = new Attempts(services.workers(), loop.client(), services.ledger()::changed);
         this.answer = new ChatAnswer(exchange, id, profile.id(), request.stream());
     }
 
@@ -225,14 +226,22 @@
                             NO_BACKEND_RETRY));
             return;
         }
-        final Optional<BackendServer> server =
-                attempts.send(
-                        loop.pool(now, version.id()),
-                        loop.forModels(),
-                        prefix(),
-                        Attempts.options(profile.deadline(), profile.idempotent()),
-                        this::backendRequest,
-                        new Listener());
+        final List<BackendServer> candidates =
+                loop.pool(now, version.id()).candidates(prefix(), attempts.tried(), loop.random());
+        new Placement(
+                        services.ledger(),
+                        services.workers(),
+                        exchange.eventLoop(),
+                        candidates,
+                        this::onPlaced)
+                .start();
+    }
+
+    private void onPlaced(final Optional<BackendServer> server) {
+        if (ended) {
+            server.ifPresent(this::giveSlotBack);
+            return;
+        }
         if (server.isEmpty()) {
             endWithoutServer();
             return;
@@ -240,6 +249,16 @@
         sent = true;
         services.metrics().sent(version.id());
         answer.onChosen(version.id(), server.get().id(), explanation(), team.explain());
+        attempts.sendTo(
+                server.get(),
+                Attempts.options(profile.deadline(), profile.idempotent()),
+                this::backendRequest,
+                new Listener());
+    }
+
+    private void giveSlotBack(final BackendServer server) {
+        final int left = services.workers().state(server.id()).inFlight().decrementAndGet();
+        services.ledger().changed(server.id(), left);
     }
 
     private void endWithoutServer() {
--- a/fennelstage-router/src/main/java/org/fennelstage/route/LoopContext.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/LoopContext.java
@@ -13,12 +13,10 @@
 /** What the requests of one event loop share. Confined to that loop. */
 final class LoopContext {
 
-    private static final double AFFINITY_BOUND = 1.25;
-
     private final HttpClient client;
     private final DataCentreId dataCentre;
     private final WorkerTable workers;
-    private final WorkerChoice forModels = WorkerChoice.boundedAffinity(AFFINITY_BOUND);
+    private final SplittableRandom random;
     private final WorkerChoice forServices;
     private final Map<VersionId, Pool> byVersion = new HashMap<>();
     private final Map<ServiceName, Pool> byService = new HashMap<>();
@@ -32,15 +30,16 @@
         this.client = client;
         this.dataCentre = dataCentre;
         this.workers = workers;
-        this.forServices = WorkerChoice.leastLoad(new SplittableRandom(seed));
+        this.random = new SplittableRandom(seed);
+        this.forServices = WorkerChoice.leastLoad(random.split());
     }
 
     HttpClient client() {
         return client;
     }
 
-    WorkerChoice forModels() {
-        return forModels;
+    SplittableRandom random() {
+        return random;
     }
 
     WorkerChoice forServices() {
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Pool.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Pool.java
@@ -1,8 +1,10 @@
 package org.fennelstage.route;
 
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.fennelstage.backend.BackendServer;
 import org.fennelstage.backend.WorkerChoice;
 import org.fennelstage.backend.WorkerLoads;
@@ -15,6 +17,11 @@
  */
 final class Pool {
 
+    /** Found by the experiment in docs/measurements/workers.md. */
+    private static final int AFFINE = 4;
+
+    private static final int BY_CHANCE = 4;
+
     private final Tier near;
     private final Tier far;
 
@@ -48,18 +55,41 @@
     }
 
     /**
-     * Returns the least utilisation of any server of the own data centre, by this VM's own
-     * requests.
+     * Returns the servers to ask for a slot, in turn: those with the highest affinity to the
+     * prefix, then some by chance, for a popular prefix can fill all of the former.
      *
-     * @return 0 if one is idle; infinity if there is none
+     * @param prefix the hash of the prompt's prefix
+     * @param tried servers that failed this request already
+     * @param random the source of chance
+     * @return the servers; of other data centres only if this one has none
      */
-    double leastUtilisation() {
-        double least = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < near.servers().size(); i++) {
-            final int running = near.states()[i].inFlight().get();
-            least = Math.min(least, (double) running / near.servers().get(i).slots());
+    List<BackendServer> candidates(
+            final long prefix, final Set<BackendServerId> tried, final RandomGenerator random) {
+        final List<BackendServer> found = candidates(near, prefix, tried, random);
+        return found.isEmpty() ? candidates(far, prefix, tried, random) : found;
+    }
+
+    private static List<BackendServer> candidates(
+            final Tier tier,
+            final long prefix,
+            final Set<BackendServerId> tried,
+            final RandomGenerator random) {
+        exclude(tier, tried);
+        final int[] best = new int[Math.min(AFFINE, tier.servers().size())];
+        WorkerChoice.firstByAffinity(tier.loads(), prefix, best);
+        final Set<BackendServer> found = new LinkedHashSet<>();
+        for (final int index : best) {
+            if (index != WorkerChoice.NONE) {
+                found.add(tier.servers().get(index));
+            }
         }
-        return least;
+        for (int i = 0; i < BY_CHANCE && !tier.servers().isEmpty(); i++) {
+            final int index = random.nextInt(tier.servers().size());
+            if (!tier.loads().isExcluded(index)) {
+                found.add(tier.servers().get(index));
+            }
+        }
+        return List.copyOf(found);
     }
 
     private static Optional<BackendServer> choose(
@@ -67,16 +97,20 @@
             final WorkerChoice choice,
             final long prefix,
             final Set<BackendServerId> tried) {
+        exclude(tier, tried);
+        final int chosen = choice.choose(tier.loads(), prefix);
+        return chosen == WorkerChoice.NONE
+                ? Optional.empty()
+                : Optional.of(tier.servers().get(chosen));
+    }
+
+    private static void exclude(final Tier tier, final Set<BackendServerId> tried) {
         for (int i = 0; i < tier.servers().size(); i++) {
             final WorkerState state = tier.states()[i];
             final boolean excluded =
                     !state.breaker().isClosed() || tried.contains(tier.servers().get(i).id());
             tier.loads().set(i, state.inFlight().get(), excluded);
         }
-        final int chosen = choice.choose(tier.loads(), prefix);
-        return chosen == WorkerChoice.NONE
-                ? Optional.empty()
-                : Optional.of(tier.servers().get(chosen));
     }
 
     private static Tier tier(final List<BackendServer> servers, final WorkerTable table) {
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Router.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Router.java
@@ -7,11 +7,14 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.fennelstage.configuration.Configuration;
 import org.fennelstage.control.Bills;
 import org.fennelstage.control.Claims;
+import org.fennelstage.control.Duties;
+import org.fennelstage.control.LoadLedger;
 import org.fennelstage.control.Rollouts;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.RequestHandler;
@@ -29,6 +32,7 @@
     private final Services services;
     private final DataCentreId dataCentre;
     private final CallerApi api;
+    private final LoadLedger ledger;
     private final Map<EventLoop, LoopContext> loops = new ConcurrentHashMap<>();
     private volatile boolean draining;
 
@@ -42,6 +46,8 @@
      * @param bills takes what requests cost
      * @param rollouts the roll-outs
      * @param metrics counts
+     * @param duties reaches other VMs
+     * @param timer runs reports
      */
     public record Dependencies(
             Supplier<Configuration> configuration,
@@ -50,7 +56,9 @@
             Claims claims,
             Bills bills,
             Rollouts rollouts,
-            RouterMetrics metrics) {}
+            RouterMetrics metrics,
+            Duties duties,
+            ScheduledExecutorService timer) {}
 
     /**
      * Creates a router.
@@ -68,6 +76,8 @@
             final Optional<InetSocketAddress> rating,
             final double ratedShare) {
         this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre is null");
+        final WorkerTable workers = new WorkerTable(dependencies.clock());
+        this.ledger = new LoadLedger(dependencies.duties(), workers::loads, dependencies.timer());
         this.services =
                 new Services(
                         dependencies.configuration(),
@@ -77,7 +87,8 @@
                         dependencies.bills(),
                         dependencies.rollouts(),
                         new Admission(dependencies.clock(), vms),
-                        new WorkerTable(dependencies.clock()),
+                        workers,
+                        ledger,
                         new Ratings(rating, ratedShare),
                         RetryBudget.of(RETRY_SHARE, RETRY_RESERVE),
                         dependencies.metrics());
@@ -89,6 +100,15 @@
         api.handle(exchange);
     }
 
+    /**
+     * Returns the count of requests at backend servers, which other VMs send messages to.
+     *
+     * @return the ledger
+     */
+    public LoadLedger ledger() {
+        return ledger;
+    }
+
     /** Refuses new requests from now on; those in flight go on. */
     public void drain() {
         draining = true;
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
@@ -71,7 +71,7 @@
         this.target = target;
         this.key = key;
         this.id = id;
-        this.attempts = new Attempts(services.workers(), loop.client());
+        this.attempts = new Attempts(services.workers(), loop.client(), (server, left) -> {});
         this.idempotent = IDEMPOTENT.contains(exchange.method());
     }
 
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Services.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Services.java
@@ -5,6 +5,7 @@
 import org.fennelstage.configuration.Configuration;
 import org.fennelstage.control.Bills;
 import org.fennelstage.control.Claims;
+import org.fennelstage.control.LoadLedger;
 import org.fennelstage.control.Rollouts;
 import org.fennelstage.request.RequestIds;
 import org.fennelstage.request.RetryBudget;
@@ -20,6 +21,7 @@
  * @param rollouts the roll-outs
  * @param admission the teams' limits
  * @param workers what is known of backend servers
+ * @param ledger counts the requests of all VMs at backend servers
  * @param ratings has answers rated
  * @param retries bounds retries
  * @param metrics counts
@@ -33,6 +35,7 @@
         Rollouts rollouts,
         Admission admission,
         WorkerTable workers,
+        LoadLedger ledger,
         Ratings ratings,
         RetryBudget retries,
         RouterMetrics metrics) {}
--- a/fennelstage-router/src/main/java/org/fennelstage/route/WorkerTable.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/WorkerTable.java
@@ -1,6 +1,7 @@
 package org.fennelstage.route;
 
 import java.time.InstantSource;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,7 +21,15 @@
         return states.computeIfAbsent(server, s -> new WorkerState(clock));
     }
 
-    int inFlight() {
-        return states.values().stream().mapToInt(s -> s.inFlight().get()).sum();
+    /** Returns how many requests this VM has at each server where it has any. */
+    Map<BackendServerId, Integer> loads() {
+        final Map<BackendServerId, Integer> loads = new HashMap<>();
+        states.forEach(
+                (server, state) -> {
+                    if (state.inFlight().get() > 0) {
+                        loads.put(server, state.inFlight().get());
+                    }
+                });
+        return loads;
     }
 }
--- a/fennelstage-router/src/test/java/org/fennelstage/main/Fleet.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/Fleet.java
@@ -70,7 +70,7 @@
     static final String KEY = "team-key";
 
     private static final String HOST = "127.0.0.1";
-    private static final PeerTiming TIMING =
+    static final PeerTiming TIMING =
             new PeerTiming(Duration.ofMillis(200), Duration.ofMillis(100), Duration.ofMillis(600));
     private static final Duration PATIENCE = Duration.ofSeconds(20);
 
@@ -87,6 +87,7 @@
     private final PlainService service;
     private final RatingService rating;
     private final int perDataCentre;
+    private final PeerTiming timing;
 
     /** What a caller got. */
     record Answer(int status, Map<String, List<String>> headers, String body) {
@@ -109,6 +110,16 @@
 
     Fleet(final int dataCentres, final int perDataCentre, final VersionBehaviour... behaviours)
             throws IOException {
+        this(TIMING, dataCentres, perDataCentre, behaviours);
+    }
+
+    Fleet(
+            final PeerTiming timing,
+            final int dataCentres,
+            final int perDataCentre,
+            final VersionBehaviour... behaviours)
+            throws IOException {
+        this.timing = timing;
         this.perDataCentre = perDataCentre;
         this.service = PlainService.start(group, any());
         this.rating = RatingService.start(group, any(), 20);
@@ -166,7 +177,7 @@
                                 Optional.empty(),
                                 InstantSource.system(),
                                 address -> permits(dc, address),
-                                TIMING,
+                                timing,
                                 ExposurePolicy.DEFAULT,
                                 2));
         nodes.set(index, node);
@@ -399,6 +410,10 @@
                 Duration.ofSeconds(10));
     }
 
+    void behave(final VersionBehaviour behaviour) {
+        engines.forEach(e -> e.behave(behaviour));
+    }
+
     static Map<String, Long> countByKey(final List<ModelEngine.Execution> executions) {
         final Map<String, Long> counts = new HashMap<>();
         executions.forEach(e -> counts.merge(e.key(), 1L, Long::sum));
--- a/fennelstage-router/src/test/java/org/fennelstage/main/FleetBillsTest.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/FleetBillsTest.java
@@ -99,6 +99,29 @@
         }
     }
 
+    /**
+     * Symptom: bills are lost although every VM but one was stopped with care. Events: the platform
+     * is down; a VM dies after its answers; the keeper of its bills is stopped. Cause: the keeper
+     * had the only copies left and took them along.
+     */
+    @Test
+    void aKeeperThatStopsHandsTheBillsOfADeadVmOn() throws IOException {
+        try (Fleet fleet = new Fleet(1, 3)) {
+            fleet.platformDown(true);
+            final Set<String> complete = run(fleet, 12, 1);
+            final int keeper = fleet.node(1).bills().waiting() > 0 ? 1 : 2;
+            fleet.kill(0);
+            Fleet.await(
+                    "the death to be known",
+                    () -> fleet.node(keeper).members().dutyVms().size() == 2);
+            fleet.node(keeper).stop();
+            fleet.platformDown(false);
+
+            Fleet.await("all bills", () -> fleet.billed().containsAll(complete));
+            assertBilledOnce(fleet, complete);
+        }
+    }
+
     private static Set<String> run(final Fleet fleet, final int count, final int nodes) {
         final Set<String> complete = new HashSet<>();
         for (int i = 0; i < count; i++) {
--- a/fennelstage-router/src/test/java/org/fennelstage/main/FleetConfigurationTest.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/FleetConfigurationTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Set;
 import org.fennelstage.model.ModelVersion;
+import org.fennelstage.peer.PeerTiming;
 import org.fennelstage.platform.DeclarationKind;
 import org.fennelstage.session.KeyRing;
 import org.fennelstage.standin.ObjectApiFaults;
@@ -75,6 +77,21 @@
         }
     }
 
+    /**
+     * Symptom: changes take tens of seconds in a large data centre. Events: VMs hear of a change
+     * only when they happen to probe one that knows it. Here nobody probes within the hour.
+     */
+    @Test
+    void aChangeIsPushedWithoutWaitingForAProbe() throws IOException {
+        final PeerTiming neverProbes =
+                new PeerTiming(Duration.ofHours(1), Duration.ofMillis(500), Duration.ofHours(1));
+        try (Fleet fleet = new Fleet(neverProbes, 2, 3)) {
+            fleet.platform(1, new ObjectApiFaults(true, 0, 0, 0));
+            fleet.state(Fleet.GOOD, ModelVersion.State.WITHDRAWN);
+            Fleet.await("the withdrawal everywhere", () -> isWithdrawnEverywhere(fleet));
+        }
+    }
+
     @Test
     void aLeavingBackendServerGetsNoNewWork() throws IOException {
         try (Fleet fleet = new Fleet(1, 2)) {
--- a/fennelstage-router/src/test/java/org/fennelstage/main/FleetRolloutTest.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/FleetRolloutTest.java
@@ -95,6 +95,41 @@
         }
     }
 
+    /**
+     * Symptom: a version that served well yesterday fails every request today, and nobody stops it.
+     * Events: its roll-out is complete; then it turns bad. Cause: nobody judged its answers any
+     * more.
+     */
+    @Test
+    void aVersionThatTurnsBadAfterItsRolloutGivesWayToTheProvenOne() throws IOException {
+        try (Fleet fleet = fleet(0.95, 0)) {
+            start(fleet);
+            Fleet.await("all traffic on the candidate", () -> work(fleet) && isOnCandidate(fleet));
+            fleet.behave(Fleet.behaviour(Fleet.BAD, 0.95, 1));
+            Fleet.await("the halt", () -> load(fleet) && isHaltedEverywhere(fleet));
+            for (int node = 0; node < 9; node++) {
+                assertThat(fleet.chat(node, "draft").explained()).contains("version=pero@v1");
+            }
+        }
+    }
+
+    private static boolean isOnCandidate(final Fleet fleet) {
+        return fleet.nodes().stream()
+                .allMatch(
+                        n ->
+                                fleet.chat(fleet.nodes().indexOf(n), "draft")
+                                        .explained()
+                                        .contains("version=pero@v2 "));
+    }
+
+    /** Requests that may fail, as they do until the halt. */
+    private static boolean load(final Fleet fleet) {
+        for (int node = 0; node < 9; node++) {
+            fleet.chat(node, "draft");
+        }
+        return true;
+    }
+
     private static Fleet fleet(final double skill, final double errors) throws IOException {
         return new Fleet(
                 3,
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
@@ -113,6 +113,15 @@
         return server.port();
     }
 
+    /**
+     * Changes how one version answers from now on.
+     *
+     * @param behaviour the version's new behaviour
+     */
+    public synchronized void behave(final VersionBehaviour behaviour) {
+        versions.put(behaviour.version(), behaviour);
+    }
+
     /**
      * Returns all requests that ran, in order.
      *
@@ -161,7 +170,7 @@
         begin(run);
     }
 
-    private VersionBehaviour find(final String name) {
+    private synchronized VersionBehaviour find(final String name) {
         try {
             return versions.get(VersionId.parse(name));
         } catch (final IllegalArgumentException e) {
