--- /dev/null
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
@@ -0,0 +1,109 @@
+package org.fennelstage.bench;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.fennelstage.backend.WorkerChoice;
+import org.fennelstage.backend.WorkerLoads;
+import org.fennelstage.configuration.Configuration;
+import org.fennelstage.configuration.Digest;
+import org.fennelstage.id.ModelId;
+import org.fennelstage.id.TeamId;
+import org.fennelstage.id.VersionId;
+import org.fennelstage.model.ModelVersion;
+import org.fennelstage.model.VersionChooser;
+import org.fennelstage.rollout.Evidence;
+import org.fennelstage.rollout.ExposurePolicy;
+import org.fennelstage.rollout.Tolerance;
+import org.fennelstage.rollout.Verdict;
+import org.fennelstage.team.KeyHash;
+import org.fennelstage.team.Team;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Times single decisions. Run with {@code bin/bench jmh}. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class DecisionBenchmark {
+
+    private static final int AFFINE = 4;
+
+    /** The workers among which one is chosen. */
+    @Param({"13", "67", "600"})
+    public int workers;
+
+    private final int[] best = new int[AFFINE];
+    private final WorkerChoice affinity = WorkerChoice.boundedAffinity(1.25);
+    private WorkerLoads loads;
+    private Configuration configuration;
+    private Team team;
+    private Evidence evidence;
+    private long prefix;
+
+    /** Prepares loads, eleven versions and some evidence. */
+    @Setup
+    public void setUp() {
+        final SplittableRandom random = new SplittableRandom(5);
+        loads = WorkerLoads.of(WorkersMain.servers(workers));
+        for (int i = 0; i < workers; i++) {
+            loads.set(i, random.nextInt(8), false);
+        }
+        final Configuration.Builder builder = new Configuration.Builder(Digest.EMPTY);
+        for (int i = 0; i < 11; i++) {
+            builder.add(
+                    new ModelVersion(
+                            VersionId.of("m" + i % 3, "v" + i), ModelVersion.State.SERVING, 1));
+        }
+        configuration = builder.build();
+        team =
+                new Team(
+                        TeamId.of("t"),
+                        KeyHash.ofKey("s", "k"),
+                        Set.of(),
+                        Set.copyOf(List.of(ModelId.of("m0"))),
+                        1,
+                        1,
+                        false);
+        evidence = Evidence.of(900, new long[] {900, 300, 900, 900}, new long[] {9, 15, 0, 10});
+    }
+
+    /** Finds the candidates to ask for a slot. */
+    @Benchmark
+    public int candidates() {
+        WorkerChoice.firstByAffinity(loads, prefix++, best);
+        return best[0];
+    }
+
+    /** Chooses a worker by bounded affinity. */
+    @Benchmark
+    public int boundedAffinity() {
+        return affinity.choose(loads, prefix++);
+    }
+
+    /** Chooses the version of a request. */
+    @Benchmark
+    public VersionChooser.Choice version() {
+        return VersionChooser.choose(
+                configuration, team, ModelId.of("m0"), r -> VersionChooser.Status.RUNNING);
+    }
+
+    /** Judges a candidate version. */
+    @Benchmark
+    public Verdict verdict() {
+        return ExposurePolicy.DEFAULT.judge(evidence, Tolerance.DEFAULT, 1, 0.3);
+    }
+}
