Answer with the cheap model where it is good enough; hold its answer until that is known

Cause: a profile's first model answered everything; cost at the quality target had no mechanism. Change: ratings by profile, version and the engine's confidence, the cheap answer rated whether used or not; cheap alone, cheap then best, or best, by expected cost and time left; the cheap answer is held back until accepted, never for sessions or non-idempotent requests; one bill with both costs. A single answer counts as poor below three quarters of the promised mean.

--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers, their load, and the choice among them. */
+package org.fennelstage.backend;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/bill/package-info.java
@@ -0,0 +1,2 @@
+/** What requests cost, and the sets in which bills are kept. */
+package org.fennelstage.bill;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Declarations, their revisions, and the configuration in force. */
+package org.fennelstage.configuration;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for names. */
+package org.fennelstage.id;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds on rates. */
+package org.fennelstage.limit;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/model/package-info.java
@@ -0,0 +1,2 @@
+/** Versions of models and the choice of one. */
+package org.fennelstage.model;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/outcome/package-info.java
@@ -0,0 +1,2 @@
+/** How a request ends. */
+package org.fennelstage.outcome;
--- a/fennelstage-core/src/main/java/org/fennelstage/profile/Profile.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/profile/Profile.java
@@ -29,6 +29,9 @@
         boolean idempotent,
         int maxTokens) {
 
+    /** The share of the promised rating below which a single answer is poor. */
+    private static final double POOR_SHARE = 0.75;
+
     public Profile {
         Objects.requireNonNull(id, "id is null");
         Objects.requireNonNull(firstToken, "firstToken is null");
@@ -47,4 +50,33 @@
             throw new IllegalArgumentException("profile " + id + ": max tokens below 1");
         }
     }
+
+    /**
+     * Tells whether a single answer is poor. The promise is a mean, so many good answers lie a
+     * little below it; a version is judged by those that lie far below.
+     *
+     * @param rating the rating, in [0, 1]
+     * @return true if it is
+     */
+    public boolean isPoor(final double rating) {
+        return rating < quality * POOR_SHARE;
+    }
+
+    /**
+     * Returns the model that costs least.
+     *
+     * @return the first model
+     */
+    public ModelId cheapest() {
+        return models.get(0);
+    }
+
+    /**
+     * Returns the model that answers best.
+     *
+     * @return the last model
+     */
+    public ModelId best() {
+        return models.get(models.size() - 1);
+    }
 }
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/profile/package-info.java
@@ -0,0 +1,2 @@
+/** Promises of quality, cost and speed. */
+package org.fennelstage.profile;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/request/package-info.java
@@ -0,0 +1,2 @@
+/** Ids and retries of requests. */
+package org.fennelstage.request;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Roll-outs, the evidence on candidates, and their exposure. */
+package org.fennelstage.rollout;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/session/package-info.java
@@ -0,0 +1,2 @@
+/** Sessions and their tokens. */
+package org.fennelstage.session;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/team/package-info.java
@@ -0,0 +1,2 @@
+/** Teams, their keys and limits. */
+package org.fennelstage.team;
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatAnswer.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatAnswer.java
@@ -24,6 +24,7 @@
 final class ChatAnswer {
 
     private static final String EXPLAIN = "x-explain";
+    private static final double UNKNOWN_CONFIDENCE = 0.5;
 
     private final ServerExchange exchange;
     private final RequestId request;
@@ -32,6 +33,8 @@
     private final StringBuilder text = new StringBuilder();
     private final Map<String, String> headers = new HashMap<>();
     private boolean begun;
+    private boolean held;
+    private double confidence = UNKNOWN_CONFIDENCE;
     private int tokens;
     private String finishReason = "";
 
@@ -57,6 +60,38 @@
         }
     }
 
+    /** Keeps chunks back from the caller until the answer is accepted or dropped. */
+    void hold() {
+        held = true;
+    }
+
+    boolean isHeld() {
+        return held;
+    }
+
+    /** Lets the caller have the answer that was held. */
+    void accept() {
+        held = false;
+        begin();
+        if (stream && text.length() > 0) {
+            event(chunk(text.toString(), null));
+        }
+    }
+
+    /** Forgets the answer that was held; another one follows. */
+    void drop() {
+        held = false;
+        text.setLength(0);
+        tokens = 0;
+        finishReason = "";
+        confidence = UNKNOWN_CONFIDENCE;
+    }
+
+    /** Returns the engine's confidence in its answer; one half if it gave none. */
+    double confidence() {
+        return confidence;
+    }
+
     boolean hasBegun() {
         return begun;
     }
@@ -81,12 +116,13 @@
             finishReason = choice.path("finish_reason").asText();
         }
         tokens = chunk.path("usage").path("completion_tokens").asInt(tokens);
-        begin();
-        if (content.isEmpty()) {
+        confidence = chunk.path("usage").path("confidence").asDouble(confidence);
+        text.append(content);
+        if (held) {
             return;
         }
-        text.append(content);
-        if (stream) {
+        begin();
+        if (stream && !content.isEmpty()) {
             event(chunk(content, null));
         }
     }
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -25,7 +25,9 @@
 import org.fennelstage.http.CallFailure;
 import org.fennelstage.http.ResponseListener;
 import org.fennelstage.http.ServerExchange;
+import org.fennelstage.id.ModelId;
 import org.fennelstage.id.RequestId;
+import org.fennelstage.id.VersionId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.model.ModelVersion;
@@ -69,9 +71,13 @@
     private final long startNanos = System.nanoTime();
     private final Attempts attempts;
     private final ChatAnswer answer;
+    private final Duration limit;
     private ScheduledFuture<?> deadlineTimer;
     private ModelVersion version;
     private Optional<Rollout> exposure = Optional.empty();
+    private Optional<ModelVersion> fallback = Optional.empty();
+    private double costOfDropped;
+    private long attemptNanos = startNanos;
     private boolean claimed;
     private boolean sent;
     private boolean ended;
@@ -95,16 +101,16 @@
         this.id = id;
         this.configuration = services.configuration().get();
         this.attempts = new Attempts(services.workers(), loop.client(), services.ledger()::changed);
+        this.limit =
+                request.deadline()
+                        .filter(d -> d.compareTo(profile.deadline()) < 0)
+                        .orElse(profile.deadline());
         this.answer = new ChatAnswer(exchange, id, profile.id(), request.stream());
     }
 
     /** Begins; the request has been admitted. */
     void start() {
         services.metrics().begin();
-        final Duration limit =
-                request.deadline()
-                        .filter(d -> d.compareTo(profile.deadline()) < 0)
-                        .orElse(profile.deadline());
         deadlineTimer =
                 exchange.eventLoop()
                         .schedule(this::onDeadline, limit.toMillis(), TimeUnit.MILLISECONDS);
@@ -121,14 +127,15 @@
                                         VersionChooser.choose(
                                                 configuration,
                                                 team,
-                                                profile.models().get(0),
+                                                chooseModel(),
                                                 services.rollouts()));
         if (choice instanceof VersionChooser.Choice.Refused refused) {
             end(refused.outcome());
         } else if (choice instanceof VersionChooser.Choice.Chosen chosen) {
             version = chosen.version();
             exposure = chosen.watched();
-            final Optional<Rollout> trial = chosen.trial().filter(this::isSampled);
+            final Optional<Rollout> trial =
+                    chosen.trial().filter(r -> fallback.isEmpty()).filter(this::isSampled);
             if (trial.isPresent()) {
                 askForShare(trial.get());
             } else {
@@ -137,6 +144,19 @@
         }
     }
 
+    private ModelId chooseModel() {
+        // A session stays on one version and a non-idempotent request runs once, so neither may be
+        // answered by two models in turn.
+        final boolean mayRunTwice = profile.idempotent() && request.session().isEmpty();
+        final Cascades.Stage stage =
+                services.cascades().choose(configuration, team, profile, mayRunTwice, limit, id);
+        fallback = stage.fallback();
+        if (fallback.isPresent()) {
+            answer.hold();
+        }
+        return stage.model();
+    }
+
     private boolean isSampled(final Rollout rollout) {
         final String key = rollout.id() + "/" + id;
         return Ratings.fraction(key) < services.rollouts().share(rollout);
@@ -249,6 +269,7 @@
         sent = true;
         services.metrics().sent(version.id());
         answer.onChosen(version.id(), server.get().id(), explanation(), team.explain());
+        attemptNanos = System.nanoTime();
         attempts.sendTo(
                 server.get(),
                 Attempts.options(profile.deadline(), profile.idempotent()),
@@ -273,6 +294,9 @@
         if (session.isPresent()) {
             return "session";
         }
+        if (fallback.isPresent() || costOfDropped > 0) {
+            return "cascade";
+        }
         return exposure.map(r -> "rollout " + r.id()).orElse("proven");
     }
 
@@ -386,7 +410,9 @@
         }
         EventLog.write(Event.REQUEST_RETRIED, "request", id, "detail", detail);
         services.metrics().retried();
-        if (exposure.isPresent()) {
+        if (fallback.isPresent()) {
+            useFallback();
+        } else if (exposure.isPresent()) {
             // The candidate failed this caller once; the proven version answers the next attempt.
             final Optional<ModelVersion> proven =
                     configuration.version(exposure.get().proven()).filter(ModelVersion::acceptsNew);
@@ -406,18 +432,37 @@
         attempts.release();
         judge(Signal.ERROR, false);
         judge(Signal.TRUNCATION, answer.isTruncated());
+        final double taken = (System.nanoTime() - attemptNanos) / NANOS_PER_SECOND;
+        services.cascades().answered(profile, version.id(), answer.confidence(), taken);
+        rate();
+        if (fallback.isPresent()) {
+            final boolean isGoodEnough =
+                    services.cascades()
+                            .accepts(
+                                    profile,
+                                    version.id(),
+                                    fallback.get().id(),
+                                    answer.confidence());
+            if (!isGoodEnough) {
+                costOfDropped = cost();
+                useFallback();
+                dispatch();
+                return;
+            }
+            onFirstToken();
+            answer.accept();
+        }
         if (!profile.idempotent()) {
             services.claims().done(claimKey(), id);
         }
-        final int tokens = answer.tokens();
         final Bill bill =
                 new Bill(
                         id,
                         team.id(),
                         profile.id(),
                         version.id(),
-                        tokens,
-                        tokens * version.costPerThousandTokens() / 1000,
+                        answer.tokens(),
+                        costOfDropped + cost(),
                         services.clock().millis());
         services.bills().record(bill).thenAccept(done -> onLoop(this::finishAnswer));
     }
@@ -426,21 +471,44 @@
         final Optional<String> token =
                 SessionIssue.token(configuration.keys(), request, session, team, version.id());
         answer.finish(token);
+        end(new Outcome.Complete());
+    }
+
+    private void onFirstToken() {
+        services.metrics().firstToken(profile.id(), seconds());
+        judge(Signal.LATE, seconds() * 1000 > profile.firstToken().toMillis());
+    }
+
+    private double cost() {
+        return answer.tokens() * version.costPerThousandTokens() / 1000;
+    }
+
+    /** Lets the best version answer; the cheap answer is dropped. */
+    private void useFallback() {
+        fallback.ifPresent(v -> version = v);
+        fallback = Optional.empty();
+        answer.drop();
+    }
+
+    private void rate() {
         final Optional<Rollout> rollout = exposure;
+        final VersionId rated = version.id();
+        final double confidence = answer.confidence();
         services.ratings()
                 .rate(
                         loop.client(),
                         id.value(),
                         answer.text(),
-                        rating ->
-                                rollout.ifPresent(
-                                        r ->
-                                                services.rollouts()
-                                                        .judged(
-                                                                r.id(),
-                                                                Signal.POOR_RATING,
-                                                                rating < profile.quality())));
-        end(new Outcome.Complete());
+                        rating -> {
+                            services.cascades().rated(profile, rated, confidence, rating);
+                            rollout.ifPresent(
+                                    r ->
+                                            services.rollouts()
+                                                    .judged(
+                                                            r.id(),
+                                                            Signal.POOR_RATING,
+                                                            profile.isPoor(rating)));
+                        });
     }
 
     private void end(final Outcome outcome) {
@@ -549,9 +617,8 @@
             } catch (final IOException e) {
                 return;
             }
-            if (!answer.hasBegun()) {
-                services.metrics().firstToken(profile.id(), seconds());
-                judge(Signal.LATE, seconds() * 1000 > profile.firstToken().toMillis());
+            if (!answer.hasBegun() && !answer.isHeld()) {
+                onFirstToken();
             }
             answer.add(chunk);
         }
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Router.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Router.java
@@ -89,6 +89,7 @@
                         new Admission(dependencies.clock(), vms),
                         workers,
                         ledger,
+                        new Cascades(dependencies.rollouts()),
                         new Ratings(rating, ratedShare),
                         RetryBudget.of(RETRY_SHARE, RETRY_RESERVE),
                         dependencies.metrics());
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Services.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Services.java
@@ -22,6 +22,7 @@
  * @param admission the teams' limits
  * @param workers what is known of backend servers
  * @param ledger counts the requests of all VMs at backend servers
+ * @param cascades chooses models
  * @param ratings has answers rated
  * @param retries bounds retries
  * @param metrics counts
@@ -36,6 +37,7 @@
         Admission admission,
         WorkerTable workers,
         LoadLedger ledger,
+        Cascades cascades,
         Ratings ratings,
         RetryBudget retries,
         RouterMetrics metrics) {}
--- a/fennelstage-router/src/test/java/org/fennelstage/main/BadInputTest.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/BadInputTest.java
@@ -78,7 +78,7 @@
     void anUnknownProfileIsRefusedWithTheAllowedOnes() {
         final Fleet.Answer answer = fleet.chat(0, "no-such");
         assertThat(answer.status()).isEqualTo(404);
-        assertThat(answer.body()).contains("[draft, send]");
+        assertThat(answer.body()).contains("[digest, draft, send]");
     }
 
     @Test
--- a/fennelstage-router/src/test/java/org/fennelstage/main/Fleet.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/Fleet.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -67,6 +68,7 @@
 
     static final VersionId GOOD = VersionId.of("pero", "v1");
     static final VersionId BAD = VersionId.of("pero", "v2");
+    static final VersionId LARGE = VersionId.of("grande", "v1");
     static final String KEY = "team-key";
 
     private static final String HOST = "127.0.0.1";
@@ -332,29 +334,30 @@
             }
         }
         server("klub-1", 0, service.port(), Set.of(), Optional.of(ServiceName.of("klub")));
-        profile("draft", true);
-        profile("send", false);
+        profile("draft", true, "pero");
+        profile("send", false, "pero");
+        profile("digest", true, "pero", "grande");
         declare(
                 DeclarationKind.TEAM,
                 "editors",
                 new Team(
                         TeamId.of("editors"),
                         KeyHash.ofKey("salt", KEY),
-                        Set.of(ProfileId.of("draft"), ProfileId.of("send")),
-                        Set.of(ModelId.of("pero")),
+                        Set.of(ProfileId.of("draft"), ProfileId.of("send"), ProfileId.of("digest")),
+                        Set.of(ModelId.of("pero"), ModelId.of("grande")),
                         100_000,
                         1000,
                         true));
         declare(DeclarationKind.KEY_RING, "sessions", KeyRing.of("k1", "secret-1"));
     }
 
-    private void profile(final String name, final boolean idempotent) {
+    private void profile(final String name, final boolean idempotent, final String... models) {
         declare(
                 DeclarationKind.PROFILE,
                 name,
                 new Profile(
                         ProfileId.of(name),
-                        List.of(ModelId.of("pero")),
+                        Arrays.stream(models).map(ModelId::of).toList(),
                         0.7,
                         Duration.ofSeconds(10),
                         Duration.ofSeconds(20),
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
@@ -78,7 +79,12 @@
     public record Execution(String request, String key, String version, long atMillis) {}
 
     private record Run(
-            ServerExchange exchange, VersionBehaviour behaviour, String prompt, int tokens) {}
+            ServerExchange exchange,
+            VersionBehaviour behaviour,
+            String prompt,
+            int tokens,
+            double quality,
+            double confidence) {}
 
     /**
      * Starts an engine.
@@ -159,7 +165,12 @@
             return;
         }
         final String prompt = body.path("messages").toString();
-        final Run run = new Run(exchange, behaviour, prompt, tokens(body));
+        final Run run;
+        synchronized (this) {
+            final double quality = quality(behaviour, prompt);
+            final double confidence = clamp(quality + random.nextGaussian() * QUALITY_NOISE);
+            run = new Run(exchange, behaviour, prompt, tokens(body), quality, confidence);
+        }
         synchronized (this) {
             if (running >= slots) {
                 queue.add(run);
@@ -268,7 +279,7 @@
 
     private String text(final Run run, final int index) {
         return index == 0
-                ? "[[q=" + quality(run) + "]] " + echo(run.prompt())
+                ? String.format(Locale.ROOT, "[[q=%.3f]] ", run.quality()) + echo(run.prompt())
                 : "token" + index + " ";
     }
 
@@ -278,12 +289,13 @@
         return mark.isPresent() ? "[[r=" + (long) mark.getAsDouble() + "]] " : "";
     }
 
-    private synchronized String quality(final Run run) {
-        final double difficulty = Marks.read(run.prompt(), "d").orElse(0);
-        final double noise = random.nextGaussian() * QUALITY_NOISE;
-        final double quality =
-                Math.max(0, Math.min(1, run.behaviour().skill() - difficulty + noise));
-        return String.format(java.util.Locale.ROOT, "%.3f", quality);
+    private double quality(final VersionBehaviour behaviour, final String prompt) {
+        final double difficulty = Marks.read(prompt, "d").orElse(0);
+        return clamp(behaviour.skill() - difficulty + random.nextGaussian() * QUALITY_NOISE);
+    }
+
+    private static double clamp(final double value) {
+        return Math.max(0, Math.min(1, value));
     }
 
     private static String chunk(
@@ -298,7 +310,11 @@
         choice.put("index", 0);
         choice.putObject("delta").put("content", content);
         choice.put("finish_reason", finishReason);
-        tokens.ifPresent(t -> node.putObject("usage").put("completion_tokens", t));
+        tokens.ifPresent(
+                t ->
+                        node.putObject("usage")
+                                .put("completion_tokens", t)
+                                .put("confidence", run.confidence()));
         return node.toString();
     }
 
