Split what an engine is sent, and what a duplicate is told, out of the request's run

Change: EngineRequest and Duplicates; a plain service's repeated key that ran to its end is now told so (failed-after-run) instead of unknown.

--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -1,15 +1,8 @@
 package org.fennelstage.route;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.time.Duration;
@@ -52,7 +45,6 @@
 final class ChatRun {
 
     private static final Duration NO_BACKEND_RETRY = Duration.ofSeconds(2);
-    private static final int PREFIX_CHARACTERS = 256;
     private static final int NOT_FOUND = 404;
     private static final int TOO_MANY = 429;
     private static final int UNAVAILABLE = 503;
@@ -190,7 +182,7 @@
 
     private void onClaim(final ClaimAnswer result) {
         if (result instanceof ClaimAnswer.Refused refused) {
-            end(duplicate(refused));
+            end(Duplicates.outcome(refused.held()));
             return;
         }
         claimed = true;
@@ -210,20 +202,6 @@
         }
     }
 
-    private static Outcome duplicate(final ClaimAnswer.Refused refused) {
-        final RequestId holder = refused.held().holder();
-        return switch (refused.held().state()) {
-            case DONE ->
-                    new Outcome.FailedAfterRun(
-                            "this idempotency key already ran to its end as request " + holder);
-            default ->
-                    new Outcome.Unknown(
-                            "this idempotency key is held by request "
-                                    + holder
-                                    + ", which may be running or have run");
-        };
-    }
-
     private void dispatch() {
         if (ended) {
             return;
@@ -247,7 +225,8 @@
             return;
         }
         final List<BackendServer> candidates =
-                loop.pool(now, version.id()).candidates(prefix(), attempts.tried(), loop.random());
+                loop.pool(now, version.id())
+                        .candidates(EngineRequest.prefix(request), attempts.tried(), loop.random());
         new Placement(
                         services.ledger(),
                         services.workers(),
@@ -273,7 +252,7 @@
         attempts.sendTo(
                 server.get(),
                 Attempts.options(profile.deadline(), profile.idempotent()),
-                this::backendRequest,
+                () -> EngineRequest.of(exchange, request, profile, version.id(), id),
                 new Listener());
     }
 
@@ -300,41 +279,6 @@
         return exposure.map(r -> "rollout " + r.id()).orElse("proven");
     }
 
-    private FullHttpRequest backendRequest() {
-        final ObjectNode body = Json.mapper().createObjectNode();
-        body.put("model", version.id().toString());
-        body.set("messages", request.messages());
-        final int limit =
-                request.maxTokens() == 0
-                        ? profile.maxTokens()
-                        : Math.min(request.maxTokens(), profile.maxTokens());
-        body.put("max_tokens", limit);
-        body.put("stream", true);
-        final FullHttpRequest message =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.POST,
-                        "/v1/chat/completions",
-                        Unpooled.wrappedBuffer(Json.write(body)));
-        message.headers().set("content-type", "application/json");
-        message.headers().set(OutcomeResponse.REQUEST_ID, id.value());
-        request.idempotencyKey()
-                .ifPresent(k -> message.headers().set(ChatRequest.IDEMPOTENCY_KEY, k));
-        final String trace = exchange.headers().get("traceparent");
-        if (trace != null) {
-            message.headers().set("traceparent", trace);
-        }
-        return message;
-    }
-
-    private long prefix() {
-        final String text = request.messages().toString();
-        return Hashing.komihash5_0()
-                .hashStream()
-                .putChars(text.substring(0, Math.min(PREFIX_CHARACTERS, text.length())))
-                .getAsLong();
-    }
-
     private String claimKey() {
         return Claims.key(team.id(), request.idempotencyKey().orElseThrow());
     }
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
@@ -89,12 +89,7 @@
 
     private void onClaim(final ClaimAnswer answer) {
         if (answer instanceof ClaimAnswer.Refused refused) {
-            end(
-                    new Outcome.Unknown(
-                            "this idempotency key was used by request "
-                                    + refused.held().holder()
-                                    + ", which is "
-                                    + refused.held().state()));
+            end(Duplicates.outcome(refused.held()));
             return;
         }
         claimed = true;
