--- a/fennelstage-core/src/main/java/org/fennelstage/backend/SlotLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/backend/SlotLedger.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import org.agrona.collections.Object2IntHashMap;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.VmId;
 
@@ -16,7 +17,9 @@
  */
 public final class SlotLedger {
 
-    private final Map<BackendServerId, Map<VmId, Integer>> counts = new HashMap<>();
+    private static final int NOTHING = 0;
+
+    private final Map<BackendServerId, Object2IntHashMap<VmId>> counts = new HashMap<>();
 
     private SlotLedger() {}
 
@@ -73,12 +76,12 @@
         Objects.requireNonNull(server, "server is null");
         Objects.requireNonNull(vm, "vm is null");
         if (own > 0) {
-            counts.computeIfAbsent(server, s -> new HashMap<>()).put(vm, own);
+            counts.computeIfAbsent(server, s -> new Object2IntHashMap<>(NOTHING)).put(vm, own);
             return;
         }
-        final Map<VmId, Integer> byVm = counts.get(server);
+        final Object2IntHashMap<VmId> byVm = counts.get(server);
         if (byVm != null) {
-            byVm.remove(vm);
+            byVm.removeKey(vm);
             if (byVm.isEmpty()) {
                 counts.remove(server);
             }
@@ -92,7 +95,7 @@
      * @param vm the VM
      */
     public synchronized void forget(final VmId vm) {
-        counts.values().forEach(byVm -> byVm.remove(vm));
+        counts.values().forEach(byVm -> byVm.removeKey(vm));
         counts.values().removeIf(Map::isEmpty);
     }
 
@@ -103,9 +106,14 @@
      * @return the sum over all VMs
      */
     public synchronized int running(final BackendServerId server) {
-        int sum = 0;
-        for (final int own : counts.getOrDefault(server, Map.of()).values()) {
-            sum += own;
+        final Object2IntHashMap<VmId> byVm = counts.get(server);
+        if (byVm == null) {
+            return NOTHING;
+        }
+        int sum = NOTHING;
+        final Object2IntHashMap<VmId>.ValueIterator own = byVm.values().iterator();
+        while (own.hasNext()) {
+            sum += own.nextInt();
         }
         return sum;
     }
--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -72,7 +72,7 @@
      "if (exceeds) {", "if (exceeds && false) {",
      "FleetRolloutTest"),
     ("halt-spreads-by-peers", ROUTER + "control/Rollouts.java",
-     "group.publishHalts();", "group.hashCode();",
+     "group.publishHalts();", "if (group == null) {\n return;\n}",
      "FleetRolloutTest"),
 ]
 
