Say "not run" only if no attempt of a request may have run

Symptom: an idempotent request that ran and failed was told "refused, not run". Cause, found by reading: the refusal spoke of the last attempt only; after a failed run and a retry at a server that cannot be reached, with the budget for retries used up, it was untrue. Change: Attempts remembers whether any attempt may have run; chat and plain services ask it.

--- a/fennelstage-router/src/main/java/org/fennelstage/route/Attempts.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Attempts.java
@@ -36,6 +36,7 @@
     private final ObjIntConsumer<BackendServerId> onReleased;
     private final Set<BackendServerId> tried = new HashSet<>();
     private Optional<BackendServer> current = Optional.empty();
+    private boolean mayHaveRun;
     private Call call;
 
     /**
@@ -58,6 +59,15 @@
         return tried.isEmpty();
     }
 
+    /**
+     * Tells whether any attempt may have run: one that is under way, or an earlier one that was not
+     * surely refused. Only the last attempt is not enough: a request that ran and failed, and was
+     * then retried at a server that cannot be reached, would be told "not run".
+     */
+    boolean mayHaveRun() {
+        return mayHaveRun || current.isPresent();
+    }
+
     boolean mayTryAgain() {
         return tried.size() < MOST;
     }
@@ -125,6 +135,7 @@
 
     /** Notes that the present server answered. */
     void onAnswer() {
+        mayHaveRun = true;
         current.ifPresent(
                 s -> {
                     if (workers.state(s.id()).breaker().onSuccess()) {
@@ -139,6 +150,7 @@
      * @param failure how
      */
     void onFailure(final CallFailure failure) {
+        mayHaveRun |= failure.phase() != CallFailure.Phase.NOT_SENT;
         current.ifPresent(
                 s -> {
                     final boolean connectionFailed =
@@ -157,8 +169,14 @@
         }
     }
 
-    /** Gives the present attempt up. */
+    /** Gives the present attempt up, which may have run. */
     void cancel() {
+        mayHaveRun |= current.isPresent();
+        drop();
+    }
+
+    /** Ends the present attempt, which its server has surely not run. */
+    void drop() {
         if (call != null) {
             call.cancel();
         }
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -71,7 +71,7 @@
     private double costOfDropped;
     private long attemptNanos = startNanos;
     private boolean claimed;
-    private boolean sent;
+
     private boolean ended;
 
     ChatRun(
@@ -217,11 +217,7 @@
                         .filter(v -> session.isPresent() ? v.acceptsSession() : v.acceptsNew())
                         .isPresent();
         if (!usable) {
-            end(
-                    Outcome.notRun(
-                            Reason.NO_BACKEND,
-                            "version " + version.id() + " was withdrawn",
-                            NO_BACKEND_RETRY));
+            end(notRunOrUnknown("version " + version.id() + " was withdrawn"));
             return;
         }
         final List<BackendServer> candidates =
@@ -245,7 +241,6 @@
             endWithoutServer();
             return;
         }
-        sent = true;
         services.metrics().sent(version.id());
         answer.onChosen(version.id(), server.get().id(), explanation(), team.explain());
         attemptNanos = System.nanoTime();
@@ -263,10 +258,7 @@
 
     private void endWithoutServer() {
         final String detail = "no backend server for version " + version.id();
-        end(
-                sent
-                        ? new Outcome.FailedAfterRun(detail + " is left to try")
-                        : Outcome.notRun(Reason.NO_BACKEND, detail, NO_BACKEND_RETRY));
+        end(notRunOrUnknown(detail));
     }
 
     private String explanation() {
@@ -289,7 +281,7 @@
         }
         attempts.cancel();
         end(
-                sent
+                attempts.mayHaveRun()
                         ? lateAfterSending()
                         : Outcome.notRun(
                                 Reason.DEADLINE,
@@ -322,8 +314,7 @@
             return;
         }
         if (notSent) {
-            sent = false;
-            end(Outcome.notRun(Reason.NO_BACKEND, failure.detail(), NO_BACKEND_RETRY));
+            end(notRunOrUnknown(failure.detail()));
         } else if (failure.phase() == CallFailure.Phase.MAYBE_SENT) {
             end(new Outcome.Unknown("the backend server gave no answer: " + failure.detail()));
         } else {
@@ -332,9 +323,11 @@
     }
 
     private void onErrorStatus(final int status) {
-        attempts.cancel();
         final boolean refused = status == NOT_FOUND || status == TOO_MANY || status == UNAVAILABLE;
-        if (!refused) {
+        if (refused) {
+            attempts.drop();
+        } else {
+            attempts.cancel();
             judge(Signal.ERROR, true);
         }
         final String detail = "the backend server answered " + status;
@@ -342,12 +335,18 @@
             return;
         }
         if (refused) {
-            end(Outcome.notRun(Reason.NO_BACKEND, detail, NO_BACKEND_RETRY));
+            end(notRunOrUnknown(detail));
         } else {
             end(new Outcome.FailedAfterRun(detail));
         }
     }
 
+    private Outcome notRunOrUnknown(final String detail) {
+        return attempts.mayHaveRun()
+                ? new Outcome.Unknown(detail + "; an earlier attempt may have run")
+                : Outcome.notRun(Reason.NO_BACKEND, detail, NO_BACKEND_RETRY);
+    }
+
     private boolean tryAgain(final String detail) {
         if (ended || !attempts.mayTryAgain() || !services.retries().tryRetry()) {
             return false;
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
@@ -113,10 +113,16 @@
                         this::backendRequest,
                         new Listener());
         if (server.isEmpty()) {
-            end(Outcome.notRun(Reason.NO_BACKEND, "no server of " + service, RETRY));
+            end(notRunOrUnknown("no server of " + service));
         }
     }
 
+    private Outcome notRunOrUnknown(final String detail) {
+        return attempts.mayHaveRun()
+                ? new Outcome.Unknown(detail + "; an earlier attempt may have run")
+                : Outcome.notRun(Reason.NO_BACKEND, detail, RETRY);
+    }
+
     private FullHttpRequest backendRequest() {
         final FullHttpRequest message =
                 new DefaultFullHttpRequest(
@@ -142,7 +148,7 @@
             services.metrics().retried();
             dispatch();
         } else if (notSent) {
-            end(Outcome.notRun(Reason.NO_BACKEND, failure.detail(), RETRY));
+            end(notRunOrUnknown(failure.detail()));
         } else {
             end(new Outcome.Unknown("the service gave no whole answer: " + failure.detail()));
         }
--- a/fennelstage-router/src/test/java/org/fennelstage/main/Fleet.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/Fleet.java
@@ -235,10 +235,17 @@
 
     CompletableFuture<Answer> chatLater(
             final int node, final String profile, final String... headers) {
+        return say(node, profile, "hello", headers);
+    }
+
+    CompletableFuture<Answer> say(
+            final int node, final String profile, final String prompt, final String... headers) {
         final String body =
                 "{\"model\":\""
                         + profile
-                        + "\",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
+                        + "\",\"messages\":[{\"role\":\"user\",\"content\":\""
+                        + prompt
+                        + "\"}]}";
         return send(node, "POST", "/v1/chat/completions", body, headers);
     }
 
--- /dev/null
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/FleetRetriesTest.java
@@ -0,0 +1,59 @@
+package org.fennelstage.main;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fennelstage.standin.ModelEngine;
+import org.junit.jupiter.api.Test;
+
+/** Retries of idempotent requests keep to what is true. */
+class FleetRetriesTest {
+
+    private static final int DEAD_SERVERS = 30;
+    private static final int REQUESTS = 300;
+
+    /**
+     * Symptom: a caller is told "not run" of a request that ran. Events: the first attempt runs and
+     * fails, it is retried at a server that cannot be reached, and the budget for retries is used
+     * up. Cause: the refusal spoke of the last attempt only.
+     */
+    @Test
+    void aRequestOfWhichAnyAttemptRanIsNeverToldNotRun() throws IOException {
+        try (Fleet fleet = new Fleet(1, 1, Fleet.behaviour(Fleet.GOOD, 0.9, 1))) {
+            final int port = closedPort();
+            for (int i = 0; i < DEAD_SERVERS; i++) {
+                fleet.server("dead-" + i, 0, port, Set.of(Fleet.GOOD), Optional.empty());
+            }
+            Fleet.await(
+                    "the servers to be known",
+                    () ->
+                            fleet.node(0).configuration().servers(Fleet.GOOD).size()
+                                    == DEAD_SERVERS + 2);
+            final Map<String, String> outcomes = new HashMap<>();
+            for (int i = 0; i < REQUESTS; i++) {
+                final Fleet.Answer answer = fleet.say(0, "draft", "prompt " + i).join();
+                outcomes.put(answer.request(), answer.outcome());
+            }
+            final Set<String> ran = new HashSet<>();
+            for (final ModelEngine.Execution execution : fleet.executions()) {
+                ran.add(execution.request());
+            }
+            assertThat(ran).isNotEmpty();
+            assertThat(ran).allMatch(r -> !outcomes.get(r).equals("refused-not-run"));
+            assertThat(outcomes.values()).contains("refused-not-run");
+        }
+    }
+
+    private static int closedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
