Prove that a halt is pushed, not only found by digests

Cause: the proof passed without the push, since probes carry a digest of halts and pull what is missing. Change: a fleet in which nobody probes, the platform is down and one data centre alone has evidence.

--- a/fennelstage-router/src/test/java/org/fennelstage/main/FleetRolloutTest.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/FleetRolloutTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import org.fennelstage.id.RolloutId;
+import org.fennelstage.peer.PeerTiming;
 import org.fennelstage.platform.DeclarationKind;
 import org.fennelstage.rollout.Rollout;
 import org.fennelstage.rollout.Tolerance;
@@ -62,6 +64,30 @@
         }
     }
 
+    /**
+     * Symptom: a halt takes as long as probes happen to meet. Events: nobody probes within the
+     * hour, the platform is down, and only one data centre has traffic and so evidence.
+     */
+    @Test
+    void aHaltIsPushedToDataCentresThatHaveNoEvidenceOfTheirOwn() throws IOException {
+        final PeerTiming neverProbes =
+                new PeerTiming(Duration.ofHours(1), Duration.ofMillis(500), Duration.ofHours(1));
+        try (Fleet fleet =
+                new Fleet(
+                        neverProbes,
+                        3,
+                        2,
+                        Fleet.behaviour(Fleet.GOOD, 0.95, 0),
+                        Fleet.behaviour(Fleet.BAD, 0.9, 1))) {
+            start(fleet);
+            Fleet.await(
+                    "a first exposure", () -> workOn(fleet, 0, 1) && fleet.ranOn(Fleet.BAD) > 0);
+            fleet.platformDown(true);
+            Fleet.await("the halt", () -> workOn(fleet, 0, 1) && isHaltedEverywhere(fleet));
+            assertThat(fleet.ranOn(Fleet.BAD)).isLessThanOrEqualTo(MOST_EXPOSED);
+        }
+    }
+
     /** Without the platform nobody can share out exposure, so there is none. */
     @Test
     void aDataCentreCutOffBeforeARolloutBeganExposesNobody() throws IOException {
@@ -152,7 +178,11 @@
     }
 
     private static boolean work(final Fleet fleet) {
-        for (int node = 0; node < 9; node++) {
+        return workOn(fleet, 0, 1, 2, 3, 4, 5, 6, 7, 8);
+    }
+
+    private static boolean workOn(final Fleet fleet, final int... nodes) {
+        for (final int node : nodes) {
             assertThat(fleet.chat(node, "draft").status()).isEqualTo(200);
         }
         return true;
