--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/WorkersMain.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/WorkersMain.java
@@ -239,7 +239,7 @@
             for (int i = affine; i < all.length; i++) {
                 all[i] = random.nextInt(workers);
             }
-            return WorkerChoice.amongCandidates(loads, all);
+            return amongCandidates(loads, all);
         }
 
         private int prefix() {
@@ -285,6 +285,26 @@
         }
     }
 
+    /** Chooses as {@code Placement} does: the first with a free slot, else the least loaded. */
+    private static int amongCandidates(final WorkerLoads loads, final int[] candidates) {
+        int chosen = WorkerChoice.NONE;
+        double least = Double.POSITIVE_INFINITY;
+        for (final int candidate : candidates) {
+            if (candidate == WorkerChoice.NONE || loads.isExcluded(candidate)) {
+                continue;
+            }
+            final double utilisation = loads.utilisation(candidate);
+            if (utilisation < 1) {
+                return candidate;
+            }
+            if (utilisation < least) {
+                least = utilisation;
+                chosen = candidate;
+            }
+        }
+        return chosen;
+    }
+
     static List<BackendServer> servers(final int count) {
         return IntStream.range(0, count)
                 .mapToObj(
--- a/fennelstage-core/src/main/java/org/fennelstage/backend/WorkerChoice.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/backend/WorkerChoice.java
@@ -138,31 +138,4 @@
             best[place] = i;
         }
     }
-
-    /**
-     * Chooses among candidates whose loads are exact: the first that has a free slot, else the
-     * least loaded.
-     *
-     * @param loads the workers
-     * @param candidates their indexes, highest affinity first
-     * @return the worker's index, or {@link #NONE}
-     */
-    static int amongCandidates(final WorkerLoads loads, final int[] candidates) {
-        int chosen = NONE;
-        double least = Double.POSITIVE_INFINITY;
-        for (final int candidate : candidates) {
-            if (candidate == NONE || loads.isExcluded(candidate)) {
-                continue;
-            }
-            final double utilisation = loads.utilisation(candidate);
-            if (utilisation < 1) {
-                return candidate;
-            }
-            if (utilisation < least) {
-                least = utilisation;
-                chosen = candidate;
-            }
-        }
-        return chosen;
-    }
 }
--- a/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerGroup.java
+++ b/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerGroup.java
@@ -188,10 +188,12 @@
     }
 
     private void join() {
-        for (final InetSocketAddress seed : seeds) {
-            network.request(seed, probe(true), timing.timeout())
-                    .thenAccept(r -> r.ifPresent(e -> compare(seed, e.getProbe())));
-        }
+        seeds.forEach(this::join);
+    }
+
+    private void join(final InetSocketAddress seed) {
+        network.request(seed, probe(true), timing.timeout())
+                .thenAccept(r -> r.ifPresent(e -> compare(seed, e.getProbe())));
     }
 
     private void tick() {
@@ -208,9 +210,7 @@
         // A data centre that was cut off for long has declared the others dead and would never
         // probe them again; the seeds are asked now and then so that both sides find each other.
         if (!seeds.isEmpty() && random.nextInt(20) == 0) {
-            final InetSocketAddress seed = seeds.get(random.nextInt(seeds.size()));
-            network.request(seed, probe(true), timing.timeout())
-                    .thenAccept(r -> r.ifPresent(e -> compare(seed, e.getProbe())));
+            join(seeds.get(random.nextInt(seeds.size())));
         }
     }
 
--- a/fennelstage-router/src/main/java/org/fennelstage/control/Rollouts.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/Rollouts.java
@@ -289,9 +289,9 @@
         find(report.getRollout())
                 .ifPresent(
                         r -> {
-                            keeper(r).report(source(sender, report.getIncarnation()), evidence);
-                            final Optional<Signal> found = keeper(r).judged().halted();
-                            found.ifPresent(signal -> halt(r, signal));
+                            final RolloutKeeper keeper = keeper(r);
+                            keeper.report(source(sender, report.getIncarnation()), evidence);
+                            keeper.judged().halted().ifPresent(signal -> halt(r, signal));
                         });
     }
 
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -177,7 +177,7 @@
         }
         services.claims()
                 .take(claimKey(), id)
-                .thenAccept(result -> onLoopAlways(() -> onClaim(result)));
+                .thenAccept(result -> Loops.run(exchange.eventLoop(), () -> onClaim(result)));
     }
 
     private void onClaim(final ClaimAnswer result) {
@@ -492,7 +492,8 @@
     }
 
     private void onLoop(final Runnable action) {
-        onLoopAlways(
+        Loops.run(
+                exchange.eventLoop(),
                 () -> {
                     if (!ended) {
                         action.run();
@@ -500,14 +501,6 @@
                 });
     }
 
-    private void onLoopAlways(final Runnable action) {
-        if (exchange.eventLoop().inEventLoop()) {
-            action.run();
-        } else {
-            exchange.eventLoop().execute(action);
-        }
-    }
-
     /** Hears one attempt. A new one is made for each, so nothing of an old attempt remains. */
     private final class Listener implements ResponseListener {
 
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Placement.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Placement.java
@@ -57,7 +57,8 @@
         // state different counts.
         final int own = workers.state(server.id()).inFlight().getAndIncrement();
         ledger.reserve(server.id(), server.slots(), own, force)
-                .thenAccept(answer -> onLoop(() -> onAnswer(server, own, force, answer)));
+                .thenAccept(
+                        answer -> Loops.run(eventLoop, () -> onAnswer(server, own, force, answer)));
     }
 
     private void onAnswer(
@@ -81,12 +82,4 @@
         next++;
         start();
     }
-
-    private void onLoop(final Runnable action) {
-        if (eventLoop.inEventLoop()) {
-            action.run();
-        } else {
-            eventLoop.execute(action);
-        }
-    }
 }
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
@@ -84,7 +84,7 @@
         }
         services.claims()
                 .take(claimKey(), id)
-                .thenAccept(answer -> exchange.eventLoop().execute(() -> onClaim(answer)));
+                .thenAccept(answer -> Loops.run(exchange.eventLoop(), () -> onClaim(answer)));
     }
 
     private void onClaim(final ClaimAnswer answer) {
