Rename the module of the product's own object API to fennelstage-objects

Cause: the folder platform/ is to hold the adapter to the users' platform; two things must not share the name. Package org.fennelstage.platform becomes org.fennelstage.objects. No behaviour changes.

--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/CheckMain.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/CheckMain.java
@@ -28,13 +28,13 @@
 import org.fennelstage.configuration.StoredObject;
 import org.fennelstage.ini.IniFile;
 import org.fennelstage.log.LogSetup;
-import org.fennelstage.platform.CallBudget;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.ChangesResult;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.MalformedValueException;
-import org.fennelstage.platform.ObjectApiClient;
+import org.fennelstage.objects.CallBudget;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.ChangesResult;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.MalformedValueException;
+import org.fennelstage.objects.ObjectApiClient;
 import org.fennelstage.standin.ModelEngine;
 
 /**
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/ExposureMain.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/ExposureMain.java
@@ -12,7 +12,7 @@
 import org.fennelstage.id.RolloutId;
 import org.fennelstage.id.VersionId;
 import org.fennelstage.log.LogSetup;
-import org.fennelstage.platform.MemoryObjectStore;
+import org.fennelstage.objects.MemoryObjectStore;
 import org.fennelstage.rollout.Evidence;
 import org.fennelstage.rollout.ExposurePolicy;
 import org.fennelstage.rollout.Rollout;
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/LoadMain.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/LoadMain.java
@@ -28,7 +28,7 @@
 import org.fennelstage.http.Responses;
 import org.fennelstage.ini.IniFile;
 import org.fennelstage.log.LogSetup;
-import org.fennelstage.platform.Json;
+import org.fennelstage.objects.Json;
 
 /**
  * An open-loop load generator: requests are due at the times of a seeded Poisson process, whether
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/SlopesMain.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/SlopesMain.java
@@ -20,11 +20,11 @@
 import org.fennelstage.id.VmId;
 import org.fennelstage.log.LogSetup;
 import org.fennelstage.main.RouterNode;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.DeclarationKind;
-import org.fennelstage.platform.Declarations;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.MemoryObjectStore;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.DeclarationKind;
+import org.fennelstage.objects.Declarations;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.MemoryObjectStore;
 import org.fennelstage.settings.Settings;
 import org.fennelstage.standin.ObjectApiStandIn;
 
--- a/fennelstage-ctl/src/main/java/org/fennelstage/ctl/InForce.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/InForce.java
@@ -7,10 +7,10 @@
 import org.fennelstage.configuration.Revision;
 import org.fennelstage.configuration.StoredObject;
 import org.fennelstage.id.VmId;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.MalformedValueException;
-import org.fennelstage.platform.VmReport;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.MalformedValueException;
+import org.fennelstage.objects.VmReport;
 
 /** Reads from the VMs' reports which configuration is in force where. Not thread-safe. */
 final class InForce {
--- a/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Main.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Main.java
@@ -16,9 +16,9 @@
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.ini.IniFile;
 import org.fennelstage.model.ModelVersion;
-import org.fennelstage.platform.CallBudget;
-import org.fennelstage.platform.ObjectApiClient;
-import org.fennelstage.platform.ObjectStore;
+import org.fennelstage.objects.CallBudget;
+import org.fennelstage.objects.ObjectApiClient;
+import org.fennelstage.objects.ObjectStore;
 import org.fennelstage.rollout.Rollout;
 
 /** The {@code fennelctl} program. Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown. */
--- a/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Planner.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Planner.java
@@ -8,8 +8,8 @@
 import org.fennelstage.configuration.ObjectKey;
 import org.fennelstage.configuration.Revision;
 import org.fennelstage.configuration.StoredObject;
-import org.fennelstage.platform.Declarations;
-import org.fennelstage.platform.MalformedValueException;
+import org.fennelstage.objects.Declarations;
+import org.fennelstage.objects.MalformedValueException;
 
 /** Finds the differences between declarations and what is stored. Stateless and thread-safe. */
 final class Planner {
--- a/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Reconciliation.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Reconciliation.java
@@ -10,9 +10,9 @@
 import org.fennelstage.bill.BillSegment;
 import org.fennelstage.configuration.StoredObject;
 import org.fennelstage.id.RequestId;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.MalformedValueException;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.MalformedValueException;
 
 /**
  * Holds the stored bills against the requests that callers know to be complete. Immutable and
--- a/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Store.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Store.java
@@ -7,13 +7,13 @@
 import org.fennelstage.configuration.ObjectKey;
 import org.fennelstage.configuration.Revision;
 import org.fennelstage.configuration.StoredObject;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.ChangesResult;
-import org.fennelstage.platform.Declarations;
-import org.fennelstage.platform.MalformedValueException;
-import org.fennelstage.platform.ObjectStore;
-import org.fennelstage.platform.ReadResult;
-import org.fennelstage.platform.WriteResult;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.ChangesResult;
+import org.fennelstage.objects.Declarations;
+import org.fennelstage.objects.MalformedValueException;
+import org.fennelstage.objects.ObjectStore;
+import org.fennelstage.objects.ReadResult;
+import org.fennelstage.objects.WriteResult;
 
 /** The object API as commands use it: one call after the other, failures as exceptions. */
 final class Store {
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/CallPriority.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/CallPriority.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 /** How much a call to the object API matters when calls are scarce; the first matters most. */
 public enum CallPriority {
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/DeclarationKind.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/DeclarationKind.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 import java.util.Arrays;
 import java.util.Optional;
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/Declarations.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/Declarations.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/Json.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/Json.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/MalformedValueException.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/MalformedValueException.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 /** Bytes from the object API or a peer that are not the value they should be. */
 public final class MalformedValueException extends Exception {
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/ObjectApiClient.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiClient.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/ObjectApiProtocol.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiProtocol.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 /** Names in the HTTP form of the object API, shared by the client and the stand-in. */
 public final class ObjectApiProtocol {
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/ReadResult.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/ReadResult.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.objects;
 
 import org.fennelstage.configuration.StoredObject;
 
--- a/fennelstage-platform/src/main/java/org/fennelstage/platform/package-info.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/package-info.java
@@ -1,2 +1,2 @@
 /** The platform as the system sees it: the object API, its client and the codec of its values. */
-package org.fennelstage.platform;
+package org.fennelstage.objects;
--- a/fennelstage-router/src/main/java/org/fennelstage/control/BillWriter.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/BillWriter.java
@@ -9,11 +9,11 @@
 import org.fennelstage.configuration.Revision;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.ObjectStore;
-import org.fennelstage.platform.WriteResult;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.ObjectStore;
+import org.fennelstage.objects.WriteResult;
 
 /**
  * Appends bills to segments that only this incarnation of this VM writes, so that keepers never
--- a/fennelstage-router/src/main/java/org/fennelstage/control/Bills.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/Bills.java
@@ -21,12 +21,12 @@
 import org.fennelstage.id.VmId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.MalformedValueException;
+import org.fennelstage.objects.ObjectStore;
 import org.fennelstage.peer.generated.BillsSettled;
 import org.fennelstage.peer.generated.Done;
 import org.fennelstage.peer.generated.Envelope;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.MalformedValueException;
-import org.fennelstage.platform.ObjectStore;
 
 /**
  * Brings the bills of this VM's requests into the object API, through a keeper VM of the data
--- a/fennelstage-router/src/main/java/org/fennelstage/control/ClaimKeeper.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/ClaimKeeper.java
@@ -19,15 +19,15 @@
 import org.fennelstage.configuration.StoredObject;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
-import org.fennelstage.platform.Backoff;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.ChangesResult;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.MalformedValueException;
-import org.fennelstage.platform.ObjectStore;
-import org.fennelstage.platform.ReadResult;
-import org.fennelstage.platform.WriteResult;
+import org.fennelstage.objects.Backoff;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.ChangesResult;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.MalformedValueException;
+import org.fennelstage.objects.ObjectStore;
+import org.fennelstage.objects.ReadResult;
+import org.fennelstage.objects.WriteResult;
 
 /**
  * Makes changes to claims, many at a time, by conditional updates of the open segment of each slot.
--- a/fennelstage-router/src/main/java/org/fennelstage/control/ConfigurationWatcher.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/ConfigurationWatcher.java
@@ -10,12 +10,12 @@
 import org.fennelstage.configuration.Revision;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
+import org.fennelstage.objects.Backoff;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.ChangesResult;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.ObjectStore;
 import org.fennelstage.peer.PeerGroup;
-import org.fennelstage.platform.Backoff;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.ChangesResult;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.ObjectStore;
 
 /**
  * Watches the configuration in the object API if this VM is one of the two of its data centre whose
--- a/fennelstage-router/src/main/java/org/fennelstage/control/StatusReporter.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/StatusReporter.java
@@ -16,14 +16,14 @@
 import org.fennelstage.id.VmId;
 import org.fennelstage.member.Member;
 import org.fennelstage.member.MemberTable;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.Keys;
+import org.fennelstage.objects.ObjectStore;
+import org.fennelstage.objects.VmReport;
+import org.fennelstage.objects.WriteResult;
 import org.fennelstage.peer.generated.Envelope;
 import org.fennelstage.peer.generated.VmStatus;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.Keys;
-import org.fennelstage.platform.ObjectStore;
-import org.fennelstage.platform.VmReport;
-import org.fennelstage.platform.WriteResult;
 
 /**
  * Tells operators which VM has which configuration in force: each VM tells the reporter of its data
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatAnswer.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatAnswer.java
@@ -12,8 +12,8 @@
 import org.fennelstage.id.ProfileId;
 import org.fennelstage.id.RequestId;
 import org.fennelstage.id.VersionId;
+import org.fennelstage.objects.Json;
 import org.fennelstage.outcome.Outcome;
-import org.fennelstage.platform.Json;
 
 /**
  * The answer as the caller gets it: a stream of events, or one body at the end.
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRequest.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRequest.java
@@ -7,9 +7,9 @@
 import java.util.Optional;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ProfileId;
+import org.fennelstage.objects.Json;
 import org.fennelstage.outcome.Outcome;
 import org.fennelstage.outcome.Reason;
-import org.fennelstage.platform.Json;
 
 /**
  * What a caller asks of a profile. Immutable and thread-safe but for the JSON nodes, which nobody
--- a/fennelstage-router/src/main/java/org/fennelstage/route/EngineRequest.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/EngineRequest.java
@@ -10,7 +10,7 @@
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.RequestId;
 import org.fennelstage.id.VersionId;
-import org.fennelstage.platform.Json;
+import org.fennelstage.objects.Json;
 import org.fennelstage.profile.Profile;
 
 /** A caller's request in the form that a model engine takes. Stateless and thread-safe. */
--- a/fennelstage-router/src/main/java/org/fennelstage/route/OutcomeResponse.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/OutcomeResponse.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.RequestId;
+import org.fennelstage.objects.Json;
 import org.fennelstage.outcome.Outcome;
-import org.fennelstage.platform.Json;
 
 /**
  * The one place that turns an outcome other than a whole answer into HTTP: status, {@code
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Ratings.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Ratings.java
@@ -13,7 +13,7 @@
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.Responses;
 import org.fennelstage.member.Rendezvous;
-import org.fennelstage.platform.Json;
+import org.fennelstage.objects.Json;
 
 /**
  * Sends a sample of answers to the rating service. What does not come back is not rated; nothing
--- a/fennelstage-router/src/test/java/org/fennelstage/control/FaultyStore.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/control/FaultyStore.java
@@ -10,12 +10,12 @@
 import org.fennelstage.configuration.ObjectKey;
 import org.fennelstage.configuration.Revision;
 import org.fennelstage.configuration.StoredObject;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.ChangesResult;
-import org.fennelstage.platform.MemoryObjectStore;
-import org.fennelstage.platform.ObjectStore;
-import org.fennelstage.platform.ReadResult;
-import org.fennelstage.platform.WriteResult;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.ChangesResult;
+import org.fennelstage.objects.MemoryObjectStore;
+import org.fennelstage.objects.ObjectStore;
+import org.fennelstage.objects.ReadResult;
+import org.fennelstage.objects.WriteResult;
 
 /**
  * An object API whose calls take effect when a test says so, in any order, with answers lost, late
--- a/fennelstage-router/src/test/java/org/fennelstage/control/SwitchingStore.java
+++ b/fennelstage-router/src/test/java/org/fennelstage/control/SwitchingStore.java
@@ -4,11 +4,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.fennelstage.configuration.ObjectKey;
 import org.fennelstage.configuration.Revision;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.ChangesResult;
-import org.fennelstage.platform.ObjectStore;
-import org.fennelstage.platform.ReadResult;
-import org.fennelstage.platform.WriteResult;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.ChangesResult;
+import org.fennelstage.objects.ObjectStore;
+import org.fennelstage.objects.ReadResult;
+import org.fennelstage.objects.WriteResult;
 
 /** Passes calls on to a store that a test can replace, and counts writes. Not thread-safe. */
 final class SwitchingStore implements ObjectStore {
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
@@ -21,7 +21,7 @@
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
 import org.fennelstage.id.VersionId;
-import org.fennelstage.platform.Json;
+import org.fennelstage.objects.Json;
 
 /**
  * A model engine with continuous batching, a bounded prefix cache and a load report that lags.
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/ObjectApiStandIn.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/ObjectApiStandIn.java
@@ -18,13 +18,13 @@
 import org.fennelstage.http.HttpServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
-import org.fennelstage.platform.CallPriority;
-import org.fennelstage.platform.ChangesResult;
-import org.fennelstage.platform.Json;
-import org.fennelstage.platform.MalformedValueException;
-import org.fennelstage.platform.MemoryObjectStore;
-import org.fennelstage.platform.ObjectApiProtocol;
-import org.fennelstage.platform.WriteResult;
+import org.fennelstage.objects.CallPriority;
+import org.fennelstage.objects.ChangesResult;
+import org.fennelstage.objects.Json;
+import org.fennelstage.objects.MalformedValueException;
+import org.fennelstage.objects.MemoryObjectStore;
+import org.fennelstage.objects.ObjectApiProtocol;
+import org.fennelstage.objects.WriteResult;
 
 /**
  * The platform's object API over TCP, with faults on demand ({@code PUT /admin/faults}) and counts
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/PlainService.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/PlainService.java
@@ -9,7 +9,7 @@
 import org.fennelstage.http.HttpServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
-import org.fennelstage.platform.Json;
+import org.fennelstage.objects.Json;
 
 /**
  * A plain service that echoes what it is sent and remembers what ran ({@code GET
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/StandInMain.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/StandInMain.java
@@ -11,7 +11,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.fennelstage.platform.MemoryObjectStore;
+import org.fennelstage.objects.MemoryObjectStore;
 
 /**
  * Starts stand-ins in one process: {@code --objects PORT}, {@code --rating PORT}, {@code --engine
--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -11,7 +11,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CORE = "fennelstage-core/src/main/java/org/fennelstage/"
-PLATFORM = "fennelstage-platform/src/main/java/org/fennelstage/"
+OBJECTS = "fennelstage-objects/src/main/java/org/fennelstage/"
 PEER = "fennelstage-peer/src/main/java/org/fennelstage/"
 ROUTER = "fennelstage-router/src/main/java/org/fennelstage/"
 
@@ -20,7 +20,7 @@
     ("revision-never-falls", CORE + "configuration/ConfigurationTable.java",
      "if (held != null && !object.revision().isAfter(held.revision())) {", "if (held != null && false) {",
      "ConfigurationTableTest"),
-    ("conditional-claim", PLATFORM + "platform/MemoryObjectStore.java",
+    ("conditional-claim", OBJECTS + "objects/MemoryObjectStore.java",
      "if (!actual.equals(expected)) {", "if (!actual.equals(expected) && !key.path().startsWith(\"claims\")) {",
      "ClaimKeeperTest"),
     ("claim-before-sending", ROUTER + "route/ChatRun.java",
@@ -90,7 +90,7 @@
             return "guard not found in " + path
         source.write_text(text.replace(guard, without, 1))
         done = subprocess.run(
-            ["mvn", "-q", "-B", "-o", "test", "-Dspotless.check.skip", "-pl", "fennelstage-core,fennelstage-http,fennelstage-platform,fennelstage-peer,fennelstage-standin,fennelstage-router",
+            ["mvn", "-q", "-B", "-o", "test", "-Dspotless.check.skip", "-pl", "fennelstage-core,fennelstage-http,fennelstage-objects,fennelstage-peer,fennelstage-standin,fennelstage-router",
              "-Dtest=" + test, "-Dsurefire.failIfNoSpecifiedTests=false"],
             cwd=copy, capture_output=True, text=True)
         output = done.stdout + done.stderr
