--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/LoadRequest.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/LoadRequest.java
@@ -26,7 +26,7 @@
     private static final int MOST_TRIES = 6;
     private static final long PAUSE_MILLIS = 500;
     private static final CallOptions OPTIONS =
-            new CallOptions(Duration.ofSeconds(1), Duration.ofSeconds(70), false);
+            CallOptions.of(Duration.ofSeconds(1), Duration.ofSeconds(70), false);
 
     private final HttpClient client;
     private final LoadTally tally;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -0,0 +1,226 @@
+package org.fennelstage.canary;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.fennelstage.member.Rendezvous;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * The versions of one service: which may get requests, and what this VM finds of a new one.
+ *
+ * <p>Each VM judges by its own requests and halts for itself at once; the halt reaches the others
+ * through the object in the store. Invariants: a version that was neither there at the start nor
+ * ordered gets nothing; a halted version gets nothing, whatever the store says later of the same
+ * order. Not thread-safe.
+ */
+public final class Canary {
+
+    private final MonotonicClock clock;
+    private final double allowedShare;
+    private final SessionVersions sessions;
+    private final Set<String> proven = new HashSet<>();
+    private final Set<String> bad = new HashSet<>();
+    private Optional<RolloutOrder> order = Optional.empty();
+    private CanaryEvidence evidence = new CanaryEvidence();
+    private long begunAtMillis;
+
+    private Canary(
+            final MonotonicClock clock, final double allowedShare, final SessionVersions sessions) {
+        this.clock = clock;
+        this.allowedShare = allowedShare;
+        this.sessions = sessions;
+    }
+
+    /**
+     * Returns the state of a service of which nothing is known.
+     *
+     * @param clock the clock
+     * @param allowedShare the largest part of all requests that a bad version may get
+     * @param session how long a session lasts after its last request
+     * @return the state
+     */
+    public static Canary of(
+            final MonotonicClock clock, final double allowedShare, final Duration session) {
+        Objects.requireNonNull(clock, "clock is null");
+        return new Canary(clock, allowedShare, SessionVersions.of(clock, session.toMillis()));
+    }
+
+    /**
+     * Notes a version that is in use outside any roll-out.
+     *
+     * @param version the version
+     */
+    public void onBaseline(final String version) {
+        if (!isTarget(version) && !bad.contains(version)) {
+            proven.add(version);
+        }
+    }
+
+    /**
+     * Tells whether any version is known to be in use.
+     *
+     * @return true if so
+     */
+    public boolean hasBaseline() {
+        return !proven.isEmpty();
+    }
+
+    /**
+     * Takes the state of an order from the store.
+     *
+     * @param newer the order
+     * @param elapsed the time since it was given, as far as known
+     */
+    public void onOrder(final RolloutOrder newer, final Duration elapsed) {
+        final boolean same =
+                order.isPresent()
+                        && order.get().target().equals(newer.target())
+                        && order.get().phase().ended() == newer.phase().ended();
+        if (same && newer.revision() < order.get().revision()) {
+            return;
+        }
+        if (!same) {
+            begunAtMillis = clock.millis() - elapsed.toMillis();
+            evidence = new CanaryEvidence();
+        }
+        if (newer.phase() == RolloutPhase.COMPLETED) {
+            proven.clear();
+            proven.add(newer.target());
+            bad.remove(newer.target());
+        } else if (newer.phase() == RolloutPhase.ROLLED_BACK) {
+            bad.add(newer.target());
+            proven.remove(newer.target());
+        } else if (!same) {
+            bad.remove(newer.target());
+            proven.remove(newer.target());
+        }
+        order = Optional.of(newer);
+    }
+
+    /**
+     * Tells whether a version may get a request of a session.
+     *
+     * @param version the version of a worker
+     * @param toNew what {@link #toNew} said for this request
+     * @return true if so
+     */
+    public boolean admits(final String version, final boolean toNew) {
+        return toNew ? isTarget(version) : proven.contains(version);
+    }
+
+    /**
+     * Decides whether a request goes to the version under roll-out.
+     *
+     * @param session the session, or the request itself if it belongs to none
+     * @return true if so
+     */
+    public boolean toNew(final String session) {
+        if (!running()) {
+            return false;
+        }
+        final CanaryPlan plan = plan();
+        final Duration elapsed = elapsed();
+        if (plan.moving(elapsed)) {
+            return true;
+        }
+        final Optional<String> kept = sessions.version(session);
+        if (kept.isPresent()) {
+            return isTarget(kept.get());
+        }
+        return draw(session) < plan.share(elapsed);
+    }
+
+    /**
+     * Notes that a request of a session was sent.
+     *
+     * @param session the session
+     * @param version the version of its worker
+     */
+    public void onSent(final String session, final String version) {
+        sessions.note(session, version);
+    }
+
+    /**
+     * Notes a worker's answer.
+     *
+     * @param version the worker's version
+     * @param failed whether the worker said that it failed
+     * @param paceMillis the time per event, or for the whole answer; not positive if not known
+     */
+    public void onAnswer(final String version, final boolean failed, final double paceMillis) {
+        if (isTarget(version)) {
+            evidence.onNew(failed, paceMillis);
+            if (running() && evidence.bad()) {
+                bad.add(version);
+            }
+        } else {
+            evidence.onOld(failed, paceMillis);
+        }
+    }
+
+    /**
+     * Tells what the store should say of the order and does not yet.
+     *
+     * @return the phase to write, empty if nothing is to be written
+     */
+    public Optional<RolloutPhase> due() {
+        if (order.isEmpty() || order.get().phase().ended()) {
+            return Optional.empty();
+        }
+        if (bad.contains(order.get().target())) {
+            return Optional.of(RolloutPhase.ROLLED_BACK);
+        }
+        if (plan().complete(elapsed())) {
+            return Optional.of(RolloutPhase.COMPLETED);
+        }
+        return order.get().phase() == RolloutPhase.ORDERED
+                ? Optional.of(RolloutPhase.IN_PROGRESS)
+                : Optional.empty();
+    }
+
+    public Optional<RolloutOrder> order() {
+        return order;
+    }
+
+    /**
+     * Describes the evidence for the log.
+     *
+     * @return the text
+     */
+    public String evidence() {
+        return evidence.toString();
+    }
+
+    private boolean running() {
+        return order.isPresent()
+                && !order.get().phase().ended()
+                && !bad.contains(order.get().target());
+    }
+
+    private boolean isTarget(final String version) {
+        return order.isPresent()
+                && order.get().target().equals(version)
+                && order.get().phase() != RolloutPhase.COMPLETED;
+    }
+
+    private CanaryPlan plan() {
+        return new CanaryPlan(order.orElseThrow().duration(), allowedShare);
+    }
+
+    /**
+     * Returns the time since the order was given.
+     *
+     * @return the time, as far as this VM knows
+     */
+    public Duration elapsed() {
+        return Duration.ofMillis(clock.millis() - begunAtMillis);
+    }
+
+    private double draw(final String session) {
+        final long bits = Rendezvous.weight(session, order.orElseThrow().target());
+        return (bits >>> 11) * 0x1.0p-53;
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/RolloutOrder.java
@@ -0,0 +1,34 @@
+package org.fennelstage.canary;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Objects;
+import java.util.Optional;
+import org.fennelstage.id.ServiceName;
+
+/**
+ * An operator's order to move a service to a version, with its state. Immutable and thread-safe.
+ *
+ * @param service the service
+ * @param target the new version
+ * @param duration the time after the order by which it is to be decided
+ * @param phase how far it has come
+ * @param begunAt when a VM first noted it, by that VM's time of day; empty if none has
+ * @param revision the revision of the object that says this
+ */
+public record RolloutOrder(
+        ServiceName service,
+        String target,
+        Duration duration,
+        RolloutPhase phase,
+        Optional<Instant> begunAt,
+        long revision) {
+
+    public RolloutOrder {
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(target, "target is null");
+        Objects.requireNonNull(duration, "duration is null");
+        Objects.requireNonNull(phase, "phase is null");
+        Objects.requireNonNull(begunAt, "begunAt is null");
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerAddress.java
@@ -0,0 +1,37 @@
+package org.fennelstage.fleet;
+
+import java.util.Objects;
+
+/**
+ * Where a worker listens. Immutable and thread-safe.
+ *
+ * @param host the IP number
+ * @param port the TCP port
+ */
+public record ServerAddress(String host, int port) {
+
+    public ServerAddress {
+        Objects.requireNonNull(host, "host is null");
+    }
+
+    /**
+     * Parses {@code HOST:PORT}.
+     *
+     * @param text the text
+     * @return the address
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static ServerAddress parse(final String text) {
+        final int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("not an address: " + text);
+        }
+        return new ServerAddress(
+                text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
@@ -0,0 +1,35 @@
+package org.fennelstage.fleet;
+
+import java.util.Objects;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.ServiceName;
+
+/**
+ * What the store says of one worker. Immutable and thread-safe.
+ *
+ * @param id names this incarnation of the worker
+ * @param service what it serves
+ * @param address where it listens
+ * @param dataCentre where it stands
+ * @param version the version of its software, which a roll-out changes
+ * @param capacity how many requests it works on at once
+ * @param leaving whether it is about to stop and takes no new work
+ */
+public record ServerEntry(
+        BackendServerId id,
+        ServiceName service,
+        ServerAddress address,
+        DataCentreId dataCentre,
+        String version,
+        int capacity,
+        boolean leaving) {
+
+    public ServerEntry {
+        Objects.requireNonNull(id, "id is null");
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(address, "address is null");
+        Objects.requireNonNull(dataCentre, "dataCentre is null");
+        Objects.requireNonNull(version, "version is null");
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -0,0 +1,118 @@
+package org.fennelstage.fleet;
+
+import java.util.Objects;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * Evidence about one worker from this VM's own requests.
+ *
+ * <p>Health checks do not show a worker that fails a part of its requests, and cost a request each;
+ * the answers to real requests show it for nothing. Two kinds of evidence are kept apart: a worker
+ * that cannot be reached is left out for a pause, and a worker whose answers fail more often than
+ * its route's usual share is used after all others until the evidence has faded.
+ *
+ * <p>Not thread-safe.
+ */
+public final class ServerHealth {
+
+    /** How healthy a worker is; earlier ones are preferred. */
+    public enum Tier {
+        /** Nothing speaks against it. */
+        SOUND,
+        /** It fails more often than others; used when no sound worker is left. */
+        SUSPECT,
+        /** It could not be reached; used only to try, or when no other worker is left. */
+        UNREACHABLE
+    }
+
+    /**
+     * Weight of one answer in the excess failure share: two failures in a row reach the suspect
+     * threshold, one does not.
+     */
+    private static final double WEIGHT = 0.2;
+
+    /** Excess share of failures from which a worker is suspect. */
+    private static final double SUSPECT_SHARE = 0.3;
+
+    /** Time in which evidence halves, so that a mended worker gets traffic again; milliseconds. */
+    private static final double HALF_LIFE_MILLIS = 3_000;
+
+    /** First pause after a worker could not be reached; doubles up to the longest; milliseconds. */
+    private static final long FIRST_PAUSE_MILLIS = 500;
+
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+
+    private final MonotonicClock clock;
+    private double excess;
+    private long excessAtMillis;
+    private int unreachable;
+    private long pausedUntilMillis;
+    private long lastSignMillis;
+
+    private ServerHealth(final MonotonicClock clock) {
+        this.clock = clock;
+        this.lastSignMillis = clock.millis();
+        this.excessAtMillis = lastSignMillis;
+    }
+
+    /**
+     * Returns the health of a worker of which nothing is known.
+     *
+     * @param clock the clock
+     * @return the health
+     */
+    public static ServerHealth of(final MonotonicClock clock) {
+        return new ServerHealth(Objects.requireNonNull(clock, "clock is null"));
+    }
+
+    /**
+     * Returns how far the worker is to be preferred.
+     *
+     * @return the tier
+     */
+    public Tier tier() {
+        if (unreachable > 0 && clock.millis() < pausedUntilMillis) {
+            return Tier.UNREACHABLE;
+        }
+        return excessNow() >= SUSPECT_SHARE ? Tier.SUSPECT : Tier.SOUND;
+    }
+
+    /** Notes that the worker could not be reached. */
+    public void onUnreachable() {
+        final long pause = FIRST_PAUSE_MILLIS << Math.min(unreachable, 2);
+        unreachable++;
+        pausedUntilMillis = clock.millis() + Math.min(pause, LONGEST_PAUSE_MILLIS);
+    }
+
+    /** Notes that a byte came from the worker. */
+    public void onSign() {
+        unreachable = 0;
+        lastSignMillis = clock.millis();
+    }
+
+    /**
+     * Notes how a request ended.
+     *
+     * @param failed whether it failed
+     * @param usualShare the share of failures that the route has anyway, in [0, 1]
+     */
+    public void onEnd(final boolean failed, final double usualShare) {
+        final double observed = (failed ? 1 : 0) - usualShare;
+        excess = Math.max(0, excessNow() + WEIGHT * (observed - excess));
+        excessAtMillis = clock.millis();
+    }
+
+    /**
+     * Returns the time since the worker last sent a byte.
+     *
+     * @return milliseconds
+     */
+    public long silentMillis() {
+        return clock.millis() - lastSignMillis;
+    }
+
+    private double excessNow() {
+        final double age = clock.millis() - excessAtMillis;
+        return excess * Math.pow(0.5, age / HALF_LIFE_MILLIS);
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -0,0 +1,188 @@
+package org.fennelstage.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.ServiceName;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * The workers that may get requests.
+ *
+ * <p>While the store is away, workers cannot renew their entries, and the store drops entries of
+ * workers that are well. Taken at its word on its return, the store would empty the table: all
+ * requests would be rejected until the workers have registered again. So an entry that vanishes
+ * around an outage stays until {@link #LAPSE_GRACE_MILLIS} after the store's return, and is dropped
+ * then unless it came back. At any other time a vanished entry is dropped at once.
+ *
+ * <p>Invariant: a worker that is leaving or dropped is in no result of {@link #usable}. Not
+ * thread-safe.
+ */
+public final class ServerTable {
+
+    /**
+     * How long after the store's return a vanished entry is kept; milliseconds. Workers that live
+     * are back about two seconds after the return; the rest is for the watch's delay.
+     */
+    static final long LAPSE_GRACE_MILLIS = 2_200;
+
+    private final MonotonicClock clock;
+    private final Map<BackendServerId, TrackedServer> servers = new LinkedHashMap<>();
+    private final Set<BackendServerId> vanished = new HashSet<>();
+    private final Map<ServiceName, List<TrackedServer>> usable = new HashMap<>();
+    private boolean storeAway;
+    private long graceUntilMillis = Long.MIN_VALUE;
+
+    private ServerTable(final MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * Returns an empty table.
+     *
+     * @param clock the clock
+     * @return the table
+     */
+    public static ServerTable of(final MonotonicClock clock) {
+        return new ServerTable(Objects.requireNonNull(clock, "clock is null"));
+    }
+
+    /**
+     * Adds a worker or replaces its entry.
+     *
+     * @param entry the entry
+     */
+    public void put(final ServerEntry entry) {
+        vanished.remove(entry.id());
+        final TrackedServer known = servers.get(entry.id());
+        if (known == null) {
+            servers.put(entry.id(), TrackedServer.of(entry, clock));
+        } else {
+            known.update(entry);
+        }
+        usable.clear();
+    }
+
+    /**
+     * Notes that a worker's entry is gone.
+     *
+     * @param id the worker
+     */
+    public void remove(final BackendServerId id) {
+        if (storeAway || clock.millis() < graceUntilMillis) {
+            if (servers.containsKey(id)) {
+                vanished.add(id);
+            }
+            return;
+        }
+        drop(id);
+    }
+
+    /**
+     * Takes a complete list of the entries.
+     *
+     * @param entries all of them
+     */
+    public void replaceAll(final Collection<ServerEntry> entries) {
+        final Set<BackendServerId> present = new HashSet<>();
+        for (final ServerEntry entry : entries) {
+            present.add(entry.id());
+            put(entry);
+        }
+        for (final BackendServerId id : List.copyOf(servers.keySet())) {
+            if (!present.contains(id)) {
+                remove(id);
+            }
+        }
+    }
+
+    /** Notes that the store cannot be reached. */
+    public void onStoreLost() {
+        storeAway = true;
+    }
+
+    /** Notes that the store answers again. */
+    public void onStoreBack() {
+        if (storeAway) {
+            storeAway = false;
+            graceUntilMillis = clock.millis() + LAPSE_GRACE_MILLIS;
+        }
+    }
+
+    /**
+     * Drops entries whose grace is over. To be called a few times a second.
+     *
+     * @return the workers dropped
+     */
+    public List<BackendServerId> dropLapsed() {
+        if (storeAway || vanished.isEmpty() || clock.millis() < graceUntilMillis) {
+            return List.of();
+        }
+        final List<BackendServerId> dropped = new ArrayList<>(vanished);
+        dropped.forEach(this::drop);
+        return dropped;
+    }
+
+    /**
+     * Returns the workers of a service that may get new requests.
+     *
+     * @param service the service
+     * @return the workers, in the order of their registration
+     */
+    public List<TrackedServer> usable(final ServiceName service) {
+        return usable.computeIfAbsent(service, this::collect);
+    }
+
+    /**
+     * Finds a worker.
+     *
+     * @param id its id
+     * @return the worker, empty if it is not in the table
+     */
+    public Optional<TrackedServer> find(final BackendServerId id) {
+        return Optional.ofNullable(servers.get(id));
+    }
+
+    /**
+     * Returns all workers, leaving ones included.
+     *
+     * @return the workers, not to be changed
+     */
+    public Collection<TrackedServer> all() {
+        return Collections.unmodifiableCollection(servers.values());
+    }
+
+    /**
+     * Returns the number of workers, leaving ones included.
+     *
+     * @return the count
+     */
+    public int size() {
+        return servers.size();
+    }
+
+    private List<TrackedServer> collect(final ServiceName service) {
+        final List<TrackedServer> result = new ArrayList<>();
+        for (final TrackedServer server : servers.values()) {
+            if (server.entry().service().equals(service) && !server.entry().leaving()) {
+                result.add(server);
+            }
+        }
+        return result;
+    }
+
+    private void drop(final BackendServerId id) {
+        vanished.remove(id);
+        servers.remove(id);
+        usable.clear();
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Prompt.java
@@ -0,0 +1,39 @@
+package org.fennelstage.placement;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a request asks of a model engine. Immutable and thread-safe.
+ *
+ * @param parts the parts of the prompt in order; the last is the request's own
+ * @param promptTokens the length of the whole prompt
+ * @param maxOutputTokens the largest number of tokens to generate
+ */
+public record Prompt(List<PromptPart> parts, int promptTokens, int maxOutputTokens) {
+
+    /** Generating a token takes an engine about as long as reading ten. */
+    private static final int READ_TOKENS_PER_GENERATED = 10;
+
+    public Prompt {
+        parts = List.copyOf(parts);
+    }
+
+    /**
+     * Returns the longest part that other requests share: the one before the request's own.
+     *
+     * @return the part, empty if the prompt has no such part
+     */
+    public Optional<PromptPart> lastShared() {
+        return parts.size() < 2 ? Optional.empty() : Optional.of(parts.get(parts.size() - 2));
+    }
+
+    /**
+     * Returns the size of the request.
+     *
+     * @return tokens, a generated one counted as ten
+     */
+    public long workTokens() {
+        return promptTokens + (long) READ_TOKENS_PER_GENERATED * maxOutputTokens;
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which worker gets a request. */
+package org.fennelstage.placement;
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks that are passed in. */
+package org.fennelstage.time;
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/AnswerHead.java
@@ -0,0 +1,40 @@
+package org.fennelstage.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Objects;
+import java.util.OptionalInt;
+
+/**
+ * The head of a worker's answer, decoded. Immutable but for its headers, which nobody changes.
+ *
+ * @param status the status code
+ * @param trust what the worker says of the run
+ * @param headers the headers that go on to the caller
+ * @param confidence the model's own opinion of the answer, from 0 to 100; empty if not given
+ */
+public record AnswerHead(int status, Trust trust, HttpHeaders headers, OptionalInt confidence) {
+
+    /** What an answer proves. */
+    public enum Trust {
+        /** The worker says that it did not run the request and never will. */
+        REJECTED,
+        /** The worker signed the answer: it is its own, whatever its status. */
+        SIGNED,
+        /** Nothing proves that the answer is the worker's: the request may have run. */
+        UNSIGNED
+    }
+
+    public AnswerHead {
+        Objects.requireNonNull(trust, "trust is null");
+        Objects.requireNonNull(headers, "headers is null");
+        Objects.requireNonNull(confidence, "confidence is null");
+    }
+
+    boolean isSuccess() {
+        return trust == Trust.SIGNED && status >= 200 && status < 300;
+    }
+
+    boolean isServerFailure() {
+        return trust == Trust.SIGNED && status >= 500;
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -0,0 +1,221 @@
+package org.fennelstage.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import org.fennelstage.attempt.AttemptEnd;
+import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.http.Call;
+import org.fennelstage.http.CallFailure;
+import org.fennelstage.http.CallOptions;
+import org.fennelstage.http.ResponseListener;
+
+/**
+ * One attempt of a request at one worker.
+ *
+ * <p>Invariants: it reports exactly one end to its run, or none if it was cancelled; the worker's
+ * count of running requests falls by one with it. Confined to the event loop.
+ */
+final class Attempt implements ResponseListener {
+
+    /**
+     * The longest wait for a connection. A worker in the same region answers in milliseconds; one
+     * that does not in this time is cut off or stopped, and another can still meet the objective.
+     */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
+    /**
+     * How long a connection may have been idle to carry a request that must not be repeated. A
+     * server that closes an idle connection while such a request is on its way leaves it unknown
+     * whether it ran; a connection that was in use a moment ago is rarely being closed.
+     */
+    private static final Duration MAX_IDLE_AT_MOST_ONCE = Duration.ofSeconds(1);
+
+    private static final Duration MAX_IDLE_REPEATABLE = Duration.ofSeconds(4);
+
+    private final RequestRun run;
+    private final TrackedServer server;
+    private final long workTokens;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final EventSplitter events = new EventSplitter(this::onEvent);
+    private Optional<AnswerHead> head = Optional.empty();
+    private Call call;
+    private long sentMillis;
+    private long firstEventMillis;
+    private int eventCount;
+    private boolean ended;
+
+    Attempt(final RequestRun run, final TrackedServer server, final long workTokens) {
+        this.run = run;
+        this.server = server;
+        this.workTokens = workTokens;
+    }
+
+    void send(final Dispatch dispatch) {
+        server.begin(workTokens);
+        sentMillis = now();
+        final ServerAddress address = server.entry().address();
+        final boolean repeatable = run.route().repeatable();
+        final CallOptions options =
+                new CallOptions(
+                        CONNECT_TIMEOUT,
+                        dispatch.remaining(),
+                        repeatable ? MAX_IDLE_REPEATABLE : MAX_IDLE_AT_MOST_ONCE,
+                        headers -> codec().answers(headers, run.request().id()));
+        call =
+                run.gateway()
+                        .client()
+                        .send(
+                                new InetSocketAddress(address.host(), address.port()),
+                                codec().encode(run.request(), dispatch),
+                                options,
+                                this);
+    }
+
+    /** Ends the attempt: the worker sees its connection close and drops the request. */
+    void cancel() {
+        if (release()) {
+            call.cancel();
+        }
+    }
+
+    void pause(final boolean pause) {
+        call.pause(pause);
+    }
+
+    @Override
+    public void onHead(final int status, final HttpHeaders headers) {
+        server.health().onSign();
+        head = Optional.of(codec().decodeAnswer(status, headers));
+    }
+
+    @Override
+    public void onContent(final ByteBuf content) {
+        if (ended) {
+            return;
+        }
+        server.health().onSign();
+        if (streams()) {
+            events.feed(content);
+        } else {
+            body.writeBytes(ByteBufUtil.getBytes(content));
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        final AnswerHead answer = head.orElseThrow();
+        switch (answer.trust()) {
+            case REJECTED -> onRejected(answer);
+            case UNSIGNED -> fail(AttemptEnd.UNKNOWN, "unsigned answer " + answer.status());
+            case SIGNED -> onSigned(answer);
+        }
+    }
+
+    @Override
+    public void onFailure(final CallFailure failure) {
+        if (failure.phase() == CallFailure.Phase.NOT_SENT) {
+            server.health().onUnreachable();
+            fail(AttemptEnd.NOT_SENT, failure.detail());
+        } else {
+            noteHealth(true);
+            fail(AttemptEnd.UNKNOWN, failure.phase() + ": " + failure.detail());
+        }
+    }
+
+    private void onRejected(final AnswerHead answer) {
+        fail(AttemptEnd.REJECTED, "rejected with " + answer.status());
+    }
+
+    private void onSigned(final AnswerHead answer) {
+        final boolean failed = answer.isServerFailure();
+        noteHealth(failed);
+        run.canary().onAnswer(server.entry().version(), failed, paceMillis());
+        if (failed) {
+            final byte[] content = body.toByteArray();
+            fail(AttemptEnd.FAILED, "failed with " + answer.status(), () -> deliver(content));
+        } else if (!streams()) {
+            deliverNow(answer, body.toByteArray());
+        } else if (events.hasPartial()) {
+            fail(AttemptEnd.UNKNOWN, "stream ended within an event");
+        } else {
+            release();
+            run.answer().end(answer);
+            run.onDelivered(answer.status());
+        }
+    }
+
+    /** Hands on a worker's own failure, unless the caller already has a part of a stream. */
+    private void deliver(final byte[] content) {
+        if (run.answer().started()) {
+            run.giveUp();
+            return;
+        }
+        deliverNow(head.orElseThrow(), content);
+    }
+
+    private void deliverNow(final AnswerHead answer, final byte[] content) {
+        release();
+        run.answer().whole(answer, content);
+        run.onDelivered(answer.status());
+    }
+
+    private void onEvent(final byte[] event, final Optional<String> id) {
+        if (eventCount == 0) {
+            firstEventMillis = now();
+        }
+        eventCount++;
+        if (!run.answer().event(head.orElseThrow(), event, id)) {
+            pause(true);
+        }
+    }
+
+    private void fail(final AttemptEnd end, final String detail) {
+        fail(end, detail, run::giveUp);
+    }
+
+    private void fail(final AttemptEnd end, final String detail, final Runnable instead) {
+        if (release()) {
+            run.gateway().metrics().attempt(run.service().value(), end.name());
+            run.onFailed(end, server.entry().id() + " " + detail, instead);
+        }
+    }
+
+    private boolean release() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        server.end(workTokens);
+        return true;
+    }
+
+    private void noteHealth(final boolean failed) {
+        server.health().onEnd(failed, 0);
+    }
+
+    /** The time per event after the first; for a plain answer the whole time. */
+    private double paceMillis() {
+        if (!streams()) {
+            return now() - sentMillis;
+        }
+        return eventCount < 3 ? 0 : (now() - firstEventMillis) / (double) (eventCount - 1);
+    }
+
+    private boolean streams() {
+        return run.isStream() && head.map(AnswerHead::isSuccess).orElse(false);
+    }
+
+    private WireCodec codec() {
+        return run.gateway().codec();
+    }
+
+    private long now() {
+        return run.gateway().beliefs().clock().millis();
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Dispatch.java
@@ -0,0 +1,33 @@
+package org.fennelstage.gateway;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.id.ModelId;
+import org.fennelstage.id.TeamId;
+
+/**
+ * What goes to a worker beside the caller's own request. Immutable and thread-safe.
+ *
+ * @param server the worker that is meant; any other rejects the request
+ * @param remaining how long the worker may take
+ * @param team the caller's team, empty if its route asks for no key
+ * @param model the model that the router chose, empty if the caller named it
+ * @param lastEventId the event after which a stream goes on, empty for its begin
+ */
+public record Dispatch(
+        ServerEntry server,
+        Duration remaining,
+        Optional<TeamId> team,
+        Optional<ModelId> model,
+        Optional<String> lastEventId) {
+
+    public Dispatch {
+        Objects.requireNonNull(server, "server is null");
+        Objects.requireNonNull(remaining, "remaining is null");
+        Objects.requireNonNull(team, "team is null");
+        Objects.requireNonNull(model, "model is null");
+        Objects.requireNonNull(lastEventId, "lastEventId is null");
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -0,0 +1,149 @@
+package org.fennelstage.gateway;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.http.RequestHandler;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.placement.Placement;
+import org.fennelstage.serving.Route;
+import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.serving.TeamAccess;
+
+/**
+ * Takes callers' requests: finds the route and the team, or answers at once why not.
+ *
+ * <p>Confined to one event loop, on which all connections of callers and workers run.
+ */
+public final class Gateway implements RequestHandler {
+
+    private final Beliefs beliefs;
+    private final WireCodec codec;
+    private final HttpClient client;
+    private final Placement placement;
+    private final RandomGenerator random;
+    private final GatewayMetrics metrics;
+    private int inFlight;
+
+    /**
+     * Creates a gateway.
+     *
+     * @param beliefs what the VM believes
+     * @param codec translates the wire
+     * @param client calls workers
+     * @param placement chooses workers
+     * @param random draws among a route's services
+     * @param metrics counts
+     */
+    public Gateway(
+            final Beliefs beliefs,
+            final WireCodec codec,
+            final HttpClient client,
+            final Placement placement,
+            final RandomGenerator random,
+            final GatewayMetrics metrics) {
+        this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
+        this.codec = Objects.requireNonNull(codec, "codec is null");
+        this.client = Objects.requireNonNull(client, "client is null");
+        this.placement = Objects.requireNonNull(placement, "placement is null");
+        this.random = Objects.requireNonNull(random, "random is null");
+        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    }
+
+    @Override
+    public void handle(final ServerExchange exchange) {
+        final CallerRequest request;
+        try {
+            request = codec.decode(exchange);
+        } catch (final MalformedRequestException e) {
+            refuse(exchange, "", Refusal.MALFORMED, e.getMessage());
+            return;
+        }
+        if (beliefs.configuration().isEmpty()) {
+            refuse(exchange, request.id(), Refusal.NOT_CONFIGURED, "");
+            return;
+        }
+        final ServingConfiguration configuration = beliefs.configuration().get();
+        final String about = "configuration " + configuration.version();
+        final Optional<Route> route = configuration.route(request.host(), request.path());
+        if (route.isEmpty()) {
+            refuse(exchange, request.id(), Refusal.NO_ROUTE, about);
+            return;
+        }
+        final Optional<TeamAccess> access = request.key().flatMap(configuration::access);
+        if (configuration.keysInUse() && !route.get().keyless() && access.isEmpty()) {
+            refuse(exchange, request.id(), Refusal.UNKNOWN_KEY, about);
+            return;
+        }
+        new RequestRun(this, exchange, request, configuration, route.get(), access).start();
+    }
+
+    /**
+     * Returns how many requests have no whole answer yet.
+     *
+     * @return the count
+     */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    Beliefs beliefs() {
+        return beliefs;
+    }
+
+    WireCodec codec() {
+        return codec;
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    Placement placement() {
+        return placement;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
+    void onBegin() {
+        inFlight++;
+        metrics.begin();
+    }
+
+    void onEnd() {
+        inFlight--;
+    }
+
+    /** Answers for the router itself. */
+    void respond(final ServerExchange exchange, final String requestId, final Refusal refusal) {
+        final byte[] body = OwnAnswer.body(refusal);
+        exchange.respond(refusal.status(), codec.ownAnswer(requestId, refusal.comeBack()), body);
+    }
+
+    private void refuse(
+            final ServerExchange exchange,
+            final String requestId,
+            final Refusal refusal,
+            final String detail) {
+        EventLog.write(
+                Event.REQUEST_REFUSED,
+                "request",
+                requestId,
+                "reason",
+                refusal.reason(),
+                "status",
+                refusal.status(),
+                "detail",
+                detail);
+        respond(exchange, requestId, refusal);
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
@@ -0,0 +1,100 @@
+package org.fennelstage.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.DoubleSupplier;
+
+/** The gateway's counters and histograms, for Prometheus. Thread-safe. */
+public final class GatewayMetrics {
+
+    private static final double[] SECONDS = {0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 2, 4, 8, 16};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests =
+            Counter.builder()
+                    .name("fennelstage_gateway_requests_total")
+                    .help("Requests by route and outcome")
+                    .labelNames("route", "outcome")
+                    .register(registry);
+    private final Counter attempts =
+            Counter.builder()
+                    .name("fennelstage_gateway_attempts_total")
+                    .help("Attempts at workers by service and end")
+                    .labelNames("service", "end")
+                    .register(registry);
+    private final Histogram firstByte =
+            Histogram.builder()
+                    .name("fennelstage_gateway_first_byte_seconds")
+                    .help("Time from the request to the first byte for the caller, by route")
+                    .labelNames("route")
+                    .classicOnly()
+                    .classicUpperBounds(SECONDS)
+                    .register(registry);
+    private final Histogram whole =
+            Histogram.builder()
+                    .name("fennelstage_gateway_answer_seconds")
+                    .help("Time from the request to the end of its answer, by route")
+                    .labelNames("route")
+                    .classicOnly()
+                    .classicUpperBounds(SECONDS)
+                    .register(registry);
+    private final Gauge inFlight =
+            Gauge.builder()
+                    .name("fennelstage_gateway_requests_in_flight")
+                    .help("Requests that have no whole answer yet")
+                    .register(registry);
+
+    /**
+     * Adds a gauge that is read when scraped.
+     *
+     * @param name its name
+     * @param help what it says
+     * @param value reads it
+     */
+    public void gauge(final String name, final String help, final DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    void begin() {
+        inFlight.inc();
+    }
+
+    void end(final String route, final String outcome, final long millis) {
+        inFlight.dec();
+        requests.labelValues(route, outcome).inc();
+        whole.labelValues(route).observe(millis / 1_000.0);
+    }
+
+    void firstByte(final String route, final long millis) {
+        firstByte.labelValues(route).observe(millis / 1_000.0);
+    }
+
+    void attempt(final String service, final String end) {
+        attempts.labelValues(service, end).inc();
+    }
+
+    /**
+     * Returns all metrics in Prometheus' text form.
+     *
+     * @return the text
+     */
+    public byte[] scrape() {
+        final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(true).write(out, registry.scrape());
+        } catch (final IOException e) {
+            throw new IllegalStateException("writing to memory does not fail", e);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewaySettings.java
@@ -0,0 +1,29 @@
+package org.fennelstage.gateway;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Bounds that the deployment sets. Immutable and thread-safe.
+ *
+ * @param repeatRatio repeats per request that the whole fleet may make in a window
+ * @param repeatWindow the window
+ * @param repeatSlack repeats beyond that for the whole fleet
+ * @param canaryShare the largest part of a service's requests that a bad version may get
+ * @param session how long a session lasts after its last request
+ * @param grace how long a process may go on after it was asked to stop
+ */
+public record GatewaySettings(
+        double repeatRatio,
+        Duration repeatWindow,
+        double repeatSlack,
+        double canaryShare,
+        Duration session,
+        Duration grace) {
+
+    public GatewaySettings {
+        Objects.requireNonNull(repeatWindow, "repeatWindow is null");
+        Objects.requireNonNull(session, "session is null");
+        Objects.requireNonNull(grace, "grace is null");
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -0,0 +1,329 @@
+package org.fennelstage.gateway;
+
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fennelstage.attempt.AttemptEnd;
+import org.fennelstage.attempt.AttemptLog;
+import org.fennelstage.canary.Canary;
+import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.id.ModelId;
+import org.fennelstage.id.ServiceName;
+import org.fennelstage.id.TeamId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.placement.Prompt;
+import org.fennelstage.serving.Route;
+import org.fennelstage.serving.RouteKind;
+import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.serving.TeamAccess;
+import org.fennelstage.serving.WeightedService;
+
+/**
+ * One request from its arrival to its one end.
+ *
+ * <p>Invariants: the caller gets exactly one answer or a broken connection; at most one attempt is
+ * open; whether another may be made, and whether "not run" may be said, is decided by {@link
+ * AttemptLog} alone. Confined to the event loop.
+ */
+final class RequestRun {
+
+    /** Attempts that fail before anything is sent; more means that the network is at fault. */
+    private static final int MOST_NOT_SENT = 4;
+
+    private final Gateway gateway;
+    private final ServerExchange exchange;
+    private final CallerRequest request;
+    private final ServingConfiguration configuration;
+    private final Route route;
+    private final Optional<TeamAccess> access;
+    private final AttemptLog attempts;
+    private final long arrivedMillis;
+    private final long deadlineMillis;
+    private final CallerAnswer answer;
+    private Optional<Attempt> open = Optional.empty();
+    private Optional<ScheduledFuture<?>> timer = Optional.empty();
+    private ServiceName service;
+    private boolean toNew;
+    private int notSent;
+    private boolean ended;
+
+    RequestRun(
+            final Gateway gateway,
+            final ServerExchange exchange,
+            final CallerRequest request,
+            final ServingConfiguration configuration,
+            final Route route,
+            final Optional<TeamAccess> access) {
+        this.gateway = gateway;
+        this.exchange = exchange;
+        this.request = request;
+        this.configuration = configuration;
+        this.route = route;
+        this.access = access;
+        this.attempts = AttemptLog.of(route.repeatable(), route.maxServers());
+        this.arrivedMillis = now();
+        final Duration allowed =
+                request.deadline()
+                        .filter(d -> d.compareTo(route.timeout()) < 0)
+                        .orElse(route.timeout());
+        this.deadlineMillis = arrivedMillis + allowed.toMillis();
+        this.answer = new CallerAnswer(exchange, () -> onFirstByte());
+    }
+
+    void start() {
+        gateway.onBegin();
+        exchange.onClosed(this::onCallerGone);
+        exchange.onWritable(() -> open.ifPresent(a -> a.pause(false)));
+        timer = Optional.of(schedule(this::onDeadline, remaining().toMillis()));
+        final Optional<WeightedService> chosen = route.service(gateway.random().nextDouble());
+        if (chosen.isEmpty()) {
+            refuse(Refusal.NO_SERVER);
+            return;
+        }
+        service = chosen.get().service();
+        toNew = canary().toNew(sessionKey());
+        gateway.beliefs().budget(service).onRequest();
+        attempt();
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    Route route() {
+        return route;
+    }
+
+    Canary canary() {
+        return gateway.beliefs().canary(service);
+    }
+
+    CallerAnswer answer() {
+        return answer;
+    }
+
+    Gateway gateway() {
+        return gateway;
+    }
+
+    ServiceName service() {
+        return service;
+    }
+
+    long elapsedMillis() {
+        return now() - arrivedMillis;
+    }
+
+    /** The attempt brought a whole answer that the caller has. */
+    void onDelivered(final int status) {
+        open = Optional.empty();
+        finish("answered", status);
+    }
+
+    /**
+     * The attempt ended without success.
+     *
+     * @param end what is known of it
+     * @param detail why, for the log
+     * @param instead what to do if the request is not sent again
+     */
+    void onFailed(final AttemptEnd end, final String detail, final Runnable instead) {
+        open = Optional.empty();
+        attempts.end(end);
+        EventLog.write(
+                Event.ATTEMPT_FAILED,
+                "request",
+                request.id(),
+                "end",
+                end,
+                "detail",
+                detail,
+                "sent",
+                attempts.sent(),
+                "may_have_run",
+                attempts.mayHaveRun(),
+                "elapsed_ms",
+                elapsedMillis());
+        if (ended) {
+            return;
+        }
+        if (maySendAgain(end)) {
+            attempt();
+        } else {
+            instead.run();
+        }
+    }
+
+    /** Ends the request with what is known of its attempts. */
+    void giveUp() {
+        if (answer.started()) {
+            abort("stream_broken");
+        } else if (attempts.mayHaveRun()) {
+            refuse(Refusal.OUTCOME_UNKNOWN);
+        } else {
+            refuse(attempts.sent() > 0 ? Refusal.REJECTED : Refusal.NO_SERVER);
+        }
+    }
+
+    private boolean maySendAgain(final AttemptEnd end) {
+        if (!attempts.maySend() || remaining().isNegative() || remaining().isZero()) {
+            return false;
+        }
+        if (end == AttemptEnd.NOT_SENT) {
+            notSent++;
+            return notSent < MOST_NOT_SENT;
+        }
+        return gateway.beliefs().budget(service).tryRepeat();
+    }
+
+    private void attempt() {
+        final List<TrackedServer> candidates = gateway.beliefs().candidates(service, toNew);
+        final Optional<TrackedServer> server =
+                gateway.placement()
+                        .choose(candidates, request.prompt(), s -> attempts.tried(s.entry().id()));
+        if (server.isEmpty()) {
+            giveUp();
+            return;
+        }
+        send(server.get(), candidates.size());
+    }
+
+    private void send(final TrackedServer server, final int candidates) {
+        attempts.begin(server.entry().id());
+        canary().onSent(sessionKey(), server.entry().version());
+        final Dispatch dispatch =
+                new Dispatch(
+                        server.entry(),
+                        remaining(),
+                        access.map(TeamAccess::team),
+                        model(),
+                        answer.lastEventId().or(request::lastEventId));
+        EventLog.write(
+                Event.REQUEST_SENT,
+                "request",
+                request.id(),
+                "route",
+                route.name(),
+                "configuration",
+                configuration.version(),
+                "team",
+                dispatch.team().map(TeamId::value).orElse("-"),
+                "server",
+                server.entry().id(),
+                "version",
+                server.entry().version(),
+                "tier",
+                server.health().tier(),
+                "running",
+                server.running(),
+                "candidates",
+                candidates,
+                "model",
+                dispatch.model().map(ModelId::value).orElse("-"),
+                "remaining_ms",
+                dispatch.remaining().toMillis());
+        final Attempt attempt = new Attempt(this, server, workTokens());
+        open = Optional.of(attempt);
+        attempt.send(dispatch);
+    }
+
+    private Optional<ModelId> model() {
+        final List<ModelId> sizes = route.sizes();
+        return sizes.isEmpty() ? Optional.empty() : Optional.of(sizes.get(sizes.size() - 1));
+    }
+
+    private long workTokens() {
+        return request.prompt().map(Prompt::workTokens).orElse(1L);
+    }
+
+    /** A session's requests follow one another; a request without one stands for itself. */
+    private String sessionKey() {
+        return request.session().orElse(request.id());
+    }
+
+    private void onFirstByte() {
+        gateway.metrics().firstByte(route.name(), elapsedMillis());
+    }
+
+    private void onDeadline() {
+        if (ended) {
+            return;
+        }
+        final boolean mayHaveRun = attempts.mayHaveRun();
+        cancelOpen();
+        if (answer.started()) {
+            abort("timeout_in_stream");
+        } else {
+            refuse(mayHaveRun ? Refusal.TOO_LATE : Refusal.TOO_LATE_NOT_RUN);
+        }
+    }
+
+    private void onCallerGone() {
+        if (ended) {
+            return;
+        }
+        cancelOpen();
+        finish("caller_gone", 0);
+    }
+
+    private void cancelOpen() {
+        open.ifPresent(Attempt::cancel);
+        open = Optional.empty();
+    }
+
+    private void refuse(final Refusal refusal) {
+        gateway.respond(exchange, request.id(), refusal);
+        finish(refusal.reason(), refusal.status());
+    }
+
+    private void abort(final String outcome) {
+        exchange.abort();
+        finish(outcome, 0);
+    }
+
+    private void finish(final String outcome, final int status) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        timer.ifPresent(t -> t.cancel(false));
+        gateway.onEnd();
+        gateway.metrics().end(route.name(), outcome, elapsedMillis());
+        EventLog.write(
+                Event.REQUEST_FINISHED,
+                "request",
+                request.id(),
+                "route",
+                route.name(),
+                "outcome",
+                outcome,
+                "status",
+                status,
+                "attempts",
+                attempts.sent(),
+                "may_have_run",
+                attempts.mayHaveRun(),
+                "elapsed_ms",
+                elapsedMillis());
+    }
+
+    boolean isStream() {
+        return route.kind() == RouteKind.STREAM;
+    }
+
+    private Duration remaining() {
+        return Duration.ofMillis(deadlineMillis - now());
+    }
+
+    private ScheduledFuture<?> schedule(final Runnable task, final long millis) {
+        return exchange.eventLoop().schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private long now() {
+        return gateway.beliefs().clock().millis();
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -0,0 +1,221 @@
+package org.fennelstage.store;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+
+/**
+ * Keeps up with the objects of one kind: a list, then one watch after the other.
+ *
+ * <p>A watch may die without a word, or be told that its history is gone; its wait is short, and
+ * either way the next call finds the state of things. Invariant: the listener hears of a revision
+ * only after all that came before it, and never of an older state than it has. Confined to its
+ * event loop.
+ *
+ * @param <T> what an object decodes to
+ */
+public final class Follower<T> {
+
+    /**
+     * The wait of one watch. A connection that went silent is noticed after this time and the
+     * time-out of its call; both together must leave room in the seconds within which a change has
+     * to be in force. A longer wait saves calls: four watches of 2 s are two calls a second and VM.
+     */
+    private static final Duration WAIT = Duration.ofSeconds(2);
+
+    /** Bounds of the wait after a failure; full jitter, so that VMs do not return together. */
+    private static final long FIRST_BACKOFF_MILLIS = 50;
+
+    private static final long LONGEST_BACKOFF_MILLIS = 400;
+
+    /**
+     * Hears of the objects.
+     *
+     * @param <T> what an object decodes to
+     */
+    public interface Listener<T> {
+
+        /**
+         * Takes all objects.
+         *
+         * @param values the objects
+         */
+        void onAll(List<StoredValue<T>> values);
+
+        /**
+         * Takes one change.
+         *
+         * @param value the object, without content if it was deleted
+         */
+        void onChange(StoredValue<T> value);
+
+        /** Hears that the store cannot be reached. */
+        default void onLost() {}
+
+        /** Hears that the store answers again, before the news that it brings. */
+        default void onBack() {}
+    }
+
+    private final EventLoop loop;
+    private final Store store;
+    private final StoreKind<T> kind;
+    private final Listener<T> listener;
+    private final RandomGenerator random;
+    private final List<StoredValue<T>> listed = new ArrayList<>();
+    private long revision = -1;
+    private int failures;
+    private boolean stopped;
+
+    /**
+     * Creates a follower; it does nothing before its start.
+     *
+     * @param loop runs it
+     * @param store the store
+     * @param kind the kind to follow
+     * @param random the source of jitter
+     * @param listener hears of the objects
+     */
+    public Follower(
+            final EventLoop loop,
+            final Store store,
+            final StoreKind<T> kind,
+            final RandomGenerator random,
+            final Listener<T> listener) {
+        this.loop = Objects.requireNonNull(loop, "loop is null");
+        this.store = Objects.requireNonNull(store, "store is null");
+        this.kind = Objects.requireNonNull(kind, "kind is null");
+        this.random = Objects.requireNonNull(random, "random is null");
+        this.listener = Objects.requireNonNull(listener, "listener is null");
+    }
+
+    /** Begins to follow. */
+    public void start() {
+        list(Optional.empty());
+    }
+
+    /** Makes no further call. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /**
+     * Tells whether the store answered the last call.
+     *
+     * @return false while it cannot be reached
+     */
+    public boolean inTouch() {
+        return failures == 0 && revision >= 0;
+    }
+
+    private void list(final Optional<String> after) {
+        if (stopped) {
+            return;
+        }
+        if (after.isEmpty()) {
+            listed.clear();
+        }
+        store.list(kind, after, this::onListed);
+    }
+
+    private void onListed(final StoreAnswer<Page<T>> answer) {
+        if (!(answer instanceof StoreAnswer.Done<Page<T>> done)) {
+            retry(describe(answer), () -> list(Optional.empty()));
+            return;
+        }
+        onSuccess();
+        final Page<T> page = done.value();
+        listed.addAll(page.values());
+        if (page.next().isPresent()) {
+            list(page.next());
+            return;
+        }
+        revision = page.revision();
+        final List<StoredValue<T>> all = understood(listed);
+        listed.clear();
+        listener.onAll(all);
+        watch();
+    }
+
+    private void watch() {
+        if (!stopped) {
+            store.watch(kind, revision, WAIT, this::onWatched);
+        }
+    }
+
+    private void onWatched(final StoreAnswer<Page<T>> answer) {
+        if (answer instanceof StoreAnswer.HistoryGone<Page<T>>) {
+            EventLog.write(Event.HISTORY_GONE, "kind", kind, "revision", revision);
+            list(Optional.empty());
+            return;
+        }
+        if (!(answer instanceof StoreAnswer.Done<Page<T>> done)) {
+            retry(describe(answer), this::watch);
+            return;
+        }
+        onSuccess();
+        final Page<T> page = done.value();
+        if (page.revision() < revision) {
+            EventLog.write(
+                    Event.STALE_ANSWER, "kind", kind, "has", revision, "got", page.revision());
+            list(Optional.empty());
+            return;
+        }
+        revision = page.revision();
+        understood(page.values()).forEach(listener::onChange);
+        watch();
+    }
+
+    private List<StoredValue<T>> understood(final List<StoredValue<T>> values) {
+        final List<StoredValue<T>> result = new ArrayList<>();
+        for (final StoredValue<T> value : values) {
+            if (value.problem().isPresent()) {
+                EventLog.write(
+                        Event.CONFIGURATION_MALFORMED,
+                        "kind",
+                        kind,
+                        "name",
+                        value.name(),
+                        "revision",
+                        value.revision(),
+                        "problem",
+                        value.problem().get());
+            } else {
+                result.add(value);
+            }
+        }
+        return result;
+    }
+
+    private void onSuccess() {
+        if (failures > 0) {
+            EventLog.write(Event.STORE_BACK, "kind", kind, "failed_calls", failures);
+            failures = 0;
+            listener.onBack();
+        }
+    }
+
+    private void retry(final String detail, final Runnable again) {
+        failures++;
+        if (failures == 1) {
+            EventLog.write(Event.STORE_LOST, "kind", kind, "revision", revision, "detail", detail);
+            listener.onLost();
+        }
+        final long bound =
+                Math.min(
+                        LONGEST_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS << Math.min(failures - 1, 10));
+        loop.schedule(again, 1 + random.nextLong(bound), TimeUnit.MILLISECONDS);
+    }
+
+    private static String describe(final StoreAnswer<?> answer) {
+        return answer instanceof StoreAnswer.Unavailable<?> unavailable
+                ? unavailable.detail()
+                : answer.getClass().getSimpleName();
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Page.java
@@ -0,0 +1,21 @@
+package org.fennelstage.store;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A part of a list, or the changes since a revision. Immutable and thread-safe.
+ *
+ * @param <T> what an object decodes to
+ * @param values the objects
+ * @param next where the list goes on, empty if this is its end
+ * @param revision the revision of the store that the objects reflect
+ */
+public record Page<T>(List<StoredValue<T>> values, Optional<String> next, long revision) {
+
+    public Page {
+        values = List.copyOf(values);
+        Objects.requireNonNull(next, "next is null");
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Store.java
@@ -0,0 +1,61 @@
+package org.fennelstage.store;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.canary.RolloutPhase;
+
+/**
+ * The store. Each call ends with exactly one answer, on the caller's event loop; no call throws for
+ * what the store does.
+ *
+ * <p>Implementations are confined to one event loop.
+ */
+public interface Store {
+
+    /**
+     * Lists the objects of a kind as they are now.
+     *
+     * @param <T> what an object decodes to
+     * @param kind the kind
+     * @param after the name after which the list goes on, empty for its begin
+     * @param answer takes the part of the list
+     */
+    <T> void list(StoreKind<T> kind, Optional<String> after, Consumer<StoreAnswer<Page<T>>> answer);
+
+    /**
+     * Waits for changes of a kind.
+     *
+     * @param <T> what an object decodes to
+     * @param kind the kind
+     * @param since the revision after which changes count
+     * @param wait the longest wait
+     * @param answer takes the changes; none if the wait passed without one
+     */
+    <T> void watch(
+            StoreKind<T> kind, long since, Duration wait, Consumer<StoreAnswer<Page<T>>> answer);
+
+    /**
+     * Writes how far a roll-out has come, if its object is unchanged.
+     *
+     * @param order the order as this VM knows it
+     * @param phase the new phase
+     * @param begunAt the time of day at which the roll-out began
+     * @param answer takes the end
+     */
+    void writePhase(
+            RolloutOrder order,
+            RolloutPhase phase,
+            Instant begunAt,
+            Consumer<StoreAnswer<Void>> answer);
+
+    /**
+     * Enters a VM, or replaces its entry.
+     *
+     * @param entry the entry
+     * @param answer takes the end
+     */
+    void writeVm(VmEntry entry, Consumer<StoreAnswer<Void>> answer);
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ConfigurationFeed.java
@@ -0,0 +1,42 @@
+package org.fennelstage.vm;
+
+import java.util.List;
+import java.util.Objects;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.store.Follower;
+import org.fennelstage.store.StoredValue;
+
+/** Brings configurations into force. Confined to the event loop. */
+final class ConfigurationFeed implements Follower.Listener<ServingConfiguration> {
+
+    private final Beliefs beliefs;
+
+    ConfigurationFeed(final Beliefs beliefs) {
+        this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
+    }
+
+    @Override
+    public void onAll(final List<StoredValue<ServingConfiguration>> values) {
+        values.forEach(this::onChange);
+    }
+
+    @Override
+    public void onChange(final StoredValue<ServingConfiguration> change) {
+        change.value().ifPresent(c -> offer(c, change.revision()));
+    }
+
+    private void offer(final ServingConfiguration configuration, final long revision) {
+        final boolean inForce = beliefs.offer(configuration);
+        EventLog.write(
+                Event.CONFIGURATION_CHANGED,
+                "version",
+                configuration.version(),
+                "revision",
+                revision,
+                "in_force",
+                inForce);
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -0,0 +1,262 @@
+package org.fennelstage.vm;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.gateway.Gateway;
+import org.fennelstage.gateway.GatewayMetrics;
+import org.fennelstage.gateway.WireCodec;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.http.HttpServer;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.http.ServerLimits;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.log.LogSetup;
+import org.fennelstage.placement.Placement;
+import org.fennelstage.serving.CallerLimits;
+import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.store.Follower;
+import org.fennelstage.store.Store;
+import org.fennelstage.store.StoreKind;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * One VM: its servers, its followers of the store, its gateway.
+ *
+ * <p>Everything runs on one event loop: the VMs have less than one core, and a request that never
+ * changes threads needs no locks. {@link #stop} may be called from any thread.
+ */
+public final class GatewayVm {
+
+    /** How often lapsed workers and due writes are looked for; milliseconds. */
+    private static final long DUTY_MILLIS = 100;
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int NOT_FOUND = 404;
+
+    private final VmSettings settings;
+    private final NioEventLoopGroup group;
+    private final EventLoop loop;
+    private final Beliefs beliefs;
+    private final Gateway gateway;
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final ServerFeed serverFeed;
+    private final RolloutFeed rolloutFeed;
+    private final HttpServer callers;
+    private boolean serversListed;
+    private boolean rolloutsListed;
+    private boolean ready;
+    private boolean stopping;
+
+    private GatewayVm(
+            final VmSettings settings,
+            final WireCodec codec,
+            final Function<HttpClient, Store> storeOf)
+            throws IOException {
+        this.settings = settings;
+        this.group = new NioEventLoopGroup(1);
+        this.loop = group.next();
+        final MonotonicClock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+        this.beliefs = new Beliefs(clock, settings.bounds());
+        final HttpClient workers = new HttpClient(loop);
+        this.gateway =
+                new Gateway(
+                        beliefs,
+                        codec,
+                        workers,
+                        Placement.of(settings.dataCentre(), random),
+                        random,
+                        metrics);
+        final Store store = storeOf.apply(new HttpClient(loop));
+        this.serverFeed = new ServerFeed(beliefs.servers(), this::onServersListed);
+        this.rolloutFeed =
+                new RolloutFeed(beliefs, store, InstantSource.system(), this::onRolloutsListed);
+        final ConfigurationFeed configurationFeed = new ConfigurationFeed(beliefs);
+        new Follower<>(loop, store, StoreKind.CONFIGURATION, random, configurationFeed).start();
+        new Follower<>(loop, store, StoreKind.ROLLOUTS, random, rolloutFeed).start();
+        new Follower<>(loop, store, StoreKind.SERVERS, random, serverFeed).start();
+        loop.scheduleWithFixedDelay(
+                this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
+        HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, this::answerReadiness);
+        if (settings.metrics().isPresent()) {
+            startMetrics(settings.metrics().get(), workers);
+        }
+        this.callers =
+                HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
+    }
+
+    /**
+     * Starts a VM.
+     *
+     * @param settings who it is
+     * @param codec translates the wire
+     * @param storeOf makes the client of the store
+     * @return the running VM; it is ready once it knows a configuration and the workers
+     * @throws IOException if an address cannot be bound
+     */
+    public static GatewayVm start(
+            final VmSettings settings,
+            final WireCodec codec,
+            final Function<HttpClient, Store> storeOf)
+            throws IOException {
+        Objects.requireNonNull(settings, "settings is null");
+        EventLog.write(
+                Event.STARTED,
+                "vm",
+                settings.vm(),
+                "data_centre",
+                settings.dataCentre(),
+                "callers",
+                settings.callers(),
+                "store",
+                settings.store());
+        return new GatewayVm(settings, codec, storeOf);
+    }
+
+    /**
+     * Stops gracefully: takes itself out of the balancer, answers what it has, then runs an action.
+     *
+     * @param whenStopped runs at the end, on the event loop
+     */
+    public void stop(final Runnable whenStopped) {
+        loop.execute(() -> beginStop(whenStopped));
+    }
+
+    /** Drops all connections at once; for tests. */
+    public void kill() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    private void beginStop(final Runnable whenStopped) {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        ready = false;
+        callers.closeAfterResponses();
+        EventLog.write(
+                Event.DRAINING,
+                "vm",
+                settings.vm(),
+                "in_flight",
+                gateway.inFlight(),
+                "connections",
+                callers.openConnections());
+        final Drain drain = Drain.of(beliefs.clock(), settings.bounds().grace());
+        awaitDrained(drain, whenStopped);
+    }
+
+    private void awaitDrained(final Drain drain, final Runnable whenStopped) {
+        if (drain.mayEnd(gateway.inFlight())) {
+            EventLog.write(
+                    gateway.inFlight() == 0 ? Event.STOPPED : Event.DRAIN_CUT,
+                    "vm",
+                    settings.vm(),
+                    "in_flight",
+                    gateway.inFlight(),
+                    "log_lines_dropped",
+                    LogSetup.dropped());
+            whenStopped.run();
+            return;
+        }
+        loop.schedule(() -> awaitDrained(drain, whenStopped), DUTY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void performDuties() {
+        try {
+            serverFeed.dropLapsed();
+            rolloutFeed.writeDue();
+            becomeReady();
+        } catch (final RuntimeException e) {
+            // Netty cancels a periodic task that throws: without this, one fault would silently
+            // end all duties of the VM while it goes on serving.
+            EventLog.write(Event.INTERNAL_ERROR, "task", "duties", "error", e);
+        }
+    }
+
+    private void onServersListed() {
+        serversListed = true;
+        learnBaselines();
+    }
+
+    private void onRolloutsListed() {
+        rolloutsListed = true;
+        learnBaselines();
+    }
+
+    private void learnBaselines() {
+        if (serversListed && rolloutsListed) {
+            beliefs.learnBaselines();
+            becomeReady();
+        }
+    }
+
+    private void becomeReady() {
+        final boolean knowsAll =
+                serversListed && rolloutsListed && beliefs.configuration().isPresent();
+        if (knowsAll && !ready && !stopping) {
+            ready = true;
+            EventLog.write(
+                    Event.READY,
+                    "vm",
+                    settings.vm(),
+                    "configuration",
+                    beliefs.configuration().get().version(),
+                    "servers",
+                    beliefs.servers().size());
+        }
+    }
+
+    private void answerReadiness(final ServerExchange exchange) {
+        if (!exchange.path().equals(settings.readinessPath())) {
+            exchange.respond(NOT_FOUND, "text/plain", "");
+            return;
+        }
+        exchange.respond(ready ? OK : UNAVAILABLE, "text/plain", "");
+    }
+
+    private ServerLimits limits() {
+        final CallerLimits limits =
+                beliefs.configuration()
+                        .map(ServingConfiguration::limits)
+                        .orElse(CallerLimits.UNTIL_CONFIGURED);
+        return new ServerLimits(
+                limits.maxHeaderBytes(),
+                limits.maxBodyBytes(),
+                limits.headerTimeout(),
+                limits.idleTimeout());
+    }
+
+    private void startMetrics(final InetSocketAddress address, final HttpClient workers)
+            throws IOException {
+        metrics.gauge(
+                "fennelstage_gateway_worker_connections_opened",
+                "Connections opened to workers",
+                workers::connectionsOpened);
+        metrics.gauge(
+                "fennelstage_log_lines_dropped",
+                "Log lines dropped because the queue was full",
+                LogSetup::dropped);
+        HttpServer.start(group, address, ServerLimits.DEFAULT, this::answerMetrics);
+    }
+
+    private void answerMetrics(final ServerExchange exchange) {
+        exchange.respond(
+                OK,
+                Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "text/plain; version=0.0.4"),
+                metrics.scrape());
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -0,0 +1,133 @@
+package org.fennelstage.vm;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.fennelstage.canary.Canary;
+import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.id.ServiceName;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.store.Follower;
+import org.fennelstage.store.Store;
+import org.fennelstage.store.StoreAnswer;
+import org.fennelstage.store.StoredValue;
+
+/**
+ * Brings orders to roll versions out into the canaries, and what the canaries find into the store.
+ *
+ * <p>Every VM may write; the write is conditional, so one of them wins and the others learn of it
+ * from their watch. Confined to the event loop.
+ */
+final class RolloutFeed implements Follower.Listener<RolloutOrder> {
+
+    private final Beliefs beliefs;
+    private final Store store;
+    private final InstantSource wallClock;
+    private final Runnable afterList;
+    private final Set<ServiceName> writing = new HashSet<>();
+
+    RolloutFeed(
+            final Beliefs beliefs,
+            final Store store,
+            final InstantSource wallClock,
+            final Runnable afterList) {
+        this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
+        this.store = Objects.requireNonNull(store, "store is null");
+        this.wallClock = Objects.requireNonNull(wallClock, "wallClock is null");
+        this.afterList = Objects.requireNonNull(afterList, "afterList is null");
+    }
+
+    @Override
+    public void onAll(final List<StoredValue<RolloutOrder>> values) {
+        values.forEach(this::onChange);
+        afterList.run();
+    }
+
+    @Override
+    public void onChange(final StoredValue<RolloutOrder> change) {
+        change.value().ifPresent(this::take);
+    }
+
+    private void take(final RolloutOrder order) {
+        final Duration elapsed = elapsed(order);
+        beliefs.canary(order.service()).onOrder(order, elapsed);
+        EventLog.write(
+                Event.ROLLOUT_STATE,
+                "service",
+                order.service(),
+                "target",
+                order.target(),
+                "phase",
+                order.phase(),
+                "revision",
+                order.revision(),
+                "elapsed_ms",
+                elapsed.toMillis(),
+                "duration_ms",
+                order.duration().toMillis());
+    }
+
+    /** The time of day may have been set since; the result is kept within the roll-out's time. */
+    private Duration elapsed(final RolloutOrder order) {
+        final Duration sinceBegin =
+                order.begunAt()
+                        .map(begun -> Duration.between(begun, wallClock.instant()))
+                        .orElse(Duration.ZERO);
+        if (sinceBegin.isNegative()) {
+            return Duration.ZERO;
+        }
+        return sinceBegin.compareTo(order.duration()) > 0 ? order.duration() : sinceBegin;
+    }
+
+    /** Writes what is due. To be called a few times a second. */
+    void writeDue() {
+        for (final Map.Entry<ServiceName, Canary> entry : beliefs.canaries().entrySet()) {
+            final Optional<RolloutPhase> due = entry.getValue().due();
+            if (due.isPresent() && writing.add(entry.getKey())) {
+                write(entry.getKey(), entry.getValue(), due.get());
+            }
+        }
+    }
+
+    private void write(final ServiceName service, final Canary canary, final RolloutPhase phase) {
+        final RolloutOrder order = canary.order().orElseThrow();
+        final Instant begunAt = wallClock.instant().minus(canary.elapsed());
+        store.writePhase(order, phase, begunAt, answer -> onWritten(service, phase, answer));
+        EventLog.write(
+                Event.ROLLOUT_WRITE,
+                "service",
+                service,
+                "target",
+                order.target(),
+                "phase",
+                phase,
+                "revision",
+                order.revision(),
+                "reason",
+                canary.evidence());
+    }
+
+    private void onWritten(
+            final ServiceName service, final RolloutPhase phase, final StoreAnswer<Void> answer) {
+        writing.remove(service);
+        if (answer instanceof StoreAnswer.Unavailable<Void> unavailable) {
+            EventLog.write(
+                    Event.WRITE_FAILED,
+                    "service",
+                    service,
+                    "phase",
+                    phase,
+                    "detail",
+                    unavailable.detail());
+        }
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
@@ -0,0 +1,71 @@
+package org.fennelstage.vm;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.fleet.ServerTable;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.store.Follower;
+import org.fennelstage.store.StoredValue;
+
+/** Brings news of workers into the table. Confined to the event loop. */
+final class ServerFeed implements Follower.Listener<ServerEntry> {
+
+    private final ServerTable servers;
+    private final Runnable afterList;
+
+    ServerFeed(final ServerTable servers, final Runnable afterList) {
+        this.servers = Objects.requireNonNull(servers, "servers is null");
+        this.afterList = Objects.requireNonNull(afterList, "afterList is null");
+    }
+
+    @Override
+    public void onAll(final List<StoredValue<ServerEntry>> values) {
+        servers.replaceAll(
+                values.stream().map(StoredValue::value).flatMap(Optional::stream).toList());
+        EventLog.write(Event.SERVER_ENTRY, "listed", values.size(), "in_table", servers.size());
+        afterList.run();
+    }
+
+    @Override
+    public void onChange(final StoredValue<ServerEntry> change) {
+        if (change.value().isPresent()) {
+            final ServerEntry entry = change.value().get();
+            servers.put(entry);
+            EventLog.write(
+                    Event.SERVER_ENTRY,
+                    "server",
+                    entry.id(),
+                    "service",
+                    entry.service(),
+                    "version",
+                    entry.version(),
+                    "leaving",
+                    entry.leaving(),
+                    "revision",
+                    change.revision());
+        } else {
+            servers.remove(BackendServerId.of(change.name()));
+            EventLog.write(
+                    Event.SERVER_GONE, "server", change.name(), "revision", change.revision());
+        }
+    }
+
+    @Override
+    public void onLost() {
+        servers.onStoreLost();
+    }
+
+    @Override
+    public void onBack() {
+        servers.onStoreBack();
+    }
+
+    /** Drops entries that lapsed while the store was away and did not come back. */
+    void dropLapsed() {
+        servers.dropLapsed().forEach(id -> EventLog.write(Event.SERVER_LAPSED, "server", id));
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
@@ -0,0 +1,42 @@
+package org.fennelstage.vm;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Optional;
+import org.fennelstage.gateway.GatewaySettings;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.VmId;
+
+/**
+ * Who a VM is and where it listens. Immutable and thread-safe.
+ *
+ * @param vm its id
+ * @param dataCentre where it stands
+ * @param callers where callers connect
+ * @param readiness where the balancer asks whether it takes callers
+ * @param readinessPath the path of that question
+ * @param metrics where metrics are read, empty for nowhere
+ * @param store where the store listens
+ * @param bounds the deployment's bounds
+ */
+public record VmSettings(
+        VmId vm,
+        DataCentreId dataCentre,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        String readinessPath,
+        Optional<InetSocketAddress> metrics,
+        InetSocketAddress store,
+        GatewaySettings bounds) {
+
+    public VmSettings {
+        Objects.requireNonNull(vm, "vm is null");
+        Objects.requireNonNull(dataCentre, "dataCentre is null");
+        Objects.requireNonNull(callers, "callers is null");
+        Objects.requireNonNull(readiness, "readiness is null");
+        Objects.requireNonNull(readinessPath, "readinessPath is null");
+        Objects.requireNonNull(metrics, "metrics is null");
+        Objects.requireNonNull(store, "store is null");
+        Objects.requireNonNull(bounds, "bounds is null");
+    }
+}
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -9,11 +9,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.CharsetUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.function.BooleanSupplier;
 
 /**
  * Hands the requests of one connection to the handler one after the other.
@@ -26,18 +28,21 @@
     private static final System.Logger LOG = System.getLogger(ConnectionHandler.class.getName());
 
     private final RequestHandler handler;
+    private final BooleanSupplier closing;
     private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
     private ServerExchange current;
 
-    ConnectionHandler(final RequestHandler handler) {
+    ConnectionHandler(final RequestHandler handler, final BooleanSupplier closing) {
         this.handler = handler;
+        this.closing = closing;
     }
 
     @Override
     protected void channelRead0(
             final ChannelHandlerContext context, final FullHttpRequest request) {
         if (request.decoderResult().isFailure()) {
-            refuse(context, HttpResponseStatus.BAD_REQUEST, request.decoderResult().cause());
+            final Throwable cause = request.decoderResult().cause();
+            refuse(context, statusFor(cause), cause);
             return;
         }
         if (current == null) {
@@ -93,7 +98,8 @@
     }
 
     private void start(final ChannelHandlerContext context, final FullHttpRequest request) {
-        final ServerExchange exchange = new ServerExchange(context, request, () -> next(context));
+        final ServerExchange exchange =
+                new ServerExchange(context, request, closing, () -> next(context));
         current = exchange;
         handler.handle(exchange);
     }
@@ -107,6 +113,12 @@
         }
     }
 
+    private static HttpResponseStatus statusFor(final Throwable cause) {
+        return cause instanceof TooLongHttpHeaderException
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
     private static void refuse(
             final ChannelHandlerContext context,
             final HttpResponseStatus status,
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -9,14 +9,13 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * An HTTP/1.1 client with a pool of connections, bound to one event loop.
@@ -26,10 +25,12 @@
  */
 public final class HttpClient {
 
-    private static final int MAX_IDLE_PER_ADDRESS = 16;
+    private static final Set<HttpMethod> BODILESS =
+            Set.of(HttpMethod.GET, HttpMethod.HEAD, HttpMethod.DELETE);
 
     private final EventLoop loop;
-    private final Map<InetSocketAddress, Deque<Channel>> idle = new HashMap<>();
+    private final ConnectionPool idle = new ConnectionPool();
+    private long connectionsOpened;
 
     /**
      * Creates a client.
@@ -44,6 +45,15 @@
         return loop;
     }
 
+    /**
+     * Returns how many connections this client has opened.
+     *
+     * @return the count
+     */
+    public long connectionsOpened() {
+        return connectionsOpened;
+    }
+
     /**
      * Sends a request.
      *
@@ -58,16 +68,19 @@
             final FullHttpRequest request,
             final CallOptions options,
             final ResponseListener listener) {
-        request.headers()
-                .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-        final Call call = new Call();
-        final Channel pooled = options.freshConnection() ? null : takeIdle(address);
-        if (pooled != null) {
-            write(pooled, address, request, options, call, listener);
-        } else {
-            connect(address, request, options, call, listener);
+        if (!request.headers().contains(HttpHeaderNames.HOST)) {
+            request.headers()
+                    .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         }
+        final int length = request.content().readableBytes();
+        if (length > 0 || !BODILESS.contains(request.method())) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
+        final Call call = new Call();
+        idle.take(address, options.maxIdle())
+                .ifPresentOrElse(
+                        pooled -> write(pooled, address, request, options, call, listener),
+                        () -> connect(address, request, options, call, listener));
         return call;
     }
 
@@ -90,7 +103,8 @@
                                     @Override
                                     protected void initChannel(final SocketChannel channel) {
                                         channel.pipeline()
-                                                .addLast(new HttpClientCodec())
+                                                .addLast(new StrictResponseDecoder())
+                                                .addLast(new HttpRequestEncoder())
                                                 .addLast(new ResponseHandler());
                                     }
                                 })
@@ -98,6 +112,9 @@
         connected.addListener(
                 f -> {
                     if (f.isSuccess()) {
+                        connectionsOpened++;
+                        final Channel opened = connected.channel();
+                        opened.closeFuture().addListener(c -> idle.forget(address, opened));
                         write(connected.channel(), address, request, options, call, listener);
                         return;
                     }
@@ -120,33 +137,14 @@
             final ResponseListener listener) {
         if (call.isCancelled()) {
             request.release();
-            putIdle(address, channel);
+            idle.put(address, channel, Optional.empty());
             return;
         }
         call.attach(channel);
-        channel.pipeline()
-                .get(ResponseHandler.class)
-                .begin(call, listener, options.silence(), () -> putIdle(address, channel));
-        channel.writeAndFlush(request);
-    }
-
-    private Channel takeIdle(final InetSocketAddress address) {
-        final Deque<Channel> channels = idle.get(address);
-        while (channels != null && !channels.isEmpty()) {
-            final Channel channel = channels.pollLast();
-            if (channel.isActive()) {
-                return channel;
-            }
-        }
-        return null;
-    }
-
-    private void putIdle(final InetSocketAddress address, final Channel channel) {
-        final Deque<Channel> channels = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
-        if (!channel.isActive() || channels.size() >= MAX_IDLE_PER_ADDRESS) {
-            channel.close();
-            return;
-        }
-        channels.addLast(channel);
+        final ResponseHandler handler = channel.pipeline().get(ResponseHandler.class);
+        final boolean head = HttpMethod.HEAD.equals(request.method());
+        channel.pipeline().get(StrictResponseDecoder.class).expect(head);
+        handler.begin(call, listener, options, keptFor -> idle.put(address, channel, keptFor));
+        channel.writeAndFlush(request).addListener(f -> handler.requestWritten());
     }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -18,6 +18,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
 /**
@@ -29,10 +30,13 @@
 
     private final Channel listener;
     private final ChannelGroup connections;
+    private final AtomicBoolean closing;
 
-    private HttpServer(final Channel listener, final ChannelGroup connections) {
+    private HttpServer(
+            final Channel listener, final ChannelGroup connections, final AtomicBoolean closing) {
         this.listener = listener;
         this.connections = connections;
+        this.closing = closing;
     }
 
     /**
@@ -51,7 +55,7 @@
             final ServerLimits limits,
             final RequestHandler handler)
             throws IOException {
-        return start(group, address, limits, Optional::empty, handler);
+        return start(group, address, () -> limits, Optional::empty, handler);
     }
 
     /**
@@ -68,11 +72,12 @@
     public static HttpServer start(
             final EventLoopGroup group,
             final InetSocketAddress address,
-            final ServerLimits limits,
+            final Supplier<ServerLimits> limits,
             final Supplier<Optional<SslContext>> tls,
             final RequestHandler handler)
             throws IOException {
         Objects.requireNonNull(handler, "handler is null");
+        final AtomicBoolean closing = new AtomicBoolean();
         final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         final ServerBootstrap bootstrap =
                 new ServerBootstrap()
@@ -86,14 +91,16 @@
                                     @Override
                                     protected void initChannel(final SocketChannel channel) {
                                         connections.add(channel);
-                                        build(channel, limits, tls.get(), handler);
+                                        final ConnectionHandler connection =
+                                                new ConnectionHandler(handler, closing::get);
+                                        build(channel, limits.get(), tls.get(), connection);
                                     }
                                 });
         final var bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + address, bound.cause());
         }
-        return new HttpServer(bound.channel(), connections);
+        return new HttpServer(bound.channel(), connections, closing);
     }
 
     /**
@@ -105,6 +112,23 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
+    /**
+     * From now on, closes each connection after the response to its present or next request, and
+     * says so in the response. Connections on which nothing is asked stay open.
+     */
+    public void closeAfterResponses() {
+        closing.set(true);
+    }
+
+    /**
+     * Returns how many connections are open.
+     *
+     * @return the count
+     */
+    public int openConnections() {
+        return connections.size();
+    }
+
     /** Stops accepting connections; open ones go on. */
     public void stopAccepting() {
         listener.close().awaitUninterruptibly();
@@ -121,14 +145,17 @@
             final SocketChannel channel,
             final ServerLimits limits,
             final Optional<SslContext> tls,
-            final RequestHandler handler) {
+            final ConnectionHandler handler) {
+        final HeaderTimeout headerTimeout = new HeaderTimeout(limits.header());
         tls.ifPresent(c -> channel.pipeline().addLast(c.newHandler(channel.alloc())));
         channel.pipeline()
                 .addLast(
                         new IdleStateHandler(0, 0, limits.idle().toMillis(), TimeUnit.MILLISECONDS))
+                .addLast(headerTimeout)
                 .addLast(new StrictRequestDecoder(limits))
+                .addLast(headerTimeout.headListener())
                 .addLast(new HttpResponseEncoder())
                 .addLast(new BodyAggregator(limits.maxBodyBytes()))
-                .addLast(new ConnectionHandler(handler));
+                .addLast(handler);
     }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
@@ -5,76 +5,101 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
-/** Feeds the response on one connection to the listener of the call that owns it. */
+/**
+ * Feeds the response on one connection to the listener of the call that owns it.
+ *
+ * <p>Invariant: a connection goes back to the pool only after a complete response that answered its
+ * call, with the request written whole, no byte left over and no response dropped. Everything else
+ * closes it, since nothing tells then to which request the next bytes belong.
+ *
+ * <p>Confined to the connection's event loop.
+ */
 final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
 
+    private ChannelHandlerContext own;
     private Call call;
     private ResponseListener listener;
-    private Runnable giveBack;
-    private Duration silence;
-    private ScheduledFuture<?> timer;
+    private CallOptions options = CallOptions.DEFAULT;
+    private Consumer<Optional<Duration>> giveBack;
+    private ScheduledFuture<?> silenceTimer;
     private long lastReadNanos;
+    private boolean requestWritten;
     private boolean headSeen;
-    private boolean keepAlive;
+    private boolean dropping;
+    private boolean reusable;
+    private boolean returning;
+    private Optional<Duration> keptFor = Optional.empty();
 
     void begin(
             final Call newCall,
             final ResponseListener newListener,
-            final Duration newSilence,
-            final Runnable newGiveBack) {
+            final CallOptions newOptions,
+            final Consumer<Optional<Duration>> newGiveBack) {
         call = newCall;
         listener = newListener;
-        silence = newSilence;
+        options = newOptions;
         giveBack = newGiveBack;
+        requestWritten = false;
         headSeen = false;
+        dropping = false;
+        reusable = true;
+        returning = false;
+        keptFor = Optional.empty();
         lastReadNanos = System.nanoTime();
+        armSilenceTimer(options.silence().toNanos());
+    }
+
+    void requestWritten() {
+        requestWritten = true;
     }
 
     @Override
     public void handlerAdded(final ChannelHandlerContext context) {
-        timer =
-                context.executor()
-                        .scheduleWithFixedDelay(
-                                () -> checkSilence(context), 250, 250, TimeUnit.MILLISECONDS);
+        own = context;
     }
 
     @Override
     protected void channelRead0(final ChannelHandlerContext context, final HttpObject message) {
         if (listener == null) {
+            returning = false;
             context.close();
             return;
         }
         lastReadNanos = System.nanoTime();
         if (message.decoderResult().isFailure()) {
+            fail("malformed response: " + message.decoderResult().cause());
             context.close();
             return;
         }
         if (message instanceof HttpResponse response) {
-            headSeen = true;
-            keepAlive = HttpUtil.isKeepAlive(response);
-            if (!call.isCancelled()) {
-                listener.onHead(response.status().code(), response.headers());
-            }
+            onHead(response);
         }
         if (message instanceof HttpContent content) {
-            if (content.content().isReadable() && !call.isCancelled()) {
-                listener.onContent(content.content());
-            }
-            if (message instanceof LastHttpContent) {
-                finish(context);
-            }
+            onContent(context, content);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(final ChannelHandlerContext context) {
+        if (returning) {
+            returning = false;
+            returnOrClose(context);
         }
+        context.fireChannelReadComplete();
     }
 
     @Override
     public void channelInactive(final ChannelHandlerContext context) {
-        timer.cancel(false);
+        cancelSilenceTimer();
         fail("connection closed");
         context.fireChannelInactive();
     }
@@ -85,33 +110,89 @@
         context.close();
     }
 
-    private void checkSilence(final ChannelHandlerContext context) {
-        final boolean reading = context.channel().config().isAutoRead();
-        if (!reading) {
+    private void armSilenceTimer(final long nanos) {
+        silenceTimer = own.executor().schedule(this::checkSilence, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void checkSilence() {
+        silenceTimer = null;
+        if (listener == null) {
+            return;
+        }
+        final boolean paused = !own.channel().config().isAutoRead();
+        if (paused) {
             lastReadNanos = System.nanoTime();
+        }
+        final long left = options.silence().toNanos() - (System.nanoTime() - lastReadNanos);
+        if (left > 0) {
+            armSilenceTimer(left);
             return;
         }
-        if (listener != null && System.nanoTime() - lastReadNanos > silence.toNanos()) {
-            fail("no byte for " + silence.toMillis() + " ms");
-            context.close();
+        fail("no byte for " + options.silence().toMillis() + " ms");
+        own.close();
+    }
+
+    private void onHead(final HttpResponse response) {
+        final boolean informational =
+                response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        dropping = informational || !options.answersThis().test(response.headers());
+        if (dropping) {
+            reusable = reusable && informational;
+            return;
+        }
+        headSeen = true;
+        reusable = reusable && HttpUtil.isKeepAlive(response);
+        keptFor = KeepAlive.timeout(response.headers());
+        if (!call.isCancelled()) {
+            listener.onHead(response.status().code(), response.headers());
+        }
+    }
+
+    private void onContent(final ChannelHandlerContext context, final HttpContent content) {
+        final boolean last = content instanceof LastHttpContent;
+        if (dropping) {
+            dropping = !last;
+            return;
+        }
+        if (content.content().isReadable() && !call.isCancelled()) {
+            listener.onContent(content.content());
+        }
+        if (last && listener != null) {
+            finish(context);
         }
     }
 
     private void finish(final ChannelHandlerContext context) {
         final ResponseListener ended = listener;
         final Call endedCall = call;
-        final Runnable back = giveBack;
         listener = null;
         call = null;
         endedCall.detach();
+        cancelSilenceTimer();
         context.channel().config().setAutoRead(true);
-        if (keepAlive) {
-            back.run();
+        returning = true;
+        if (!endedCall.isCancelled()) {
+            ended.onEnd();
+        }
+    }
+
+    /**
+     * Decides when all bytes that came with the end of the response have been seen. Earlier, a
+     * second response in the same packet would be read as the answer to the next request.
+     */
+    private void returnOrClose(final ChannelHandlerContext context) {
+        final boolean surplus = context.pipeline().get(StrictResponseDecoder.class).hasSurplus();
+        if (reusable && requestWritten && !surplus) {
+            giveBack.accept(keptFor);
         } else {
             context.close();
         }
-        if (!endedCall.isCancelled()) {
-            ended.onEnd();
+    }
+
+    private void cancelSilenceTimer() {
+        if (silenceTimer != null) {
+            silenceTimer.cancel(false);
+            silenceTimer = null;
         }
     }
 
@@ -124,6 +205,7 @@
         listener = null;
         call = null;
         failedCall.detach();
+        cancelSilenceTimer();
         if (!failedCall.isCancelled()) {
             final CallFailure.Phase phase =
                     headSeen ? CallFailure.Phase.RESPONDING : CallFailure.Phase.MAYBE_SENT;
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -19,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 /**
  * One request on a connection and the single response to it.
@@ -34,23 +36,29 @@
         ENDED
     }
 
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
     private static final Runnable NOTHING = () -> {};
 
     private final ChannelHandlerContext context;
     private final FullHttpRequest request;
     private final byte[] body;
     private final boolean keepAlive;
+    private final BooleanSupplier closing;
     private final Runnable afterEnd;
     private State state = State.OPEN;
+    private boolean closeAfter;
     private Runnable onClosed = NOTHING;
     private Runnable onWritable = NOTHING;
 
     ServerExchange(
             final ChannelHandlerContext context,
             final FullHttpRequest request,
+            final BooleanSupplier closing,
             final Runnable afterEnd) {
         this.context = context;
         this.request = request;
+        this.closing = closing;
         this.afterEnd = afterEnd;
         this.keepAlive = HttpUtil.isKeepAlive(request);
         this.body = new byte[request.content().readableBytes()];
@@ -134,6 +142,17 @@
      * @param content the body
      */
     public void respond(final int status, final Map<String, String> headers, final byte[] content) {
+        respond(status, toHeaders(headers), content);
+    }
+
+    /**
+     * Answers with a whole response.
+     *
+     * @param status the status code
+     * @param headers the headers; framing headers are set by this method
+     * @param content the body
+     */
+    public void respond(final int status, final HttpHeaders headers, final byte[] content) {
         if (state != State.OPEN) {
             return;
         }
@@ -142,8 +161,11 @@
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(status),
                         Unpooled.wrappedBuffer(content));
-        headers.forEach((name, value) -> response.headers().set(name, value));
-        HttpUtil.setContentLength(response, content.length);
+        response.headers().set(headers);
+        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+        if (status != NO_CONTENT && status != NOT_MODIFIED) {
+            HttpUtil.setContentLength(response, content.length);
+        }
         finish(response);
     }
 
@@ -168,15 +190,27 @@
      * @param headers the headers
      */
     public void begin(final int status, final Map<String, String> headers) {
+        begin(status, toHeaders(headers));
+    }
+
+    /**
+     * Begins a response whose length is not known yet; the body is sent in chunks.
+     *
+     * @param status the status code
+     * @param headers the headers; framing headers are set by this method
+     */
+    public void begin(final int status, final HttpHeaders headers) {
         if (state != State.OPEN) {
             return;
         }
         state = State.STREAMING;
         final DefaultHttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-        headers.forEach((name, value) -> response.headers().set(name, value));
+        response.headers().set(headers);
+        response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        if (!keepAlive) {
+        closeAfter = !keepAlive || closing.getAsBoolean();
+        if (closeAfter) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         context.write(response);
@@ -227,15 +261,27 @@
     }
 
     private void finish(final Object last) {
+        final boolean wholeResponse = last instanceof DefaultFullHttpResponse;
         state = State.ENDED;
-        if (last instanceof DefaultFullHttpResponse response && !keepAlive) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (wholeResponse) {
+            closeAfter = !keepAlive || closing.getAsBoolean();
+        }
+        if (wholeResponse && closeAfter) {
+            ((DefaultFullHttpResponse) last)
+                    .headers()
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         final var written = context.writeAndFlush(last);
-        if (keepAlive) {
-            written.addListener(f -> afterEnd.run());
-        } else {
+        if (closeAfter) {
             written.addListener(ChannelFutureListener.CLOSE);
+        } else {
+            written.addListener(f -> afterEnd.run());
         }
     }
+
+    private static HttpHeaders toHeaders(final Map<String, String> headers) {
+        final HttpHeaders all = new DefaultHttpHeaders();
+        headers.forEach(all::set);
+        return all;
+    }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ServerLimits.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ServerLimits.java
@@ -8,15 +8,29 @@
  *
  * @param maxHeaderBytes the largest request line or header block; bytes
  * @param maxBodyBytes the largest body; bytes
+ * @param header how long the head of a request may take from its first byte
  * @param idle how long a connection may stay silent while it owes us bytes or refuses ours
  */
-public record ServerLimits(int maxHeaderBytes, int maxBodyBytes, Duration idle) {
+public record ServerLimits(int maxHeaderBytes, int maxBodyBytes, Duration header, Duration idle) {
 
     /** Suits JSON requests. */
-    public static final ServerLimits DEFAULT =
-            new ServerLimits(16 * 1024, 1024 * 1024, Duration.ofSeconds(30));
+    public static final ServerLimits DEFAULT = of(16 * 1024, 1024 * 1024, Duration.ofSeconds(30));
 
     public ServerLimits {
+        Objects.requireNonNull(header, "header is null");
         Objects.requireNonNull(idle, "idle is null");
     }
+
+    /**
+     * Returns limits under which a request's head may take as long as a connection may be silent.
+     *
+     * @param maxHeaderBytes the largest request line or header block; bytes
+     * @param maxBodyBytes the largest body; bytes
+     * @param idle how long a connection may stay silent
+     * @return the limits
+     */
+    public static ServerLimits of(
+            final int maxHeaderBytes, final int maxBodyBytes, final Duration idle) {
+        return new ServerLimits(maxHeaderBytes, maxBodyBytes, idle, idle);
+    }
 }
--- a/fennelstage-router/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -9,6 +9,9 @@
     DRAINING(1003, Level.INFO, "VM stops; requests in flight go on"),
     STOPPED(1004, Level.INFO, "VM stopped"),
     DRAIN_CUT(1005, Level.WARNING, "VM stopped with requests still in flight"),
+    SETTINGS_RELOADED(1008, Level.INFO, "settings were read again"),
+    SETTINGS_UNREADABLE(1009, Level.ERROR, "settings cannot be read; the old ones stay in use"),
+    INTERNAL_ERROR(1010, Level.ERROR, "unexpected error; the task was given up"),
     TLS_RELOADED(1006, Level.INFO, "TLS keys were read again"),
     TLS_UNREADABLE(1007, Level.ERROR, "TLS keys cannot be read; the old ones stay in use"),
 
@@ -17,6 +20,15 @@
     PLATFORM_LOST(2003, Level.WARNING, "object API cannot be reached"),
     PLATFORM_BACK(2004, Level.INFO, "object API answers again"),
 
+    STORE_LOST(2011, Level.WARNING, "store cannot be reached"),
+    STORE_BACK(2012, Level.INFO, "store answers again"),
+    HISTORY_GONE(2013, Level.INFO, "store dropped the history; listing anew"),
+    STALE_ANSWER(2014, Level.WARNING, "store answered with an older state; listing anew"),
+    SERVER_ENTRY(2015, Level.INFO, "entry of a backend server changed"),
+    SERVER_GONE(2016, Level.INFO, "entry of a backend server is gone"),
+    SERVER_LAPSED(2017, Level.WARNING, "backend server did not register again; dropped"),
+    WRITE_FAILED(2018, Level.WARNING, "write to the store did not take effect for sure"),
+
     MEMBER_CHANGED(3001, Level.INFO, "another VM changed state"),
 
     REQUEST_ENDED(4001, Level.DEBUG, "request ended"),
@@ -25,6 +37,11 @@
     SERVER_BROKEN(4004, Level.WARNING, "backend server is left out after failures"),
     SERVER_MENDED(4005, Level.INFO, "backend server is used again"),
 
+    REQUEST_REFUSED(4011, Level.INFO, "request is refused before any attempt"),
+    REQUEST_SENT(4012, Level.INFO, "request is sent to a backend server"),
+    ATTEMPT_FAILED(4013, Level.INFO, "attempt ended without a whole answer"),
+    REQUEST_FINISHED(4014, Level.INFO, "request reached its end"),
+
     CLAIM_UNAVAILABLE(5001, Level.WARNING, "claim could not be made; request refused"),
     CLAIM_RELEASE_FAILED(5002, Level.WARNING, "claim could not be given back; its key stays taken"),
     CLAIM_LOG_LOADED(5003, Level.DEBUG, "claims of a slot were loaded"),
@@ -35,7 +52,9 @@
 
     ROLLOUT_HALTED(7001, Level.WARNING, "candidate version was found bad and gets no new work"),
     ROLLOUT_STEP(7002, Level.INFO, "roll-out reached its next step"),
-    ROLLOUT_DONE(7003, Level.INFO, "roll-out is complete");
+    ROLLOUT_DONE(7003, Level.INFO, "roll-out is complete"),
+    ROLLOUT_STATE(7011, Level.INFO, "state of a roll-out in the store changed"),
+    ROLLOUT_WRITE(7012, Level.INFO, "state of a roll-out is written to the store");
 
     private final int number;
     private final Level level;
--- a/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiClient.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiClient.java
@@ -145,7 +145,7 @@
                                 http.send(
                                         address,
                                         request,
-                                        new CallOptions(CONNECT_TIMEOUT, silence, false),
+                                        CallOptions.of(CONNECT_TIMEOUT, silence, false),
                                         Responses.collecting(onWhole, onFailure)));
     }
 
--- a/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.OptionalInt;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -9,6 +10,8 @@
 import org.apache.commons.cli.ParseException;
 import org.fennelstage.ini.IniException;
 import org.fennelstage.log.LogSetup;
+import org.fennelstage.platform.PlatformSettings;
+import org.fennelstage.platform.SettingsException;
 import org.fennelstage.settings.Settings;
 import org.fennelstage.settings.SettingsFile;
 
@@ -26,7 +29,9 @@
                     System.lineSeparator(),
                     "usage: fennelstage trial [--port PORT]        one process with stand-ins",
                     "       fennelstage run --settings FILE.ini    one entry VM",
-                    "       fennelstage check --settings FILE.ini  every mistake in the settings");
+                    "       fennelstage check --settings FILE.ini  every mistake in the settings",
+                    "       fennelstage serve [--settings FILE.json] [--metrics-port PORT]",
+                    "                                              one VM on the users' platform");
 
     private Main() {}
 
@@ -47,7 +52,8 @@
         final Options options =
                 new Options()
                         .addOption(Option.builder().longOpt("settings").hasArg().build())
-                        .addOption(Option.builder().longOpt("port").hasArg().build());
+                        .addOption(Option.builder().longOpt("port").hasArg().build())
+                        .addOption(Option.builder().longOpt("metrics-port").hasArg().build());
         try {
             final CommandLine line = new DefaultParser().parse(options, args);
             final String command = line.getArgs().length == 1 ? line.getArgs()[0] : "";
@@ -55,6 +61,7 @@
                 case "trial" -> trial(Integer.parseInt(line.getOptionValue("port", "8080")));
                 case "run" -> serve(settings(line));
                 case "check" -> check(settings(line));
+                case "serve" -> serveOnPlatform(line);
                 default -> usage("unknown command");
             };
         } catch (final ParseException | NumberFormatException e) {
@@ -62,6 +69,9 @@
         } catch (final IniException e) {
             e.mistakes().forEach(System.err::println);
             return REFUSED;
+        } catch (final SettingsException e) {
+            e.mistakes().forEach(System.err::println);
+            return REFUSED;
         } catch (final IOException e) {
             System.err.println(e.getMessage() + cause(e));
             return REFUSED;
@@ -88,6 +98,20 @@
         return DONE;
     }
 
+    private static int serveOnPlatform(final CommandLine line)
+            throws IOException, ParseException, SettingsException {
+        final String file =
+                line.getOptionValue("settings", System.getenv(PlatformSettings.FILE_VARIABLE));
+        if (file == null) {
+            throw new ParseException("--settings is missing, and so is the variable for it");
+        }
+        final String port = line.getOptionValue("metrics-port");
+        ServeCommand.run(
+                Path.of(file),
+                port == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(port)));
+        return DONE;
+    }
+
     private static int trial(final int port) throws IOException {
         LogSetup.apply(false, "warn");
         final Trial trial = Trial.start(port);
--- a/fennelstage-router/src/main/java/org/fennelstage/main/RouterNode.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/RouterNode.java
@@ -349,7 +349,7 @@
     private HttpServer startCallers() throws IOException {
         final Settings.Limits limits = settings.limits();
         final ServerLimits serverLimits =
-                new ServerLimits(limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.idle());
+                ServerLimits.of(limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.idle());
         final InetSocketAddress address =
                 new InetSocketAddress(settings.listen().host(), settings.listen().port());
         if (settings.tls().callers().isEmpty()) {
@@ -357,7 +357,7 @@
         }
         final TlsContexts tls = TlsContexts.load(settings.tls().callers().get());
         watchKeys(tls);
-        return HttpServer.start(group, address, serverLimits, tls::server, router);
+        return HttpServer.start(group, address, () -> serverLimits, tls::server, router);
     }
 
     private PeerTls peerTls() throws IOException {
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Attempts.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Attempts.java
@@ -130,7 +130,7 @@
     }
 
     static CallOptions options(final Duration silence, final boolean idempotent) {
-        return new CallOptions(CONNECT_TIMEOUT, silence, !idempotent);
+        return CallOptions.of(CONNECT_TIMEOUT, silence, !idempotent);
     }
 
     /** Notes that the present server answered. */
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/ModelEngine.java
@@ -33,7 +33,7 @@
 public final class ModelEngine implements AutoCloseable {
 
     private static final ServerLimits LIMITS =
-            new ServerLimits(16 * 1024, 1024 * 1024, Duration.ofMinutes(5));
+            ServerLimits.of(16 * 1024, 1024 * 1024, Duration.ofMinutes(5));
     private static final int PREFIX_CHARACTERS = 64;
     private static final int CACHED_PREFIXES = 64;
     private static final double CACHED_PREFILL = 0.2;
--- a/fennelstage-standin/src/main/java/org/fennelstage/standin/ObjectApiStandIn.java
+++ b/fennelstage-standin/src/main/java/org/fennelstage/standin/ObjectApiStandIn.java
@@ -37,7 +37,7 @@
     private static final String FAULTS = "/admin/faults";
     private static final String COUNTS = "/admin/counts";
     private static final ServerLimits LIMITS =
-            new ServerLimits(16 * 1024, 1024 * 1024, Duration.ofMinutes(5));
+            ServerLimits.of(16 * 1024, 1024 * 1024, Duration.ofMinutes(5));
 
     private final MemoryObjectStore store;
     private final Random random;
