--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -12,8 +12,8 @@
  * The versions of one service: which may get requests, and what this VM finds of a new one.
  *
  * <p>Each VM judges by its own requests and halts for itself at once; the halt reaches the others
- * through the object in the store. Invariants: a version that was neither there at the start nor
- * ordered gets nothing; a halted version gets nothing, whatever the store says later of the same
+ * through the object in the store. Invariants: a version that may belong to an order not yet known
+ * here gets nothing; a halted version gets nothing, whatever the store says later of the same
  * order. Not thread-safe.
  */
 public final class Canary {
@@ -49,25 +49,18 @@
     }
 
     /**
-     * Notes a version that is in use outside any roll-out.
+     * Notes a version of which it is certain that no order speaks that is not known here.
      *
      * @param version the version
      */
-    public void onBaseline(final String version) {
-        if (!isTarget(version) && !bad.contains(version)) {
+    public void onUnordered(final String version) {
+        final boolean superseded =
+                order.isPresent() && order.get().phase() == RolloutPhase.COMPLETED;
+        if (!superseded && !isTarget(version) && !bad.contains(version)) {
             proven.add(version);
         }
     }
 
-    /**
-     * Tells whether any version is known to be in use.
-     *
-     * @return true if so
-     */
-    public boolean hasBaseline() {
-        return !proven.isEmpty();
-    }
-
     /**
      * Takes the state of an order from the store.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
@@ -15,6 +15,7 @@
  * @param version the version of its software, which a roll-out changes
  * @param capacity how many requests it works on at once
  * @param leaving whether it is about to stop and takes no new work
+ * @param revision the revision of the store at which this was written
  */
 public record ServerEntry(
         BackendServerId id,
@@ -23,7 +24,8 @@
         DataCentreId dataCentre,
         String version,
         int capacity,
-        boolean leaving) {
+        boolean leaving,
+        long revision) {
 
     public ServerEntry {
         Objects.requireNonNull(id, "id is null");
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -1,14 +1,13 @@
 package org.fennelstage.gateway;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import org.fennelstage.attempt.RepeatBudget;
 import org.fennelstage.canary.Canary;
+import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.ServiceName;
@@ -36,6 +35,7 @@
     private final Map<ServiceName, Canary> canaries = new HashMap<>();
     private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
+    private long ordersKnownTo = -1;
 
     /**
      * Creates the beliefs of a VM that knows nothing.
@@ -108,21 +108,36 @@
     }
 
     /**
-     * Takes the versions of all present workers as proven where no version of their service is
-     * known yet. To be called once roll-outs and workers have both been listed.
+     * Notes up to which revision of the store all orders to roll versions out are known.
+     *
+     * @param revision the revision
      */
-    public void learnBaselines() {
-        final Set<ServiceName> unknown = new HashSet<>();
-        for (final TrackedServer server : servers.all()) {
-            final ServiceName service = server.entry().service();
-            if (!canary(service).hasBaseline()) {
-                unknown.add(service);
-            }
-        }
-        for (final TrackedServer server : servers.all()) {
-            if (unknown.contains(server.entry().service())) {
-                canary(server.entry().service()).onBaseline(server.entry().version());
-            }
+    public void onOrdersKnownTo(final long revision) {
+        ordersKnownTo = revision;
+        servers.all().forEach(server -> admitVersion(server.entry()));
+    }
+
+    /**
+     * Takes a worker's entry.
+     *
+     * @param entry the entry
+     */
+    public void onServer(final ServerEntry entry) {
+        servers.put(entry);
+        admitVersion(entry);
+    }
+
+    /**
+     * Admits the version of a worker if no order can speak of it that is not known here.
+     *
+     * <p>Workers of a new version enter after the order to roll it out. Their entries may be heard
+     * of first, since each kind of object has a watch of its own; taken for a version in use, the
+     * new one would get traffic that nobody counts against its share. An entry written before the
+     * last known state of the orders cannot belong to a later one.
+     */
+    private void admitVersion(final ServerEntry entry) {
+        if (entry.revision() <= ordersKnownTo) {
+            canary(entry.service()).onUnordered(entry.version());
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -56,6 +56,13 @@
          */
         void onChange(StoredValue<T> value);
 
+        /**
+         * Hears up to which revision of the store nothing was missed.
+         *
+         * @param revision the revision
+         */
+        default void onRevision(final long revision) {}
+
         /** Hears that the store cannot be reached. */
         default void onLost() {}
 
@@ -140,6 +147,7 @@
         final List<StoredValue<T>> all = understood(listed);
         listed.clear();
         listener.onAll(all);
+        listener.onRevision(revision);
         watch();
     }
 
@@ -169,6 +177,7 @@
         }
         revision = page.revision();
         understood(page.values()).forEach(listener::onChange);
+        listener.onRevision(revision);
         watch();
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -81,7 +81,7 @@
                         random,
                         metrics);
         final Store store = storeOf.apply(new HttpClient(loop));
-        this.serverFeed = new ServerFeed(beliefs.servers(), this::onServersListed);
+        this.serverFeed = new ServerFeed(beliefs, this::onServersListed);
         this.rolloutFeed =
                 new RolloutFeed(beliefs, store, InstantSource.system(), this::onRolloutsListed);
         final ConfigurationFeed configurationFeed = new ConfigurationFeed(beliefs);
@@ -189,19 +189,12 @@
 
     private void onServersListed() {
         serversListed = true;
-        learnBaselines();
+        becomeReady();
     }
 
     private void onRolloutsListed() {
         rolloutsListed = true;
-        learnBaselines();
-    }
-
-    private void learnBaselines() {
-        if (serversListed && rolloutsListed) {
-            beliefs.learnBaselines();
-            becomeReady();
-        }
+        becomeReady();
     }
 
     private void becomeReady() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -57,6 +57,11 @@
         change.value().ifPresent(this::take);
     }
 
+    @Override
+    public void onRevision(final long revision) {
+        beliefs.onOrdersKnownTo(revision);
+    }
+
     private void take(final RolloutOrder order) {
         final Duration elapsed = elapsed(order);
         beliefs.canary(order.service()).onOrder(order, elapsed);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
+import org.fennelstage.gateway.Beliefs;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -14,18 +15,22 @@
 /** Brings news of workers into the table. Confined to the event loop. */
 final class ServerFeed implements Follower.Listener<ServerEntry> {
 
+    private final Beliefs beliefs;
     private final ServerTable servers;
     private final Runnable afterList;
 
-    ServerFeed(final ServerTable servers, final Runnable afterList) {
-        this.servers = Objects.requireNonNull(servers, "servers is null");
+    ServerFeed(final Beliefs beliefs, final Runnable afterList) {
+        this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
+        this.servers = beliefs.servers();
         this.afterList = Objects.requireNonNull(afterList, "afterList is null");
     }
 
     @Override
     public void onAll(final List<StoredValue<ServerEntry>> values) {
-        servers.replaceAll(
-                values.stream().map(StoredValue::value).flatMap(Optional::stream).toList());
+        final List<ServerEntry> entries =
+                values.stream().map(StoredValue::value).flatMap(Optional::stream).toList();
+        servers.replaceAll(entries);
+        entries.forEach(beliefs::onServer);
         EventLog.write(Event.SERVER_ENTRY, "listed", values.size(), "in_table", servers.size());
         afterList.run();
     }
@@ -34,7 +39,7 @@
     public void onChange(final StoredValue<ServerEntry> change) {
         if (change.value().isPresent()) {
             final ServerEntry entry = change.value().get();
-            servers.put(entry);
+            beliefs.onServer(entry);
             EventLog.write(
                     Event.SERVER_ENTRY,
                     "server",
