--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/attempt/AttemptLogTest.java
@@ -0,0 +1,89 @@
+package org.fennelstage.attempt;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fennelstage.id.BackendServerId;
+import org.junit.jupiter.api.Test;
+
+class AttemptLogTest {
+
+    private static final BackendServerId SERVER = BackendServerId.of("s-1");
+    private static final BackendServerId OTHER = BackendServerId.of("s-2");
+
+    /**
+     * Symptom: a send is doubled. Events: the worker runs the request, its answer is lost, the
+     * request goes to another worker. Cause: a lost answer taken for a request not run.
+     */
+    @Test
+    void aRequestThatMustNotBeRepeatedIsNotSentAgainAfterALostAnswer() {
+        final AttemptLog log = AttemptLog.of(false, 3);
+        log.begin(SERVER);
+        log.end(AttemptEnd.UNKNOWN);
+        assertThat(log.maySend()).isFalse();
+        assertThat(log.mayHaveRun()).isTrue();
+    }
+
+    @Test
+    void aRequestThatEveryWorkerRejectedMayBeSentAgainAndCertainlyDidNotRun() {
+        final AttemptLog log = AttemptLog.of(false, 3);
+        log.begin(SERVER);
+        log.end(AttemptEnd.REJECTED);
+        assertThat(log.maySend()).isTrue();
+        assertThat(log.mayHaveRun()).isFalse();
+        assertThat(log.tried(SERVER)).isTrue();
+        assertThat(log.tried(OTHER)).isFalse();
+    }
+
+    /**
+     * Symptom: "not run" is said of a request that runs. Events: the time runs out while a worker
+     * has the request. Cause: only ended attempts were asked.
+     */
+    @Test
+    void aRequestMayHaveRunWhileAnAttemptIsOpen() {
+        final AttemptLog log = AttemptLog.of(true, 3);
+        log.begin(SERVER);
+        assertThat(log.mayHaveRun()).isTrue();
+        assertThat(log.maySend()).isFalse();
+    }
+
+    @Test
+    void anAttemptThatWasNeverSentDoesNotCountAgainstTheNumberOfWorkers() {
+        final AttemptLog log = AttemptLog.of(false, 1);
+        log.begin(SERVER);
+        log.end(AttemptEnd.NOT_SENT);
+        assertThat(log.maySend()).isTrue();
+        log.begin(OTHER);
+        log.end(AttemptEnd.REJECTED);
+        assertThat(log.maySend()).isFalse();
+    }
+
+    @Test
+    void anAttemptThatMayNotBeMadeIsAnError() {
+        final AttemptLog log = AttemptLog.of(false, 3);
+        log.begin(SERVER);
+        assertThatThrownBy(() -> log.begin(OTHER)).isInstanceOf(IllegalStateException.class);
+    }
+
+    @Property
+    void aRequestThatMustNotBeRepeatedIsSentAtMostOnceAfterItMayHaveRun(
+            @ForAll final List<AttemptEnd> ends) {
+        final AttemptLog log = AttemptLog.of(false, ends.size() + 1);
+        int sentAfterRun = 0;
+        boolean mayHaveRun = false;
+        for (final AttemptEnd end : ends) {
+            if (!log.maySend()) {
+                break;
+            }
+            sentAfterRun += mayHaveRun ? 1 : 0;
+            log.begin(SERVER);
+            log.end(end);
+            mayHaveRun = mayHaveRun || end.mayHaveRun();
+        }
+        assertThat(sentAfterRun).isZero();
+        assertThat(log.mayHaveRun()).isEqualTo(mayHaveRun);
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/attempt/RepeatBudgetTest.java
@@ -0,0 +1,51 @@
+package org.fennelstage.attempt;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class RepeatBudgetTest {
+
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+
+    @Test
+    void withoutRequestsOnlyTheSlackMayBeRepeated() {
+        final RepeatBudget budget = RepeatBudget.of(now::get, WINDOW, 0.9, 2);
+        assertThat(budget.tryRepeat()).isTrue();
+        assertThat(budget.tryRepeat()).isTrue();
+        assertThat(budget.tryRepeat()).isFalse();
+    }
+
+    @Test
+    void repeatsOlderThanTheWindowNoLongerCount() {
+        final RepeatBudget budget = RepeatBudget.of(now::get, WINDOW, 0.9, 1);
+        assertThat(budget.tryRepeat()).isTrue();
+        assertThat(budget.tryRepeat()).isFalse();
+        now.addAndGet(WINDOW.toMillis() + 1);
+        assertThat(budget.tryRepeat()).isTrue();
+    }
+
+    /**
+     * Symptom: a pool that fails gets nearly twice its traffic. Events: every request fails and is
+     * repeated. Cause: repeats not bounded by the requests of the same window.
+     */
+    @Property
+    void repeatsInAnyWindowStayWithinTheRatioOfItsRequestsAndTheSlack(
+            @ForAll @IntRange(min = 0, max = 400) final int requests,
+            @ForAll @IntRange(min = 0, max = 10) final int slack) {
+        final RepeatBudget budget = RepeatBudget.of(now::get, WINDOW, 0.5, slack);
+        int repeats = 0;
+        for (int i = 0; i < requests; i++) {
+            budget.onRequest();
+            repeats += budget.tryRepeat() ? 1 : 0;
+        }
+        assertThat(repeats).isLessThanOrEqualTo((int) (0.5 * requests) + slack);
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -0,0 +1,158 @@
+package org.fennelstage.canary;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.id.ServiceName;
+import org.junit.jupiter.api.Test;
+
+class CanaryTest {
+
+    private static final Duration DURATION = Duration.ofSeconds(24);
+    private static final double SHARE = 0.15;
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final Canary canary = Canary.of(now::get, SHARE, Duration.ofSeconds(5));
+
+    private static RolloutOrder order(final RolloutPhase phase, final long revision) {
+        return new RolloutOrder(
+                ServiceName.of("models"), "v2", DURATION, phase, Optional.empty(), revision);
+    }
+
+    private void begin() {
+        canary.onUnordered("v1");
+        canary.onOrder(order(RolloutPhase.ORDERED, 1), Duration.ZERO);
+    }
+
+    @Test
+    void aVersionThatMayBelongToAnUnknownOrderGetsNothing() {
+        canary.onUnordered("v1");
+        assertThat(canary.admits("v1", false)).isTrue();
+        assertThat(canary.admits("v2", false)).isFalse();
+    }
+
+    /**
+     * Symptom: a bad version gets more than its share of a service's requests. Cause: the share was
+     * kept at each moment but not over the whole time with the move at the end.
+     */
+    @Test
+    void overTheWholeTimeTheNewVersionGetsLessThanTheAllowedShare() {
+        begin();
+        int toNew = 0;
+        final int requests = 24_000;
+        for (int i = 0; i < requests; i++) {
+            now.set(1_000_000 + i * DURATION.toMillis() / requests);
+            toNew += canary.toNew("session-" + i) ? 1 : 0;
+        }
+        assertThat(toNew / (double) requests).isBetween(0.1, SHARE);
+    }
+
+    /**
+     * Symptom: a good version is not completed in time. Cause: the completion waited for evidence
+     * that a quiet VM never has.
+     */
+    @Test
+    void withoutBadAnswersTheVersionIsCompletedBeforeItsTimeIsOver() {
+        begin();
+        now.addAndGet(DURATION.toMillis() - 300);
+        assertThat(canary.toNew("any")).isTrue();
+        assertThat(canary.due()).contains(RolloutPhase.COMPLETED);
+    }
+
+    @Test
+    void threeFailuresInARowEndTheRolloutHereAtOnce() {
+        begin();
+        for (int i = 0; i < 3; i++) {
+            canary.onAnswer("v2", true, 0);
+        }
+        assertThat(canary.due()).contains(RolloutPhase.ROLLED_BACK);
+        now.addAndGet(DURATION.toMillis());
+        assertThat(canary.toNew("any")).isFalse();
+    }
+
+    /**
+     * Symptom: a version that turns bad late is completed. Cause: many good answers given before
+     * outweighed the bad ones.
+     */
+    @Test
+    void goodAnswersGivenEarlyDoNotHideAVersionThatTurnsBad() {
+        begin();
+        for (int i = 0; i < 500; i++) {
+            canary.onAnswer("v2", false, 0);
+        }
+        for (int i = 0; i < 4; i++) {
+            canary.onAnswer("v2", true, 0);
+        }
+        assertThat(canary.due()).contains(RolloutPhase.ROLLED_BACK);
+    }
+
+    @Test
+    void aVersionEightTimesSlowerThanTheOldOneIsBad() {
+        begin();
+        for (int i = 0; i < 20; i++) {
+            canary.onAnswer("v1", false, 50);
+        }
+        for (int i = 0; i < 3; i++) {
+            canary.onAnswer("v2", false, 400);
+        }
+        assertThat(canary.due()).contains(RolloutPhase.ROLLED_BACK);
+    }
+
+    @Test
+    void failuresThatTheOldVersionHasAsOftenDoNotEndTheRollout() {
+        begin();
+        for (int i = 0; i < 400; i++) {
+            canary.onAnswer("v1", i % 7 == 0, 0);
+            canary.onAnswer("v2", i % 7 == 0, 0);
+        }
+        assertThat(canary.due()).contains(RolloutPhase.IN_PROGRESS);
+    }
+
+    /**
+     * Symptom: requests of one session run on two versions. Events: the session ran on the old
+     * version, the order comes, its key falls into the new version's share. Cause: the key alone
+     * decided.
+     */
+    @Test
+    void aSessionThatRanOnTheOldVersionStaysThereUntilTheMove() {
+        canary.onUnordered("v1");
+        for (int i = 0; i < 100; i++) {
+            canary.onSent("session-" + i, "v1");
+        }
+        canary.onOrder(order(RolloutPhase.ORDERED, 1), Duration.ZERO);
+        for (int i = 0; i < 100; i++) {
+            assertThat(canary.toNew("session-" + i)).isFalse();
+        }
+    }
+
+    @Test
+    void afterACompletionOnlyTheTargetGetsRequests() {
+        begin();
+        canary.onOrder(order(RolloutPhase.COMPLETED, 2), DURATION);
+        canary.onUnordered("v1");
+        assertThat(canary.admits("v2", canary.toNew("any"))).isTrue();
+        assertThat(canary.admits("v1", canary.toNew("any"))).isFalse();
+    }
+
+    @Test
+    void afterARollBackTheTargetGetsNothing() {
+        begin();
+        canary.onOrder(order(RolloutPhase.ROLLED_BACK, 2), DURATION);
+        canary.onUnordered("v2");
+        assertThat(canary.admits("v2", false)).isFalse();
+        assertThat(canary.admits("v1", canary.toNew("any"))).isTrue();
+    }
+
+    /**
+     * Symptom: after all VMs were killed in the middle of a roll-out, the completion comes too
+     * late. Cause: the time already passed was lost with the memory.
+     */
+    @Test
+    void aVmThatStartsInTheMiddleGoesOnFromTheTimePassed() {
+        canary.onUnordered("v1");
+        canary.onOrder(order(RolloutPhase.IN_PROGRESS, 2), Duration.ofMillis(23_800));
+        assertThat(canary.due()).contains(RolloutPhase.COMPLETED);
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
@@ -0,0 +1,60 @@
+package org.fennelstage.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class ServerHealthTest {
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final ServerHealth health = ServerHealth.of(now::get);
+
+    /**
+     * Symptom: four requests in ten fail at one worker whose health check is good. Cause: only the
+     * health check was believed.
+     */
+    @Test
+    void aServerThatFailsTwiceInARowIsUsedAfterTheOthers() {
+        health.onEnd(true, 0);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+        health.onEnd(true, 0);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
+    }
+
+    @Test
+    void failuresThatTheRouteHasAnywayDoNotSpeakAgainstAServer() {
+        for (int i = 0; i < 100; i++) {
+            health.onEnd(i % 7 == 0, 1.0 / 7);
+        }
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+
+    @Test
+    void aMendedServerGetsTrafficAgain() {
+        health.onEnd(true, 0);
+        health.onEnd(true, 0);
+        now.addAndGet(3_000);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+
+    @Test
+    void aServerThatCannotBeReachedIsLeftOutForAPauseThatGrows() {
+        health.onUnreachable();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.UNREACHABLE);
+        now.addAndGet(500);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+        health.onUnreachable();
+        now.addAndGet(500);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.UNREACHABLE);
+        now.addAndGet(500);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+
+    @Test
+    void aByteFromAServerEndsItsPause() {
+        health.onUnreachable();
+        health.onSign();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -0,0 +1,116 @@
+package org.fennelstage.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.ServiceName;
+import org.junit.jupiter.api.Test;
+
+class PlacementTest {
+
+    private static final DataCentreId OWN = DataCentreId.of("dc-a");
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final Placement placement = Placement.of(OWN, new Random(7));
+
+    private List<TrackedServer> servers(final int count) {
+        final List<TrackedServer> servers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            servers.add(
+                    TrackedServer.of(
+                            new ServerEntry(
+                                    BackendServerId.of("s-" + i),
+                                    ServiceName.of("models"),
+                                    new ServerAddress("127.0.0.1", 9000 + i),
+                                    DataCentreId.of(i % 3 == 0 ? "dc-a" : "dc-b"),
+                                    "v1",
+                                    64,
+                                    false,
+                                    1),
+                            now::get));
+        }
+        return servers;
+    }
+
+    private static Optional<Prompt> prompt(final String shared) {
+        return Optional.of(
+                new Prompt(
+                        List.of(new PromptPart(shared, 5_000), new PromptPart("own", 100)),
+                        5_100,
+                        100));
+    }
+
+    @Test
+    void requestsThatShareAPartGoToTheSameServerWhileItsLoadIsUsual() {
+        final List<TrackedServer> servers = servers(13);
+        final TrackedServer first = choose(servers, "topic").orElseThrow();
+        assertThat(choose(servers, "topic")).contains(first);
+    }
+
+    /**
+     * Symptom: one worker is buried while others are idle. Events: a topic is in the news and
+     * everybody asks for it. Cause: the worker that has the topic in memory was chosen whatever its
+     * load.
+     */
+    @Test
+    void aTopicThatEverybodyAsksForIsSpreadOverServers() {
+        final List<TrackedServer> servers = servers(13);
+        final long work = prompt("topic").orElseThrow().workTokens();
+        for (int i = 0; i < 130; i++) {
+            choose(servers, "topic").orElseThrow().begin(work);
+        }
+        final int most = servers.stream().mapToInt(TrackedServer::running).max().orElseThrow();
+        assertThat(most).isLessThanOrEqualTo(18);
+    }
+
+    @Test
+    void plainRequestsStayInTheOwnDataCentreWhileItsServersAreAsIdleAsOthers() {
+        final List<TrackedServer> servers = servers(3);
+        final TrackedServer chosen =
+                placement.choose(servers, Optional.empty(), s -> false).orElseThrow();
+        assertThat(chosen.entry().dataCentre()).isEqualTo(OWN);
+        chosen.begin(1);
+        final TrackedServer next =
+                placement.choose(servers, Optional.empty(), s -> false).orElseThrow();
+        assertThat(next.entry().dataCentre()).isNotEqualTo(OWN);
+    }
+
+    @Test
+    void aServerThatCannotBeReachedIsChosenOnlyIfThereIsNoOther() {
+        final List<TrackedServer> servers = servers(2);
+        servers.get(0).health().onUnreachable();
+        for (int i = 0; i < 20; i++) {
+            assertThat(placement.choose(servers, Optional.empty(), s -> false))
+                    .contains(servers.get(1));
+        }
+        assertThat(placement.choose(servers.subList(0, 1), Optional.empty(), s -> false))
+                .contains(servers.get(0));
+    }
+
+    @Test
+    void aServerThatWasTriedIsChosenAgainOnlyIfThereIsNoOther() {
+        final List<TrackedServer> servers = servers(2);
+        assertThat(placement.choose(servers, prompt("t"), s -> s == servers.get(0)))
+                .contains(servers.get(1));
+        assertThat(placement.choose(servers.subList(0, 1), prompt("t"), s -> true))
+                .contains(servers.get(0));
+    }
+
+    @Test
+    void withoutServersThereIsNoChoice() {
+        assertThat(placement.choose(List.of(), Optional.empty(), s -> false)).isEmpty();
+    }
+
+    private Optional<TrackedServer> choose(final List<TrackedServer> servers, final String shared) {
+        return placement.choose(servers, prompt(shared), s -> false);
+    }
+}
--- a/fennelstage-http/src/main/java/org/fennelstage/http/BodyAggregator.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/BodyAggregator.java
@@ -1,7 +1,6 @@
 package org.fennelstage.http;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -36,6 +35,6 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                 .set(HttpHeaderNames.CONTENT_LENGTH, text.length)
                 .set(HttpHeaderNames.CONNECTION, "close");
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(LingeringClose.AFTER_WRITE);
     }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -1,7 +1,6 @@
 package org.fennelstage.http;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -133,6 +132,6 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                 .set(HttpHeaderNames.CONTENT_LENGTH, text.getBytes(CharsetUtil.UTF_8).length)
                 .set(HttpHeaderNames.CONNECTION, "close");
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(LingeringClose.AFTER_WRITE);
     }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HeaderTimeout.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HeaderTimeout.java
@@ -1,6 +1,5 @@
 package org.fennelstage.http;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -69,7 +68,7 @@
 
     private void refuse(final ChannelHandlerContext context) {
         context.writeAndFlush(context.alloc().buffer(RESPONSE.length).writeBytes(RESPONSE))
-                .addListener(ChannelFutureListener.CLOSE);
+                .addListener(LingeringClose.AFTER_WRITE);
     }
 
     private void cancel() {
