--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -36,6 +36,9 @@
      */
     private static final Duration MAX_IDLE_AT_MOST_ONCE = Duration.ofSeconds(1);
 
+    /** The run's own deadline ends an attempt; this only frees a connection that it missed. */
+    private static final Duration BEYOND_DEADLINE = Duration.ofMillis(500);
+
     private static final Duration MAX_IDLE_REPEATABLE = Duration.ofSeconds(4);
 
     private final RequestRun run;
@@ -64,7 +67,7 @@
         final CallOptions options =
                 new CallOptions(
                         CONNECT_TIMEOUT,
-                        dispatch.remaining(),
+                        dispatch.remaining().plus(BEYOND_DEADLINE),
                         repeatable ? MAX_IDLE_REPEATABLE : MAX_IDLE_AT_MOST_ONCE,
                         headers -> codec().answers(headers, run.request().id()));
         call =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
@@ -36,9 +36,21 @@
         return new Drain(Objects.requireNonNull(clock, "clock is null"), grace.toMillis());
     }
 
+    /**
+     * Tells whether no new callers come any more. Kept connections on which nothing is asked are to
+     * be closed then: a long request that a caller begins late on one of them could not end within
+     * the grace.
+     */
+    boolean balancerKnows() {
+        return elapsedMillis() >= BALANCER_MILLIS;
+    }
+
     boolean mayEnd(final int requestsInFlight) {
-        final long elapsed = clock.millis() - begunMillis;
-        final boolean idle = requestsInFlight == 0 && elapsed >= BALANCER_MILLIS;
-        return idle || elapsed >= graceMillis - RESERVE_MILLIS;
+        final boolean idle = requestsInFlight == 0 && balancerKnows();
+        return idle || elapsedMillis() >= graceMillis - RESERVE_MILLIS;
+    }
+
+    private long elapsedMillis() {
+        return clock.millis() - begunMillis;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -172,6 +172,9 @@
             whenStopped.run();
             return;
         }
+        if (drain.balancerKnows()) {
+            callers.closeIdle();
+        }
         loop.schedule(() -> awaitDrained(drain, whenStopped), DUTY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -36,6 +36,11 @@
         this.closing = closing;
     }
 
+    /** Tells whether a request on this connection has no whole answer yet. */
+    boolean isBusy() {
+        return current != null || !waiting.isEmpty();
+    }
+
     @Override
     protected void channelRead0(
             final ChannelHandlerContext context, final FullHttpRequest request) {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HeaderTimeout.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HeaderTimeout.java
@@ -33,6 +33,11 @@
         this.limit = limit;
     }
 
+    /** Tells whether a part of a request has been read. */
+    boolean isReading() {
+        return inRequest || timer != null;
+    }
+
     ChannelHandler headListener() {
         return new ChannelInboundHandlerAdapter() {
             @Override
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -129,6 +129,32 @@
         return connections.size();
     }
 
+    /**
+     * Refuses new connections and closes those on which nothing is asked. Others close after their
+     * response if {@link #closeAfterResponses} was called. Does not block.
+     */
+    public void closeIdle() {
+        listener.close();
+        connections.forEach(HttpServer::closeIfIdle);
+    }
+
+    private static void closeIfIdle(final Channel connection) {
+        connection
+                .eventLoop()
+                .execute(
+                        () -> {
+                            final ConnectionHandler handler =
+                                    connection.pipeline().get(ConnectionHandler.class);
+                            final HeaderTimeout reading =
+                                    connection.pipeline().get(HeaderTimeout.class);
+                            final boolean busy =
+                                    handler == null || handler.isBusy() || reading.isReading();
+                            if (!busy) {
+                                connection.close();
+                            }
+                        });
+    }
+
     /** Stops accepting connections; open ones go on. */
     public void stopAccepting() {
         listener.close().awaitUninterruptibly();
