--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
@@ -0,0 +1,58 @@
+package org.fennelstage.fleet;
+
+import java.util.Objects;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * Whether the workers of one data centre can be reached at all.
+ *
+ * <p>When the data centre is cut off, each of its workers would be found unreachable by a request
+ * of its own that waits for a connection in vain, again after every pause. Several failures in a
+ * row without one byte from any of its workers speak against all of them at once.
+ *
+ * <p>Not thread-safe.
+ */
+public final class Reachability {
+
+    /** Failures in a row that speak against the whole data centre; two may be two dead workers. */
+    private static final int FAILURES = 3;
+
+    /** How long its workers are left out before one is tried again; milliseconds. */
+    private static final long PAUSE_MILLIS = 1_000;
+
+    private final MonotonicClock clock;
+    private int failures;
+    private long pausedUntilMillis;
+
+    private Reachability(final MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * Returns the state of a data centre of which nothing is known.
+     *
+     * @param clock the clock
+     * @return the state
+     */
+    public static Reachability of(final MonotonicClock clock) {
+        return new Reachability(Objects.requireNonNull(clock, "clock is null"));
+    }
+
+    /**
+     * Tells whether its workers are to be left out.
+     *
+     * @return true while it seems cut off
+     */
+    public boolean cut() {
+        return failures >= FAILURES && clock.millis() < pausedUntilMillis;
+    }
+
+    void onUnreachable() {
+        failures++;
+        pausedUntilMillis = clock.millis() + PAUSE_MILLIS;
+    }
+
+    void onSign() {
+        failures = 0;
+    }
+}
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -43,14 +43,16 @@
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
     private final MonotonicClock clock;
+    private final Reachability dataCentre;
     private double excess;
     private long excessAtMillis;
     private int unreachable;
     private long pausedUntilMillis;
     private long lastSignMillis;
 
-    private ServerHealth(final MonotonicClock clock) {
+    private ServerHealth(final MonotonicClock clock, final Reachability dataCentre) {
         this.clock = clock;
+        this.dataCentre = dataCentre;
         this.lastSignMillis = clock.millis();
         this.excessAtMillis = lastSignMillis;
     }
@@ -59,10 +61,13 @@
      * Returns the health of a worker of which nothing is known.
      *
      * @param clock the clock
+     * @param dataCentre the state of its data centre, shared by all workers there
      * @return the health
      */
-    public static ServerHealth of(final MonotonicClock clock) {
-        return new ServerHealth(Objects.requireNonNull(clock, "clock is null"));
+    public static ServerHealth of(final MonotonicClock clock, final Reachability dataCentre) {
+        return new ServerHealth(
+                Objects.requireNonNull(clock, "clock is null"),
+                Objects.requireNonNull(dataCentre, "dataCentre is null"));
     }
 
     /**
@@ -71,7 +76,8 @@
      * @return the tier
      */
     public Tier tier() {
-        if (unreachable > 0 && clock.millis() < pausedUntilMillis) {
+        final boolean paused = unreachable > 0 && clock.millis() < pausedUntilMillis;
+        if (paused || dataCentre.cut()) {
             return Tier.UNREACHABLE;
         }
         return excessNow() >= SUSPECT_SHARE ? Tier.SUSPECT : Tier.SOUND;
@@ -81,12 +87,14 @@
     public void onUnreachable() {
         final long pause = FIRST_PAUSE_MILLIS << Math.min(unreachable, 2);
         unreachable++;
+        dataCentre.onUnreachable();
         pausedUntilMillis = clock.millis() + Math.min(pause, LONGEST_PAUSE_MILLIS);
     }
 
     /** Notes that a byte came from the worker. */
     public void onSign() {
         unreachable = 0;
+        dataCentre.onSign();
         lastSignMillis = clock.millis();
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.time.MonotonicClock;
 
@@ -39,6 +40,7 @@
     private final Map<BackendServerId, TrackedServer> servers = new LinkedHashMap<>();
     private final Set<BackendServerId> vanished = new HashSet<>();
     private final Map<ServiceName, List<TrackedServer>> usable = new HashMap<>();
+    private final Map<DataCentreId, Reachability> dataCentres = new HashMap<>();
     private boolean storeAway;
     private long graceUntilMillis = Long.MIN_VALUE;
 
@@ -65,7 +67,9 @@
         vanished.remove(entry.id());
         final TrackedServer known = servers.get(entry.id());
         if (known == null) {
-            servers.put(entry.id(), TrackedServer.of(entry, clock));
+            final Reachability reachability =
+                    dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(clock));
+            servers.put(entry.id(), TrackedServer.of(entry, clock, reachability));
         } else {
             known.update(entry);
         }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -25,11 +25,13 @@
      *
      * @param entry its entry
      * @param clock the clock
+     * @param dataCentre the state of its data centre
      * @return the worker
      */
-    public static TrackedServer of(final ServerEntry entry, final MonotonicClock clock) {
+    public static TrackedServer of(
+            final ServerEntry entry, final MonotonicClock clock, final Reachability dataCentre) {
         Objects.requireNonNull(entry, "entry is null");
-        return new TrackedServer(entry, ServerHealth.of(clock));
+        return new TrackedServer(entry, ServerHealth.of(clock, dataCentre));
     }
 
     public ServerEntry entry() {
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
@@ -8,7 +8,8 @@
 class ServerHealthTest {
 
     private final AtomicLong now = new AtomicLong(1_000_000);
-    private final ServerHealth health = ServerHealth.of(now::get);
+    private final Reachability dataCentre = Reachability.of(now::get);
+    private final ServerHealth health = ServerHealth.of(now::get, dataCentre);
 
     /**
      * Symptom: four requests in ten fail at one worker whose health check is good. Cause: only the
@@ -51,6 +52,23 @@
         assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
     }
 
+    /**
+     * Symptom: for seconds after a data centre was cut off, requests wait for connections to one of
+     * its workers after the other. Cause: what one worker showed did not speak against the others.
+     */
+    @Test
+    void severalServersOutOfReachSpeakAgainstAllOfTheirDataCentreUntilOneAnswers() {
+        final ServerHealth other = ServerHealth.of(now::get, dataCentre);
+        final ServerHealth third = ServerHealth.of(now::get, dataCentre);
+        health.onUnreachable();
+        health.onUnreachable();
+        assertThat(third.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+        other.onUnreachable();
+        assertThat(third.tier()).isEqualTo(ServerHealth.Tier.UNREACHABLE);
+        third.onSign();
+        assertThat(third.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+
     @Test
     void aByteFromAServerEndsItsPause() {
         health.onUnreachable();
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.fleet.Reachability;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.TrackedServer;
@@ -36,7 +37,8 @@
                                     64,
                                     false,
                                     1),
-                            now::get));
+                            now::get,
+                            Reachability.of(now::get)));
         }
         return servers;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -27,7 +27,7 @@
      * The longest wait for a connection. A worker in the same region answers in milliseconds; one
      * that does not in this time is cut off or stopped, and another can still meet the objective.
      */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(200);
 
     /**
      * How long a connection may have been idle to carry a request that must not be repeated. A
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
@@ -263,9 +263,9 @@
     private void finish(final Object last) {
         final boolean wholeResponse = last instanceof DefaultFullHttpResponse;
         state = State.ENDED;
-        if (wholeResponse) {
-            closeAfter = !keepAlive || closing.getAsBoolean();
-        }
+        // Asked again at the end of a stream: its head may have gone out before the server was told
+        // to close, and a connection left open then would take one more request.
+        closeAfter = !keepAlive || closing.getAsBoolean();
         if (wholeResponse && closeAfter) {
             ((DefaultFullHttpResponse) last)
                     .headers()
