Reach the store through other VMs; give up workers that keep silent

Causes: the store may turn single VMs away (keys taken away would stay in use there); a worker without power held its requests until the probes of the operating system ended the connection after 3 s. Tests failed before: a VM behind another becomes ready, a repeatable request leaves a silent worker, calls that wait for a silent store move at once.

--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/Pace.java
@@ -0,0 +1,68 @@
+package org.fennelstage.attempt;
+
+/**
+ * How long the workers of one service take to begin an answer, by the length of the prompt, and how
+ * long silence is to be borne.
+ *
+ * <p>Not thread-safe.
+ */
+public final class Pace {
+
+    /** Weight of one answer in the average; about the last twenty count. */
+    private static final double WEIGHT = 0.05;
+
+    /**
+     * Fixed cost of an answer, in tokens of prompt; keeps short prompts from dividing by little.
+     */
+    private static final int FIXED_TOKENS = 500;
+
+    /**
+     * Time to the first byte assumed before any answer; milliseconds per token, on the long side.
+     */
+    private static final double FIRST_GUESS_MILLIS = 0.1;
+
+    /**
+     * Silence that is always borne; milliseconds. Engines read long prompts of others between two
+     * events, which takes some hundred milliseconds at full load.
+     */
+    private static final long FLOOR_MILLIS = 700;
+
+    /**
+     * Times the usual time to a first byte that are borne: load varies by a factor of two to three.
+     */
+    private static final double FACTOR = 4;
+
+    private double millisPerToken = FIRST_GUESS_MILLIS;
+
+    /**
+     * Notes the time to the first byte of an answer.
+     *
+     * @param millis the time
+     * @param promptTokens the length of the prompt; zero for a plain service
+     */
+    public void onFirstByte(final long millis, final int promptTokens) {
+        final double observed = millis / (double) (promptTokens + FIXED_TOKENS);
+        millisPerToken += WEIGHT * (observed - millisPerToken);
+    }
+
+    /**
+     * Returns how long to wait for the first byte before the worker is taken for dead.
+     *
+     * @param promptTokens the length of the prompt; zero for a plain service
+     * @return milliseconds
+     */
+    public long firstBytePatience(final int promptTokens) {
+        return FLOOR_MILLIS + (long) (FACTOR * millisPerToken * (promptTokens + FIXED_TOKENS));
+    }
+
+    /**
+     * Returns how long to wait for the next byte of an answer that has begun.
+     *
+     * @param maxPauseMillis the longest pause after which the answer still counts as in time; zero
+     *     if there is none
+     * @return milliseconds
+     */
+    public long nextBytePatience(final long maxPauseMillis) {
+        return Math.max(FLOOR_MILLIS, maxPauseMillis);
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -8,12 +8,14 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.fennelstage.attempt.AttemptEnd;
+import org.fennelstage.attempt.Pace;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.Call;
 import org.fennelstage.http.CallFailure;
 import org.fennelstage.http.CallOptions;
 import org.fennelstage.http.ResponseListener;
+import org.fennelstage.placement.Prompt;
 
 /**
  * One attempt of a request at one worker.
@@ -43,19 +45,26 @@
 
     private final RequestRun run;
     private final TrackedServer server;
+    private final Pace pace;
     private final long workTokens;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter(this::onEvent);
     private Optional<AnswerHead> head = Optional.empty();
     private Call call;
     private long sentMillis;
+    private long lastByteMillis;
     private long firstEventMillis;
     private int eventCount;
     private boolean ended;
 
-    Attempt(final RequestRun run, final TrackedServer server, final long workTokens) {
+    Attempt(
+            final RequestRun run,
+            final TrackedServer server,
+            final Pace pace,
+            final long workTokens) {
         this.run = run;
         this.server = server;
+        this.pace = pace;
         this.workTokens = workTokens;
     }
 
@@ -78,6 +87,8 @@
                                 codec().encode(run.request(), dispatch),
                                 options,
                                 this);
+        lastByteMillis = sentMillis;
+        watchForSilence(patienceMillis());
     }
 
     /** Ends the attempt: the worker sees its connection close and drops the request. */
@@ -93,7 +104,8 @@
 
     @Override
     public void onHead(final int status, final HttpHeaders headers) {
-        server.health().onSign();
+        onByte();
+        pace.onFirstByte(now() - sentMillis, promptTokens());
         final AnswerHead decoded = codec().decodeAnswer(status, headers);
         head = Optional.of(decoded);
         if (decoded.isSuccess() && run.dropped(decoded)) {
@@ -106,7 +118,7 @@
         if (ended) {
             return;
         }
-        server.health().onSign();
+        onByte();
         if (streams()) {
             events.feed(content);
         } else {
@@ -135,6 +147,47 @@
         }
     }
 
+    private void onByte() {
+        lastByteMillis = now();
+        server.health().onSign();
+    }
+
+    /**
+     * Watches for a worker that neither answers nor closes its connection: without power, behind a
+     * partition, or hanging. One that gives other requests their bytes meanwhile is only busy.
+     */
+    private void watchForSilence(final long inMillis) {
+        run.schedule(this::checkSilence, Math.max(1, inMillis));
+    }
+
+    private void checkSilence() {
+        if (ended) {
+            return;
+        }
+        final long silent = Math.min(now() - lastByteMillis, server.health().silentMillis());
+        final long patience = patienceMillis();
+        if (silent < patience) {
+            watchForSilence(patience - silent);
+            return;
+        }
+        final String detail = server.entry().id() + " silent for " + silent + " ms";
+        if (run.gaveUpSilent(detail)) {
+            server.health().onUnreachable();
+        } else {
+            watchForSilence(patience);
+        }
+    }
+
+    private long patienceMillis() {
+        return head.isEmpty()
+                ? pace.firstBytePatience(promptTokens())
+                : pace.nextBytePatience(run.route().maxPause().toMillis());
+    }
+
+    private int promptTokens() {
+        return run.request().prompt().map(Prompt::promptTokens).orElse(0);
+    }
+
     private void onRejected(final AnswerHead answer) {
         fail(AttemptEnd.REJECTED, "rejected with " + answer.status());
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -5,11 +5,13 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.fennelstage.attempt.Pace;
 import org.fennelstage.attempt.RepeatBudget;
 import org.fennelstage.canary.Canary;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
 import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.time.MonotonicClock;
@@ -34,6 +36,7 @@
     private final ServerTable servers;
     private final Map<ServiceName, Canary> canaries = new HashMap<>();
     private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
+    private final Map<String, Pace> paces = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private long ordersKnownTo = -1;
 
@@ -96,6 +99,12 @@
         return canaries;
     }
 
+    /** Returns the pace of a service's workers with one model. */
+    Pace pace(final ServiceName service, final Optional<ModelId> model) {
+        final String key = service + "/" + model.map(ModelId::value).orElse("");
+        return paces.computeIfAbsent(key, k -> new Pace());
+    }
+
     RepeatBudget budget(final ServiceName service) {
         return budgets.computeIfAbsent(
                 service,
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -8,7 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.AttemptLog;
+import org.fennelstage.attempt.Pace;
 import org.fennelstage.canary.Canary;
+import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ModelId;
@@ -196,6 +198,41 @@
         return true;
     }
 
+    /**
+     * Decides whether a worker that has been silent for too long is given up.
+     *
+     * @param detail what was seen, for the log
+     * @return true if the attempt was given up
+     */
+    boolean gaveUpSilent(final String detail) {
+        final boolean stays =
+                !route.repeatable()
+                        || attempts.sent() >= route.maxServers()
+                        || !hasOtherServer()
+                        || !gateway.beliefs().budget(service).tryRepeat();
+        if (stays) {
+            return false;
+        }
+        cancelOpen();
+        attempts.end(AttemptEnd.UNKNOWN);
+        EventLog.write(
+                Event.ATTEMPT_FAILED,
+                "request",
+                request.id(),
+                "end",
+                AttemptEnd.UNKNOWN,
+                "detail",
+                detail,
+                "sent",
+                attempts.sent(),
+                "may_have_run",
+                true,
+                "elapsed_ms",
+                elapsedMillis());
+        attempt();
+        return true;
+    }
+
     /** Ends the request with what is known of its attempts. */
     void giveUp() {
         if (answer.started()) {
@@ -264,11 +301,21 @@
                 dispatch.model().map(ModelId::value).orElse("-"),
                 "remaining_ms",
                 dispatch.remaining().toMillis());
-        final Attempt attempt = new Attempt(this, server, workTokens());
+        final Attempt attempt = new Attempt(this, server, pace(), workTokens());
         open = Optional.of(attempt);
         attempt.send(dispatch);
     }
 
+    private boolean hasOtherServer() {
+        return gateway.beliefs().candidates(service, toNew).stream()
+                .filter(s -> !attempts.tried(s.entry().id()))
+                .anyMatch(s -> s.health().tier() != ServerHealth.Tier.UNREACHABLE);
+    }
+
+    private Pace pace() {
+        return gateway.beliefs().pace(service, sizes.model());
+    }
+
     private long workTokens() {
         return request.prompt().map(Prompt::workTokens).orElse(1L);
     }
@@ -356,7 +403,7 @@
         return Duration.ofMillis(deadlineMillis - now());
     }
 
-    private ScheduledFuture<?> schedule(final Runnable task, final long millis) {
+    ScheduledFuture<?> schedule(final Runnable task, final long millis) {
         return exchange.eventLoop().schedule(task, millis, TimeUnit.MILLISECONDS);
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -22,12 +22,6 @@
  */
 public final class Follower<T> {
 
-    /**
-     * The wait of one watch. Each watch is a call that is paid for, so the wait is long; a
-     * connection that went silent is noticed sooner, by the probes of the operating system.
-     */
-    private static final Duration WAIT = Duration.ofSeconds(10);
-
     /** Bounds of the wait after a failure; full jitter, so that VMs do not return together. */
     private static final long FIRST_BACKOFF_MILLIS = 50;
 
@@ -72,6 +66,7 @@
     private final Store store;
     private final StoreKind<T> kind;
     private final Listener<T> listener;
+    private final Duration wait;
     private final RandomGenerator random;
     private final List<StoredValue<T>> listed = new ArrayList<>();
     private long revision = -1;
@@ -84,6 +79,8 @@
      * @param loop runs it
      * @param store the store
      * @param kind the kind to follow
+     * @param wait the wait of one watch; each watch is a call that is paid for, and a store that
+     *     keeps silent is noticed only after it
      * @param random the source of jitter
      * @param listener hears of the objects
      */
@@ -91,11 +88,13 @@
             final EventLoop loop,
             final Store store,
             final StoreKind<T> kind,
+            final Duration wait,
             final RandomGenerator random,
             final Listener<T> listener) {
         this.loop = Objects.requireNonNull(loop, "loop is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.kind = Objects.requireNonNull(kind, "kind is null");
+        this.wait = Objects.requireNonNull(wait, "wait is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
     }
@@ -151,7 +150,7 @@
 
     private void watch() {
         if (!stopped) {
-            store.watch(kind, revision, WAIT, this::onWatched);
+            store.watch(kind, revision, wait, this::onWatched);
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -5,13 +5,15 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
+import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.gateway.Beliefs;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
@@ -26,9 +28,11 @@
 import org.fennelstage.placement.Placement;
 import org.fennelstage.serving.CallerLimits;
 import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.store.FallbackStore;
 import org.fennelstage.store.Follower;
 import org.fennelstage.store.Store;
 import org.fennelstage.store.StoreKind;
+import org.fennelstage.store.VmEntry;
 import org.fennelstage.time.MonotonicClock;
 
 /**
@@ -42,6 +46,15 @@
     /** How often lapsed workers and due writes are looked for; milliseconds. */
     private static final long DUTY_MILLIS = 100;
 
+    /**
+     * Wait of the watch on the configuration. It is the one that notices a store that keeps silent,
+     * and keys that were taken away must be refused a few seconds later.
+     */
+    private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
+
+    /** Wait of the other watches; changes end them at once, so a long wait only saves calls. */
+    private static final Duration WAIT = Duration.ofSeconds(10);
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
@@ -63,7 +76,7 @@
     private GatewayVm(
             final VmSettings settings,
             final WireCodec codec,
-            final Function<HttpClient, Store> storeOf)
+            final BiFunction<HttpClient, InetSocketAddress, Store> storeAt)
             throws IOException {
         this.settings = settings;
         this.group = new NioEventLoopGroup(1);
@@ -80,17 +93,38 @@
                         Placement.of(settings.dataCentre(), random),
                         random,
                         metrics);
-        final Store store = storeOf.apply(new HttpClient(loop));
+        final HttpClient storeClient = new HttpClient(loop);
+        final Peers peers =
+                new Peers(
+                        ownEntry(settings),
+                        address -> storeAt.apply(storeClient, socketAddress(address)));
+        final Store store =
+                new FallbackStore(
+                        storeAt.apply(storeClient, settings.store()), peers::relays, clock);
+        peers.enterInto(store);
         this.serverFeed = new ServerFeed(beliefs, this::onServersListed);
         this.rolloutFeed =
                 new RolloutFeed(beliefs, store, InstantSource.system(), this::onRolloutsListed);
         final ConfigurationFeed configurationFeed = new ConfigurationFeed(beliefs);
-        new Follower<>(loop, store, StoreKind.CONFIGURATION, random, configurationFeed).start();
-        new Follower<>(loop, store, StoreKind.ROLLOUTS, random, rolloutFeed).start();
-        new Follower<>(loop, store, StoreKind.SERVERS, random, serverFeed).start();
+        new Follower<>(
+                        loop,
+                        store,
+                        StoreKind.CONFIGURATION,
+                        CONFIGURATION_WAIT,
+                        random,
+                        configurationFeed)
+                .start();
+        new Follower<>(loop, store, StoreKind.ROLLOUTS, WAIT, random, rolloutFeed).start();
+        new Follower<>(loop, store, StoreKind.SERVERS, WAIT, random, serverFeed).start();
+        new Follower<>(loop, store, StoreKind.VMS, WAIT, random, peers).start();
         loop.scheduleWithFixedDelay(
                 this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
         HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, this::answerReadiness);
+        HttpServer.start(
+                group,
+                settings.peers(),
+                ServerLimits.DEFAULT,
+                new StoreRelay(storeClient, settings.store()));
         if (settings.metrics().isPresent()) {
             startMetrics(settings.metrics().get(), workers);
         }
@@ -103,14 +137,14 @@
      *
      * @param settings who it is
      * @param codec translates the wire
-     * @param storeOf makes the client of the store
+     * @param storeAt makes a client of the store at an address
      * @return the running VM; it is ready once it knows a configuration and the workers
      * @throws IOException if an address cannot be bound
      */
     public static GatewayVm start(
             final VmSettings settings,
             final WireCodec codec,
-            final Function<HttpClient, Store> storeOf)
+            final BiFunction<HttpClient, InetSocketAddress, Store> storeAt)
             throws IOException {
         Objects.requireNonNull(settings, "settings is null");
         EventLog.write(
@@ -123,7 +157,7 @@
                 settings.callers(),
                 "store",
                 settings.store());
-        return new GatewayVm(settings, codec, storeOf);
+        return new GatewayVm(settings, codec, storeAt);
     }
 
     /**
@@ -224,6 +258,18 @@
         exchange.respond(ready ? OK : UNAVAILABLE, "text/plain", "");
     }
 
+    private static VmEntry ownEntry(final VmSettings settings) {
+        final InetSocketAddress peers = settings.peers();
+        return new VmEntry(
+                settings.vm(),
+                settings.dataCentre(),
+                new ServerAddress(peers.getHostString(), peers.getPort()));
+    }
+
+    private static InetSocketAddress socketAddress(final ServerAddress address) {
+        return new InetSocketAddress(address.host(), address.port());
+    }
+
     private ServerLimits limits() {
         final CallerLimits limits =
                 beliefs.configuration()
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -0,0 +1,86 @@
+package org.fennelstage.vm;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Function;
+import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.id.VmId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.member.Rendezvous;
+import org.fennelstage.store.Follower;
+import org.fennelstage.store.Store;
+import org.fennelstage.store.StoreAnswer;
+import org.fennelstage.store.StoredValue;
+import org.fennelstage.store.VmEntry;
+
+/**
+ * The other VMs, as they entered themselves into the store, and the store as they reach it.
+ *
+ * <p>Entries of VMs that are gone stay; a relay that does not answer is passed over. Confined to
+ * the event loop.
+ */
+final class Peers implements Follower.Listener<VmEntry> {
+
+    private final VmEntry own;
+    private final Function<ServerAddress, Store> relayOf;
+    private final Map<VmId, VmEntry> entries = new LinkedHashMap<>();
+    private List<Store> relays = List.of();
+    private Runnable enter = () -> {};
+
+    Peers(final VmEntry own, final Function<ServerAddress, Store> relayOf) {
+        this.own = Objects.requireNonNull(own, "own is null");
+        this.relayOf = Objects.requireNonNull(relayOf, "relayOf is null");
+    }
+
+    /** Sets the store into which the own entry goes when the list lacks it. */
+    void enterInto(final Store store) {
+        enter = () -> store.writeVm(own, Peers::onEntered);
+    }
+
+    /** Returns the store as the others reach it: those of the own data centre first. */
+    List<Store> relays() {
+        return relays;
+    }
+
+    @Override
+    public void onAll(final List<StoredValue<VmEntry>> values) {
+        entries.clear();
+        values.forEach(v -> v.value().ifPresent(e -> entries.put(e.vm(), e)));
+        rank();
+        if (!own.equals(entries.get(own.vm()))) {
+            enter.run();
+        }
+    }
+
+    @Override
+    public void onChange(final StoredValue<VmEntry> change) {
+        change.value()
+                .ifPresentOrElse(
+                        e -> entries.put(e.vm(), e), () -> entries.remove(VmId.of(change.name())));
+        rank();
+    }
+
+    private void rank() {
+        final List<VmEntry> others = new ArrayList<>(entries.values());
+        others.removeIf(e -> e.vm().equals(own.vm()));
+        final Comparator<VmEntry> nearFirst =
+                Comparator.comparing(e -> !e.dataCentre().equals(own.dataCentre()));
+        // Each VM has an order of its own, so that not all turn to the same relay.
+        final Comparator<VmEntry> spread =
+                Comparator.comparingLong(e -> Rendezvous.weight(own.vm().value(), e.vm().value()));
+        others.sort(nearFirst.thenComparing(spread));
+        relays = others.stream().map(VmEntry::address).map(relayOf).toList();
+    }
+
+    private static void onEntered(final StoreAnswer<Void> answer) {
+        if (answer instanceof StoreAnswer.Unavailable<Void> unavailable) {
+            EventLog.write(
+                    Event.WRITE_FAILED, "object", "own entry", "detail", unavailable.detail());
+        }
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
@@ -16,6 +16,7 @@
  * @param readiness where the balancer asks whether it takes callers
  * @param readinessPath the path of that question
  * @param metrics where metrics are read, empty for nowhere
+ * @param peers where other VMs connect
  * @param store where the store listens
  * @param bounds the deployment's bounds
  */
@@ -26,6 +27,7 @@
         InetSocketAddress readiness,
         String readinessPath,
         Optional<InetSocketAddress> metrics,
+        InetSocketAddress peers,
         InetSocketAddress store,
         GatewaySettings bounds) {
 
@@ -36,6 +38,7 @@
         Objects.requireNonNull(readiness, "readiness is null");
         Objects.requireNonNull(readinessPath, "readinessPath is null");
         Objects.requireNonNull(metrics, "metrics is null");
+        Objects.requireNonNull(peers, "peers is null");
         Objects.requireNonNull(store, "store is null");
         Objects.requireNonNull(bounds, "bounds is null");
     }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -27,6 +27,8 @@
     SERVER_ENTRY(2015, Level.INFO, "entry of a backend server changed"),
     SERVER_GONE(2016, Level.INFO, "entry of a backend server is gone"),
     SERVER_LAPSED(2017, Level.WARNING, "backend server did not register again; dropped"),
+    STORE_REFUSES(2019, Level.WARNING, "store does not answer this VM; others are asked"),
+    STORE_SERVES(2020, Level.INFO, "store answers this VM itself again"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store did not take effect for sure"),
 
     MEMBER_CHANGED(3001, Level.INFO, "another VM changed state"),
