--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.Pace;
+import org.fennelstage.attempt.UsualFailures;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.Call;
@@ -256,7 +257,9 @@
     }
 
     private void noteHealth(final boolean failed) {
-        server.health().onEnd(failed, 0);
+        final UsualFailures usual = run.gateway().beliefs().usualFailures(run.route().name());
+        server.health().onEnd(failed, usual.share());
+        usual.onAnswer(failed);
     }
 
     /** The time per event after the first; for a plain answer the whole time. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.fennelstage.attempt.Pace;
 import org.fennelstage.attempt.RepeatBudget;
+import org.fennelstage.attempt.UsualFailures;
 import org.fennelstage.canary.Canary;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
@@ -36,6 +37,7 @@
     private final ServerTable servers;
     private final Map<ServiceName, Canary> canaries = new HashMap<>();
     private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
+    private final Map<String, UsualFailures> usualFailures = new HashMap<>();
     private final Map<String, Pace> paces = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private long ordersKnownTo = -1;
@@ -105,6 +107,11 @@
         return paces.computeIfAbsent(key, k -> new Pace());
     }
 
+    /** Returns the share of a route's requests that fail wherever they run. */
+    UsualFailures usualFailures(final String route) {
+        return usualFailures.computeIfAbsent(route, r -> new UsualFailures());
+    }
+
     RepeatBudget budget(final ServiceName service) {
         return budgets.computeIfAbsent(
                 service,
