Follow settings that change without a signal; ask for orders when a worker's version is unknown

Cause: with watches of 10 s a worker of a version that nobody ordered waited up to 10 s to be admitted (the path's test of a store that was away failed by it). Now the orders are listed when such an entry comes. An older state of an order no longer follows a newer one.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -48,6 +48,17 @@
         return new Canary(clock, allowedShare, SessionVersions.of(clock, session.toMillis()));
     }
 
+    /**
+     * Tells whether anything is known of a version.
+     *
+     * @param version the version
+     * @return true if it is in use, ordered or found bad
+     */
+    public boolean knows(final String version) {
+        final boolean ordered = order.isPresent() && order.get().target().equals(version);
+        return ordered || proven.contains(version) || bad.contains(version);
+    }
+
     /**
      * Notes a version of which it is certain that no order speaks that is not known here.
      *
@@ -68,13 +79,13 @@
      * @param elapsed the time since it was given, as far as known
      */
     public void onOrder(final RolloutOrder newer, final Duration elapsed) {
+        if (order.isPresent() && newer.revision() <= order.get().revision()) {
+            return;
+        }
         final boolean same =
                 order.isPresent()
                         && order.get().target().equals(newer.target())
                         && order.get().phase().ended() == newer.phase().ended();
-        if (same && newer.revision() < order.get().revision()) {
-            return;
-        }
         if (!same) {
             begunAtMillis = clock.millis() - elapsed.toMillis();
             evidence = new CanaryEvidence();
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -136,6 +136,19 @@
         assertThat(canary.admits("v1", canary.toNew("any"))).isFalse();
     }
 
+    /**
+     * Symptom: a completed roll-out begins anew. Events: the state is heard twice, by a list and by
+     * a watch, the older last. Cause: the revisions were not compared.
+     */
+    @Test
+    void anOlderStateOfTheSameOrderChangesNothing() {
+        begin();
+        canary.onOrder(order(RolloutPhase.COMPLETED, 3), DURATION);
+        canary.onOrder(order(RolloutPhase.IN_PROGRESS, 2), Duration.ZERO);
+        assertThat(canary.due()).isEmpty();
+        assertThat(canary.admits("v2", false)).isTrue();
+    }
+
     @Test
     void afterARollBackTheTargetGetsNothing() {
         begin();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -33,7 +33,7 @@
     private static final int SLACK_PARTS = 16;
 
     private final MonotonicClock clock;
-    private final GatewaySettings settings;
+    private GatewaySettings settings;
     private final ServerTable servers;
     private final Map<ServiceName, Canary> canaries = new HashMap<>();
     private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
@@ -41,6 +41,7 @@
     private final Map<String, Pace> paces = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private long ordersKnownTo = -1;
+    private Runnable ordersWanted = () -> {};
 
     /**
      * Creates the beliefs of a VM that knows nothing.
@@ -81,6 +82,18 @@
         return isNewer;
     }
 
+    /**
+     * Puts new bounds into force for services that are met from now on, and for budgets at once.
+     *
+     * @param newer the bounds
+     */
+    public void apply(final GatewaySettings newer) {
+        if (!newer.equals(settings)) {
+            settings = newer;
+            budgets.clear();
+        }
+    }
+
     /**
      * Returns the roll-out state of a service.
      *
@@ -129,7 +142,7 @@
      * @param revision the revision
      */
     public void onOrdersKnownTo(final long revision) {
-        ordersKnownTo = revision;
+        ordersKnownTo = Math.max(ordersKnownTo, revision);
         servers.all().forEach(server -> admitVersion(server.entry()));
     }
 
@@ -141,6 +154,20 @@
     public void onServer(final ServerEntry entry) {
         servers.put(entry);
         admitVersion(entry);
+        final boolean waits = !canary(entry.service()).knows(entry.version());
+        if (waits && ordersKnownTo >= 0) {
+            ordersWanted.run();
+        }
+    }
+
+    /**
+     * Sets what asks for the present state of all orders. It runs when the version of a worker can
+     * be judged only by them.
+     *
+     * @param action asks for them
+     */
+    public void onOrdersWanted(final Runnable action) {
+        ordersWanted = Objects.requireNonNull(action, "action is null");
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -71,6 +71,7 @@
     private final List<StoredValue<T>> listed = new ArrayList<>();
     private long revision = -1;
     private int failures;
+    private boolean refreshing;
     private boolean stopped;
 
     /**
@@ -104,6 +105,28 @@
         list(Optional.empty());
     }
 
+    /**
+     * Lists the objects beside the watch, so that the listener hears of their present state now and
+     * not when the watch ends. Does nothing while such a list is under way.
+     */
+    public void refresh() {
+        if (refreshing || stopped) {
+            return;
+        }
+        refreshing = true;
+        store.list(kind, Optional.empty(), this::onRefreshed);
+    }
+
+    private void onRefreshed(final StoreAnswer<Page<T>> answer) {
+        refreshing = false;
+        // A failure shows in the watch as well, which lists anew then. A list in parts is left to
+        // it too.
+        if (answer instanceof StoreAnswer.Done<Page<T>> done && done.value().next().isEmpty()) {
+            listener.onAll(understood(done.value().values()));
+            listener.onRevision(done.value().revision());
+        }
+    }
+
     /** Makes no further call. */
     public void stop() {
         stopped = true;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
+import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.gateway.Beliefs;
 import org.fennelstage.gateway.Gateway;
@@ -59,7 +60,7 @@
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
 
-    private final VmSettings settings;
+    private VmSettings settings;
     private final NioEventLoopGroup group;
     private final EventLoop loop;
     private final Beliefs beliefs;
@@ -114,7 +115,10 @@
                         random,
                         configurationFeed)
                 .start();
-        new Follower<>(loop, store, StoreKind.ROLLOUTS, WAIT, random, rolloutFeed).start();
+        final Follower<RolloutOrder> rollouts =
+                new Follower<>(loop, store, StoreKind.ROLLOUTS, WAIT, random, rolloutFeed);
+        beliefs.onOrdersWanted(rollouts::refresh);
+        rollouts.start();
         new Follower<>(loop, store, StoreKind.SERVERS, WAIT, random, serverFeed).start();
         new Follower<>(loop, store, StoreKind.VMS, WAIT, random, peers).start();
         loop.scheduleWithFixedDelay(
@@ -169,6 +173,25 @@
         loop.execute(() -> beginStop(whenStopped));
     }
 
+    /**
+     * Puts new bounds into force for what begins from now on. Addresses need a restart.
+     *
+     * @param newer the settings as read again
+     */
+    public void apply(final VmSettings newer) {
+        loop.execute(
+                () -> {
+                    EventLog.write(
+                            Event.SETTINGS_RELOADED,
+                            "changed",
+                            !newer.equals(settings),
+                            "needs_restart",
+                            !newer.withBounds(settings.bounds()).equals(settings));
+                    settings = settings.withBounds(newer.bounds());
+                    beliefs.apply(newer.bounds());
+                });
+    }
+
     /** Drops all connections at once; for tests. */
     public void kill() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
@@ -42,4 +42,15 @@
         Objects.requireNonNull(store, "store is null");
         Objects.requireNonNull(bounds, "bounds is null");
     }
+
+    /**
+     * Returns these settings with other bounds.
+     *
+     * @param newer the bounds
+     * @return the settings
+     */
+    public VmSettings withBounds(final GatewaySettings newer) {
+        return new VmSettings(
+                vm, dataCentre, callers, readiness, readinessPath, metrics, peers, store, newer);
+    }
 }
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -0,0 +1,190 @@
+package org.fennelstage.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.VmId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class FollowerTest implements Follower.Listener<VmEntry> {
+
+    /** A call to the store, waiting for the test's answer. */
+    private record Waiting(String call, Consumer<StoreAnswer<Page<VmEntry>>> answer) {}
+
+    private final class ManualStore implements Store {
+
+        @Override
+        @SuppressWarnings({"unchecked", "rawtypes"})
+        public <T> void list(
+                final StoreKind<T> kind,
+                final Optional<String> after,
+                final Consumer<StoreAnswer<Page<T>>> answer) {
+            calls.add(new Waiting("list " + after.orElse("-"), (Consumer) answer));
+        }
+
+        @Override
+        @SuppressWarnings({"unchecked", "rawtypes"})
+        public <T> void watch(
+                final StoreKind<T> kind,
+                final long since,
+                final Duration wait,
+                final Consumer<StoreAnswer<Page<T>>> answer) {
+            calls.add(new Waiting("watch " + since, (Consumer) answer));
+        }
+
+        @Override
+        public void writePhase(
+                final RolloutOrder order,
+                final RolloutPhase phase,
+                final Instant begunAt,
+                final Consumer<StoreAnswer<Void>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void writeVm(final VmEntry entry, final Consumer<StoreAnswer<Void>> answer) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    private final BlockingQueue<Waiting> calls = new LinkedBlockingQueue<>();
+    private final List<String> heard = new CopyOnWriteArrayList<>();
+    private final EventLoop loop = new DefaultEventLoop();
+    private final Follower<VmEntry> follower =
+            new Follower<>(
+                    loop,
+                    new ManualStore(),
+                    StoreKind.VMS,
+                    Duration.ofSeconds(1),
+                    new Random(1),
+                    this);
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void onAll(final List<StoredValue<VmEntry>> values) {
+        heard.add("all " + values.stream().map(StoredValue::name).toList());
+    }
+
+    @Override
+    public void onChange(final StoredValue<VmEntry> value) {
+        heard.add((value.value().isPresent() ? "put " : "gone ") + value.name());
+    }
+
+    @Override
+    public void onLost() {
+        heard.add("lost");
+    }
+
+    @Override
+    public void onBack() {
+        heard.add("back");
+    }
+
+    @Test
+    void aListInPartsIsHeardAsOneAndThenWatchedFromItsRevision() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.of("b"), 5, entry("a", 1), entry("b", 2)));
+        answer("list b", page(Optional.empty(), 6, entry("c", 3)));
+        answer("watch 6", page(Optional.empty(), 9, gone("a", 8)));
+        expect("watch 9");
+        assertThat(heard).containsExactly("all [a, b, c]", "gone a");
+    }
+
+    /**
+     * Symptom: a change is not in force ten seconds later. Events: the store cuts its watches and
+     * drops its history; the watch that follows at once waits for changes after it. Cause: the
+     * watch went on from the old revision after a failure.
+     */
+    @Test
+    void afterAFailureTheObjectsAreListedAnew() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.empty(), 5));
+        answer("watch 5", new StoreAnswer.Unavailable<>(false, "reset"));
+        answer("list -", page(Optional.empty(), 7, entry("a", 7)));
+        expect("watch 7");
+        assertThat(heard).containsExactly("all []", "lost", "back", "all [a]");
+    }
+
+    @Test
+    void whenTheHistoryIsGoneTheObjectsAreListedAnewAtOnce() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.empty(), 5));
+        answer("watch 5", new StoreAnswer.HistoryGone<>());
+        expect("list -");
+        assertThat(heard).containsExactly("all []");
+    }
+
+    /**
+     * Symptom: configuration goes back. Events: an answer comes that is older than what is known.
+     * Cause: the answer's revision was not compared.
+     */
+    @Test
+    void anAnswerOlderThanWhatIsKnownIsNotHeard() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.empty(), 5));
+        answer("watch 5", page(Optional.empty(), 4, entry("a", 3)));
+        expect("list -");
+        assertThat(heard).containsExactly("all []");
+    }
+
+    @Test
+    void anObjectThatCannotBeUnderstoodHidesNoOther() throws InterruptedException {
+        follower.start();
+        final StoredValue<VmEntry> broken =
+                new StoredValue<>("x", 4, Optional.empty(), Optional.of("no address"));
+        answer("list -", page(Optional.empty(), 5, broken, entry("a", 3)));
+        expect("watch 5");
+        assertThat(heard).containsExactly("all [a]");
+    }
+
+    private void answer(final String call, final StoreAnswer<Page<VmEntry>> answer)
+            throws InterruptedException {
+        final Waiting waiting = expect(call);
+        loop.submit(() -> waiting.answer().accept(answer)).sync();
+    }
+
+    private Waiting expect(final String call) throws InterruptedException {
+        final Waiting waiting = calls.poll(10, TimeUnit.SECONDS);
+        assertThat(waiting).isNotNull();
+        assertThat(waiting.call()).isEqualTo(call);
+        return waiting;
+    }
+
+    @SafeVarargs
+    private static StoreAnswer<Page<VmEntry>> page(
+            final Optional<String> next,
+            final long revision,
+            final StoredValue<VmEntry>... values) {
+        return new StoreAnswer.Done<>(new Page<>(List.of(values), next, revision));
+    }
+
+    private static StoredValue<VmEntry> entry(final String name, final long revision) {
+        final VmEntry vm =
+                new VmEntry(VmId.of(name), DataCentreId.of("dc-a"), new ServerAddress("h", 1));
+        return new StoredValue<>(name, revision, Optional.of(vm), Optional.empty());
+    }
+
+    private static StoredValue<VmEntry> gone(final String name, final long revision) {
+        return new StoredValue<>(name, revision, Optional.empty(), Optional.empty());
+    }
+}
--- a/fennelstage-router/src/main/java/org/fennelstage/main/ServeCommand.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/ServeCommand.java
@@ -24,14 +24,15 @@
         LogSetup.applyCollected();
         final GatewayVm vm = PlatformVm.start(settings);
         Signal.handle(new Signal("TERM"), signal -> vm.stop(ServeCommand::exit));
-        Signal.handle(new Signal("HUP"), signal -> reload(settingsFile, metricsPort, settings));
+        final Runnable reload = () -> reload(settingsFile, metricsPort, vm);
+        Signal.handle(new Signal("HUP"), signal -> reload.run());
+        SettingsWatch.start(settingsFile, reload);
     }
 
     private static void reload(
-            final Path settingsFile, final OptionalInt metricsPort, final VmSettings present) {
+            final Path settingsFile, final OptionalInt metricsPort, final GatewayVm vm) {
         try {
-            final VmSettings read = PlatformSettings.read(settingsFile, metricsPort);
-            EventLog.write(Event.SETTINGS_RELOADED, "changed", !read.equals(present));
+            vm.apply(PlatformSettings.read(settingsFile, metricsPort));
         } catch (final SettingsException e) {
             EventLog.write(Event.SETTINGS_UNREADABLE, "mistakes", e.getMessage());
         }
--- /dev/null
+++ b/fennelstage-router/src/test/java/org/fennelstage/main/SettingsWatchTest.java
@@ -0,0 +1,32 @@
+package org.fennelstage.main;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsWatchTest {
+
+    @TempDir private Path folder;
+
+    @Test
+    void eachChangeIsNoticedOnceAndAFileThatIsMissingForAMomentIsNone() throws IOException {
+        final Path file = Files.writeString(folder.resolve("settings.json"), "{}");
+        final AtomicInteger changes = new AtomicInteger();
+        final SettingsWatch watch = SettingsWatch.start(file, changes::incrementAndGet);
+        watch.look();
+        assertThat(changes).hasValue(0);
+        Files.setLastModifiedTime(file, FileTime.fromMillis(1_000));
+        watch.look();
+        watch.look();
+        assertThat(changes).hasValue(1);
+        Files.delete(file);
+        watch.look();
+        assertThat(changes).hasValue(1);
+    }
+}
