--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
@@ -47,6 +47,19 @@
         return failures >= FAILURES && clock.millis() < pausedUntilMillis;
     }
 
+    /**
+     * Tells whether it seemed cut off and no byte has come since.
+     *
+     * @return true until one of its workers answers
+     */
+    public boolean doubtful() {
+        return failures >= FAILURES;
+    }
+
+    void onProbe() {
+        pausedUntilMillis = clock.millis() + PAUSE_MILLIS;
+    }
+
     void onUnreachable() {
         failures++;
         pausedUntilMillis = clock.millis() + PAUSE_MILLIS;
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -80,7 +80,27 @@
         if (paused || dataCentre.cut()) {
             return Tier.UNREACHABLE;
         }
-        return excessNow() >= SUSPECT_SHARE ? Tier.SUSPECT : Tier.SOUND;
+        final boolean doubtful = unreachable > 0 || dataCentre.doubtful();
+        return doubtful || excessNow() >= SUSPECT_SHARE ? Tier.SUSPECT : Tier.SOUND;
+    }
+
+    /**
+     * Tells whether the worker could not be reached and is to be tried again. Requests that lose
+     * little by a wait in vain do that; all others use workers that answer.
+     *
+     * @return true after each pause, until it answers
+     */
+    public boolean probeDue() {
+        final boolean doubtful = unreachable > 0 || dataCentre.doubtful();
+        return doubtful && tier() != Tier.UNREACHABLE;
+    }
+
+    /** Notes that a request tries the worker again: no other does so within the next pause. */
+    public void onProbe() {
+        pausedUntilMillis = clock.millis() + FIRST_PAUSE_MILLIS;
+        if (dataCentre.doubtful()) {
+            dataCentre.onProbe();
+        }
     }
 
     /** Notes that the worker could not be reached. */
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -59,13 +59,21 @@
      *
      * @param candidates the workers that may get the request
      * @param prompt what it asks of an engine, empty for a plain service
+     * @param mayProbe whether the request may try a worker that could not be reached lately
      * @param excluded workers to avoid, used only if no other is left
      * @return the worker, empty if there is no candidate
      */
     public Optional<TrackedServer> choose(
             final List<TrackedServer> candidates,
             final Optional<Prompt> prompt,
+            final boolean mayProbe,
             final Predicate<TrackedServer> excluded) {
+        if (mayProbe) {
+            final Optional<TrackedServer> probed = probe(candidates, excluded);
+            if (probed.isPresent()) {
+                return probed;
+            }
+        }
         final List<TrackedServer> best = bestTier(candidates, excluded);
         if (best.isEmpty()) {
             return Optional.empty();
@@ -76,6 +84,16 @@
                 : byLoad(best);
     }
 
+    private static Optional<TrackedServer> probe(
+            final List<TrackedServer> candidates, final Predicate<TrackedServer> excluded) {
+        final Optional<TrackedServer> due =
+                candidates.stream()
+                        .filter(s -> s.health().probeDue() && !excluded.test(s))
+                        .findFirst();
+        due.ifPresent(s -> s.health().onProbe());
+        return due;
+    }
+
     private static List<TrackedServer> bestTier(
             final List<TrackedServer> candidates, final Predicate<TrackedServer> excluded) {
         final List<TrackedServer> best = new ArrayList<>();
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
@@ -43,13 +43,17 @@
     void aServerThatCannotBeReachedIsLeftOutForAPauseThatGrows() {
         health.onUnreachable();
         assertThat(health.tier()).isEqualTo(ServerHealth.Tier.UNREACHABLE);
+        assertThat(health.probeDue()).isFalse();
         now.addAndGet(500);
-        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
+        assertThat(health.probeDue()).isTrue();
         health.onUnreachable();
         now.addAndGet(500);
         assertThat(health.tier()).isEqualTo(ServerHealth.Tier.UNREACHABLE);
         now.addAndGet(500);
-        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+        assertThat(health.probeDue()).isTrue();
+        health.onProbe();
+        assertThat(health.probeDue()).isFalse();
     }
 
     /**
@@ -65,6 +69,8 @@
         assertThat(third.tier()).isEqualTo(ServerHealth.Tier.SOUND);
         other.onUnreachable();
         assertThat(third.tier()).isEqualTo(ServerHealth.Tier.UNREACHABLE);
+        now.addAndGet(1_000);
+        assertThat(third.tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
         third.onSign();
         assertThat(third.tier()).isEqualTo(ServerHealth.Tier.SOUND);
     }
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -10,6 +10,7 @@
 import org.fennelstage.fleet.Reachability;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
@@ -78,11 +79,11 @@
     void plainRequestsStayInTheOwnDataCentreWhileItsServersAreAsIdleAsOthers() {
         final List<TrackedServer> servers = servers(3);
         final TrackedServer chosen =
-                placement.choose(servers, Optional.empty(), s -> false).orElseThrow();
+                placement.choose(servers, Optional.empty(), false, s -> false).orElseThrow();
         assertThat(chosen.entry().dataCentre()).isEqualTo(OWN);
         chosen.begin(1);
         final TrackedServer next =
-                placement.choose(servers, Optional.empty(), s -> false).orElseThrow();
+                placement.choose(servers, Optional.empty(), false, s -> false).orElseThrow();
         assertThat(next.entry().dataCentre()).isNotEqualTo(OWN);
     }
 
@@ -91,28 +92,49 @@
         final List<TrackedServer> servers = servers(2);
         servers.get(0).health().onUnreachable();
         for (int i = 0; i < 20; i++) {
-            assertThat(placement.choose(servers, Optional.empty(), s -> false))
+            assertThat(placement.choose(servers, Optional.empty(), false, s -> false))
                     .contains(servers.get(1));
         }
-        assertThat(placement.choose(servers.subList(0, 1), Optional.empty(), s -> false))
+        assertThat(placement.choose(servers.subList(0, 1), Optional.empty(), false, s -> false))
                 .contains(servers.get(0));
     }
 
     @Test
     void aServerThatWasTriedIsChosenAgainOnlyIfThereIsNoOther() {
         final List<TrackedServer> servers = servers(2);
-        assertThat(placement.choose(servers, prompt("t"), s -> s == servers.get(0)))
+        assertThat(placement.choose(servers, prompt("t"), false, s -> s == servers.get(0)))
                 .contains(servers.get(1));
-        assertThat(placement.choose(servers.subList(0, 1), prompt("t"), s -> true))
+        assertThat(placement.choose(servers.subList(0, 1), prompt("t"), false, s -> true))
                 .contains(servers.get(0));
     }
 
+    /**
+     * Symptom: while a data centre is cut off, a payment waits in vain for a connection each
+     * second. Cause: after its pause an unreachable worker was chosen like any other.
+     */
+    @Test
+    void aServerThatCouldNotBeReachedIsTriedAgainOnlyByRequestsThatLoseLittleByIt() {
+        final List<TrackedServer> servers = servers(2);
+        servers.get(0).health().onUnreachable();
+        now.addAndGet(500);
+        for (int i = 0; i < 20; i++) {
+            assertThat(placement.choose(servers, Optional.empty(), false, s -> false))
+                    .contains(servers.get(1));
+        }
+        assertThat(placement.choose(servers, prompt("t"), true, s -> false))
+                .contains(servers.get(0));
+        assertThat(placement.choose(servers, prompt("t"), true, s -> false))
+                .contains(servers.get(1));
+        servers.get(0).health().onSign();
+        assertThat(servers.get(0).health().tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+
     @Test
     void withoutServersThereIsNoChoice() {
-        assertThat(placement.choose(List.of(), Optional.empty(), s -> false)).isEmpty();
+        assertThat(placement.choose(List.of(), Optional.empty(), false, s -> false)).isEmpty();
     }
 
     private Optional<TrackedServer> choose(final List<TrackedServer> servers, final String shared) {
-        return placement.choose(servers, prompt(shared), s -> false);
+        return placement.choose(servers, prompt(shared), false, s -> false);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -259,7 +259,11 @@
         final List<TrackedServer> candidates = gateway.beliefs().candidates(service, toNew);
         final Optional<TrackedServer> server =
                 gateway.placement()
-                        .choose(candidates, request.prompt(), s -> attempts.tried(s.entry().id()));
+                        .choose(
+                                candidates,
+                                request.prompt(),
+                                mayProbe(),
+                                s -> attempts.tried(s.entry().id()));
         if (server.isEmpty()) {
             giveUp();
             return;
@@ -285,6 +289,8 @@
                 route.name(),
                 "configuration",
                 configuration.version(),
+                "session",
+                request.session().orElse("-"),
                 "team",
                 dispatch.team().map(TeamId::value).orElse("-"),
                 "server",
@@ -306,6 +312,14 @@
         attempt.send(dispatch);
     }
 
+    /**
+     * A stream that has not begun loses little by one connection in vain; a plain request has an
+     * objective about as long as that.
+     */
+    private boolean mayProbe() {
+        return isStream() && route.repeatable() && !answer.started();
+    }
+
     private boolean hasOtherServer() {
         return gateway.beliefs().candidates(service, toNew).stream()
                 .filter(s -> !attempts.tried(s.entry().id()))
