--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
@@ -4,10 +4,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.function.DoubleSupplier;
 
 /** The gateway's counters and histograms, for Prometheus. Thread-safe. */
@@ -89,12 +86,6 @@
      * @return the text
      */
     public byte[] scrape() {
-        final ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try {
-            new PrometheusTextFormatWriter(true).write(out, registry.scrape());
-        } catch (final IOException e) {
-            throw new IllegalStateException("writing to memory does not fail", e);
-        }
-        return out.toByteArray();
+        return MetricsText.of(registry);
     }
 }
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -0,0 +1,124 @@
+package org.fennelstage.gateway;
+
+import java.util.OptionalInt;
+import org.fennelstage.attempt.AttemptEnd;
+import org.fennelstage.attempt.AttemptLog;
+import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.id.ModelId;
+import org.fennelstage.id.TeamId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+
+/**
+ * The log lines of one request: each decision with what decided it. Stateless but for the request's
+ * names; confined to the event loop.
+ */
+final class RequestLog {
+
+    private static final String NONE = "-";
+
+    private final CallerRequest request;
+    private final String route;
+    private final long configurationVersion;
+    private final AttemptLog attempts;
+
+    RequestLog(
+            final CallerRequest request,
+            final String route,
+            final long configurationVersion,
+            final AttemptLog attempts) {
+        this.request = request;
+        this.route = route;
+        this.configurationVersion = configurationVersion;
+        this.attempts = attempts;
+    }
+
+    void sent(final TrackedServer server, final int candidates, final Dispatch dispatch) {
+        EventLog.write(
+                Event.REQUEST_SENT,
+                "request",
+                request.id(),
+                "route",
+                route,
+                "configuration",
+                configurationVersion,
+                "session",
+                request.session().orElse(NONE),
+                "team",
+                dispatch.team().map(TeamId::value).orElse(NONE),
+                "server",
+                server.entry().id(),
+                "version",
+                server.entry().version(),
+                "entry_revision",
+                server.entry().revision(),
+                "tier",
+                server.health().tier(),
+                "running",
+                server.running(),
+                "candidates",
+                candidates,
+                "model",
+                dispatch.model().map(ModelId::value).orElse(NONE),
+                "remaining_ms",
+                dispatch.remaining().toMillis());
+    }
+
+    void attemptFailed(final AttemptEnd end, final String detail, final long elapsedMillis) {
+        EventLog.write(
+                Event.ATTEMPT_FAILED,
+                "request",
+                request.id(),
+                "end",
+                end,
+                "detail",
+                detail,
+                "sent",
+                attempts.sent(),
+                "may_have_run",
+                attempts.mayHaveRun(),
+                "elapsed_ms",
+                elapsedMillis);
+    }
+
+    void dropped(final String model, final OptionalInt confidence, final long elapsedMillis) {
+        EventLog.write(
+                Event.ANSWER_DROPPED,
+                "request",
+                request.id(),
+                "model",
+                model,
+                "confidence",
+                confidence.orElse(-1),
+                "elapsed_ms",
+                elapsedMillis);
+    }
+
+    void finished(
+            final String outcome,
+            final int status,
+            final String model,
+            final OptionalInt confidence,
+            final long elapsedMillis) {
+        EventLog.write(
+                Event.REQUEST_FINISHED,
+                "request",
+                request.id(),
+                "route",
+                route,
+                "outcome",
+                outcome,
+                "status",
+                status,
+                "attempts",
+                attempts.sent(),
+                "may_have_run",
+                attempts.mayHaveRun(),
+                "model",
+                model,
+                "confidence",
+                confidence.orElse(-1),
+                "elapsed_ms",
+                elapsedMillis);
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -15,9 +15,6 @@
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
-import org.fennelstage.id.TeamId;
-import org.fennelstage.log.Event;
-import org.fennelstage.log.EventLog;
 import org.fennelstage.placement.Prompt;
 import org.fennelstage.serving.Route;
 import org.fennelstage.serving.RouteKind;
@@ -41,10 +38,10 @@
     private final Gateway gateway;
     private final ServerExchange exchange;
     private final CallerRequest request;
-    private final ServingConfiguration configuration;
     private final Route route;
     private final Optional<TeamAccess> access;
     private final AttemptLog attempts;
+    private final RequestLog log;
     private final SizePlan sizes;
     private final long arrivedMillis;
     private final long deadlineMillis;
@@ -67,10 +64,10 @@
         this.gateway = gateway;
         this.exchange = exchange;
         this.request = request;
-        this.configuration = configuration;
         this.route = route;
         this.access = access;
         this.attempts = AttemptLog.of(route.repeatable(), route.maxServers());
+        this.log = new RequestLog(request, route.name(), configuration.version(), attempts);
         this.sizes = SizePlan.of(route);
         this.arrivedMillis = now();
         final Duration allowed =
@@ -142,20 +139,7 @@
     void onFailed(final AttemptEnd end, final String detail, final Runnable instead) {
         open = Optional.empty();
         attempts.end(end);
-        EventLog.write(
-                Event.ATTEMPT_FAILED,
-                "request",
-                request.id(),
-                "end",
-                end,
-                "detail",
-                detail,
-                "sent",
-                attempts.sent(),
-                "may_have_run",
-                attempts.mayHaveRun(),
-                "elapsed_ms",
-                elapsedMillis());
+        log.attemptFailed(end, detail, elapsedMillis());
         if (ended) {
             return;
         }
@@ -181,18 +165,8 @@
         if (stays) {
             return false;
         }
-        cancelOpen();
-        attempts.end(AttemptEnd.DROPPED);
-        EventLog.write(
-                Event.ANSWER_DROPPED,
-                "request",
-                request.id(),
-                "model",
-                sizes.model().map(ModelId::value).orElse("-"),
-                "confidence",
-                head.confidence().orElse(-1),
-                "elapsed_ms",
-                elapsedMillis());
+        abandonOpen(AttemptEnd.DROPPED);
+        log.dropped(modelName(), head.confidence(), elapsedMillis());
         sizes.escalate();
         attempt();
         return true;
@@ -213,22 +187,8 @@
         if (stays) {
             return false;
         }
-        cancelOpen();
-        attempts.end(AttemptEnd.UNKNOWN);
-        EventLog.write(
-                Event.ATTEMPT_FAILED,
-                "request",
-                request.id(),
-                "end",
-                AttemptEnd.UNKNOWN,
-                "detail",
-                detail,
-                "sent",
-                attempts.sent(),
-                "may_have_run",
-                true,
-                "elapsed_ms",
-                elapsedMillis());
+        abandonOpen(AttemptEnd.UNKNOWN);
+        log.attemptFailed(AttemptEnd.UNKNOWN, detail, elapsedMillis());
         attempt();
         return true;
     }
@@ -281,32 +241,7 @@
                         access.map(TeamAccess::team),
                         sizes.model(),
                         answer.lastEventId().or(request::lastEventId));
-        EventLog.write(
-                Event.REQUEST_SENT,
-                "request",
-                request.id(),
-                "route",
-                route.name(),
-                "configuration",
-                configuration.version(),
-                "session",
-                request.session().orElse("-"),
-                "team",
-                dispatch.team().map(TeamId::value).orElse("-"),
-                "server",
-                server.entry().id(),
-                "version",
-                server.entry().version(),
-                "tier",
-                server.health().tier(),
-                "running",
-                server.running(),
-                "candidates",
-                candidates,
-                "model",
-                dispatch.model().map(ModelId::value).orElse("-"),
-                "remaining_ms",
-                dispatch.remaining().toMillis());
+        log.sent(server, candidates, dispatch);
         final Attempt attempt = new Attempt(this, server, pace(), workTokens());
         open = Optional.of(attempt);
         attempt.send(dispatch);
@@ -364,6 +299,15 @@
         finish("caller_gone", 0);
     }
 
+    private void abandonOpen(final AttemptEnd end) {
+        cancelOpen();
+        attempts.end(end);
+    }
+
+    private String modelName() {
+        return sizes.model().map(ModelId::value).orElse("-");
+    }
+
     private void cancelOpen() {
         open.ifPresent(Attempt::cancel);
         open = Optional.empty();
@@ -387,26 +331,7 @@
         timer.ifPresent(t -> t.cancel(false));
         gateway.onEnd();
         gateway.metrics().end(route.name(), outcome, elapsedMillis());
-        EventLog.write(
-                Event.REQUEST_FINISHED,
-                "request",
-                request.id(),
-                "route",
-                route.name(),
-                "outcome",
-                outcome,
-                "status",
-                status,
-                "attempts",
-                attempts.sent(),
-                "may_have_run",
-                attempts.mayHaveRun(),
-                "model",
-                sizes.model().map(ModelId::value).orElse("-"),
-                "confidence",
-                confidence.orElse(-1),
-                "elapsed_ms",
-                elapsedMillis());
+        log.finished(outcome, status, modelName(), confidence, elapsedMillis());
     }
 
     boolean isStream() {
--- a/fennelstage-router/src/main/java/org/fennelstage/route/RouterMetrics.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/RouterMetrics.java
@@ -4,11 +4,9 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.function.DoubleSupplier;
+import org.fennelstage.gateway.MetricsText;
 import org.fennelstage.id.ProfileId;
 import org.fennelstage.id.TeamId;
 import org.fennelstage.id.VersionId;
@@ -112,12 +110,6 @@
      * @return the text
      */
     public byte[] scrape() {
-        final ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try {
-            new PrometheusTextFormatWriter(true).write(out, registry.scrape());
-        } catch (final IOException e) {
-            throw new IllegalStateException("writing to memory does not fail", e);
-        }
-        return out.toByteArray();
+        return MetricsText.of(registry);
     }
 }
