--- a/platform/src/main/java/org/fennelstage/platform/SettingsException.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/SettingsException.java
@@ -1,4 +1,4 @@
-package org.fennelstage.platform;
+package org.fennelstage.vm;
 
 import java.util.List;
 
@@ -9,7 +9,12 @@
 
     private final List<String> mistakes;
 
-    SettingsException(final List<String> mistakes) {
+    /**
+     * Creates the exception.
+     *
+     * @param mistakes every mistake found, one line each
+     */
+    public SettingsException(final List<String> mistakes) {
         super(String.join("; ", mistakes));
         this.mistakes = List.copyOf(mistakes);
     }
--- a/fennelstage-router/src/main/java/org/fennelstage/main/SettingsWatch.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/SettingsWatch.java
@@ -1,4 +1,4 @@
-package org.fennelstage.main;
+package org.fennelstage.vm;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/fennelstage-router/src/test/java/org/fennelstage/main/SettingsWatchTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/SettingsWatchTest.java
@@ -1,4 +1,4 @@
-package org.fennelstage.main;
+package org.fennelstage.vm;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
@@ -11,9 +11,9 @@
 import org.fennelstage.ini.IniException;
 import org.fennelstage.log.LogSetup;
 import org.fennelstage.platform.PlatformSettings;
-import org.fennelstage.platform.SettingsException;
 import org.fennelstage.settings.Settings;
 import org.fennelstage.settings.SettingsFile;
+import org.fennelstage.vm.SettingsException;
 
 /**
  * The {@code fennelstage} program: {@code trial}, {@code run} and {@code check}. Exit codes: 0
