Judge a new version by two workers; divide the fleet's slack of repeats by the VMs that exist

Causes (found by working out a fleet of 87 VMs): each VM sees about two answers of a new version before the fleet has had fifty bad ones, so three failures in a row come too late; one broken worker must not condemn its version then. A sixteenth of the slack for each of 87 VMs is five times the slack.

--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/RepeatBudget.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/RepeatBudget.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
+import java.util.function.DoubleSupplier;
 import org.fennelstage.time.MonotonicClock;
 
 /**
@@ -24,7 +25,7 @@
     private final MonotonicClock clock;
     private final long windowMillis;
     private final double ratio;
-    private final double slack;
+    private final DoubleSupplier slack;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
 
@@ -32,7 +33,7 @@
             final MonotonicClock clock,
             final long windowMillis,
             final double ratio,
-            final double slack) {
+            final DoubleSupplier slack) {
         this.clock = clock;
         this.windowMillis = windowMillis;
         this.ratio = ratio;
@@ -45,14 +46,14 @@
      * @param clock the clock
      * @param window the window
      * @param ratio repeats per request that the fleet may make
-     * @param slack repeats beyond that which this VM may make
+     * @param slack gives the repeats beyond that which this VM may make now
      * @return the budget
      */
     public static RepeatBudget of(
             final MonotonicClock clock,
             final Duration window,
             final double ratio,
-            final double slack) {
+            final DoubleSupplier slack) {
         Objects.requireNonNull(clock, "clock is null");
         return new RepeatBudget(clock, window.toMillis(), ratio * USED_SHARE, slack);
     }
@@ -70,7 +71,7 @@
      */
     public boolean tryRepeat() {
         forget();
-        if (repeats.size() + 1 > ratio * requests.size() + slack) {
+        if (repeats.size() + 1 > ratio * requests.size() + slack.getAsDouble()) {
             return false;
         }
         repeats.addLast(clock.millis());
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.fennelstage.id.BackendServerId;
 import org.fennelstage.member.Rendezvous;
 import org.fennelstage.time.MonotonicClock;
 
@@ -150,13 +151,18 @@
     /**
      * Notes a worker's answer.
      *
+     * @param server the worker
      * @param version the worker's version
      * @param failed whether the worker said that it failed
      * @param paceMillis the time per event, or for the whole answer; not positive if not known
      */
-    public void onAnswer(final String version, final boolean failed, final double paceMillis) {
+    public void onAnswer(
+            final BackendServerId server,
+            final String version,
+            final boolean failed,
+            final double paceMillis) {
         if (isTarget(version)) {
-            evidence.onNew(failed, paceMillis);
+            evidence.onNew(server, failed, paceMillis);
             if (running() && evidence.bad()) {
                 bad.add(version);
             }
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
@@ -1,5 +1,9 @@
 package org.fennelstage.canary;
 
+import java.util.HashSet;
+import java.util.Set;
+import org.fennelstage.id.BackendServerId;
+
 /**
  * Weighs a new version's answers against the old one's.
  *
@@ -11,11 +15,18 @@
  */
 public final class CanaryEvidence {
 
-    /** Sum from which the version is bad: odds of about 400 to 1, three failures in a row. */
+    /**
+     * Sum from which the version is bad: odds of about 400 to 1, two failures in a row where the
+     * old version hardly fails. In a large fleet a VM sees few answers of the new version before
+     * the whole fleet has had too many bad ones, so two must do.
+     */
     private static final double BAD_SUM = 6;
 
+    /** Workers that must have failed: one alone may be broken and its version good. */
+    private static final int WORKERS_NEEDED = 2;
+
     /** Smallest failure share assumed of a good version. */
-    private static final double LEAST_USUAL_SHARE = 0.03;
+    private static final double LEAST_USUAL_SHARE = 0.015;
 
     /** What a bad version fails beyond the usual; the least that matters to callers. */
     private static final double BAD_EXCESS = 0.3;
@@ -35,6 +46,7 @@
     private double sum;
     private int newAnswers;
     private int newBad;
+    private final Set<BackendServerId> badWorkers = new HashSet<>();
 
     /**
      * Notes an answer of the old version.
@@ -54,10 +66,11 @@
     /**
      * Notes an answer of the new version.
      *
+     * @param server the worker
      * @param failed whether its worker said that it failed
      * @param paceMillis as for the old version
      */
-    public void onNew(final boolean failed, final double paceMillis) {
+    public void onNew(final BackendServerId server, final boolean failed, final double paceMillis) {
         final boolean slow = oldPaces >= PACES_NEEDED && paceMillis > SLOW_FACTOR * oldPaceMillis;
         final boolean isBad = failed || slow;
         final double usual = Math.max(LEAST_USUAL_SHARE, 1.5 * oldFailures);
@@ -65,7 +78,10 @@
         final double ratio = isBad ? bad / usual : (1 - bad) / (1 - usual);
         sum = Math.max(0, sum + Math.log(ratio));
         newAnswers++;
-        newBad += isBad ? 1 : 0;
+        if (isBad) {
+            newBad++;
+            badWorkers.add(server);
+        }
     }
 
     /**
@@ -74,7 +90,7 @@
      * @return true once; it stays true until a good run outweighs it
      */
     public boolean bad() {
-        return sum >= BAD_SUM;
+        return sum >= BAD_SUM && badWorkers.size() >= WORKERS_NEEDED;
     }
 
     @Override
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -196,7 +196,7 @@
     private void onSigned(final AnswerHead answer) {
         final boolean failed = answer.isServerFailure();
         noteHealth(failed);
-        run.canary().onAnswer(server.entry().version(), failed, paceMillis());
+        run.canary().onAnswer(server.entry().id(), server.entry().version(), failed, paceMillis());
         if (failed) {
             final byte[] content = body.toByteArray();
             fail(AttemptEnd.FAILED, "failed with " + answer.status(), () -> deliver(content));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -26,11 +26,10 @@
 public final class Beliefs {
 
     /**
-     * VMs among which the fleet's slack of repeats is divided. A VM does not know how many others
-     * send repeats at the same moment; a fixed part wastes some slack in a small fleet and
-     * over-spends none in one of up to this size.
+     * VMs among which the fleet's slack of repeats is divided at least. A VM that just started does
+     * not know yet how many others there are; in a small fleet a fixed part wastes some slack.
      */
-    private static final int SLACK_PARTS = 16;
+    private static final int LEAST_SLACK_PARTS = 16;
 
     private final MonotonicClock clock;
     private GatewaySettings settings;
@@ -40,6 +39,7 @@
     private final Map<String, UsualFailures> usualFailures = new HashMap<>();
     private final Map<String, Pace> paces = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
+    private int vmCount;
     private long ordersKnownTo = -1;
     private Runnable ordersWanted = () -> {};
 
@@ -120,6 +120,19 @@
         return paces.computeIfAbsent(key, k -> new Pace());
     }
 
+    private double ownSlack() {
+        return settings.repeatSlack() / Math.max(LEAST_SLACK_PARTS, vmCount);
+    }
+
+    /**
+     * Notes how many VMs have entered themselves into the store, gone ones included.
+     *
+     * @param count the count
+     */
+    public void onVmCount(final int count) {
+        vmCount = count;
+    }
+
     /** Returns the share of a route's requests that fail wherever they run. */
     UsualFailures usualFailures(final String route) {
         return usualFailures.computeIfAbsent(route, r -> new UsualFailures());
@@ -133,7 +146,7 @@
                                 clock,
                                 settings.repeatWindow(),
                                 settings.repeatRatio(),
-                                settings.repeatSlack() / SLACK_PARTS));
+                                this::ownSlack));
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -98,7 +98,8 @@
         final Peers peers =
                 new Peers(
                         ownEntry(settings),
-                        address -> storeAt.apply(storeClient, socketAddress(address)));
+                        address -> storeAt.apply(storeClient, socketAddress(address)),
+                        beliefs::onVmCount);
         final FallbackStore store =
                 new FallbackStore(
                         storeAt.apply(storeClient, settings.store()), peers::relays, clock);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.id.VmId;
 import org.fennelstage.log.Event;
@@ -30,9 +31,14 @@
     private final Function<ServerAddress, Store> relayOf;
     private final Map<VmId, VmEntry> entries = new LinkedHashMap<>();
     private List<Store> relays = List.of();
+    private final IntConsumer onCount;
     private Runnable enter = () -> {};
 
-    Peers(final VmEntry own, final Function<ServerAddress, Store> relayOf) {
+    Peers(
+            final VmEntry own,
+            final Function<ServerAddress, Store> relayOf,
+            final IntConsumer onCount) {
+        this.onCount = Objects.requireNonNull(onCount, "onCount is null");
         this.own = Objects.requireNonNull(own, "own is null");
         this.relayOf = Objects.requireNonNull(relayOf, "relayOf is null");
     }
@@ -66,6 +72,7 @@
     }
 
     private void rank() {
+        onCount.accept(entries.size());
         final List<VmEntry> others = new ArrayList<>(entries.values());
         others.removeIf(e -> e.vm().equals(own.vm()));
         final Comparator<VmEntry> nearFirst =
