Pause after changes of workers; read the list of VMs instead of watching it

Cause (worked out for 87 VMs): each VM or worker that enters ended a watch of every VM, 7,500 calls at the start for the VMs alone. Tests: the followers' and the path's.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
@@ -101,6 +101,12 @@
         call((s, a) -> s.list(kind, after, a), answer);
     }
 
+    @Override
+    public <T> void listStale(
+            final StoreKind<T> kind, final Consumer<StoreAnswer<Page<T>>> answer) {
+        call((s, a) -> s.listStale(kind, a), answer);
+    }
+
     @Override
     public <T> void watch(
             final StoreKind<T> kind,
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -1,7 +1,6 @@
 package org.fennelstage.store;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -66,7 +65,7 @@
     private final Store store;
     private final StoreKind<T> kind;
     private final Listener<T> listener;
-    private final Duration wait;
+    private final WatchPace pace;
     private final RandomGenerator random;
     private final List<StoredValue<T>> listed = new ArrayList<>();
     private long revision = -1;
@@ -80,8 +79,7 @@
      * @param loop runs it
      * @param store the store
      * @param kind the kind to follow
-     * @param wait the wait of one watch; each watch is a call that is paid for, and a store that
-     *     keeps silent is noticed only after it
+     * @param pace how often to call; each call is paid for
      * @param random the source of jitter
      * @param listener hears of the objects
      */
@@ -89,13 +87,13 @@
             final EventLoop loop,
             final Store store,
             final StoreKind<T> kind,
-            final Duration wait,
+            final WatchPace pace,
             final RandomGenerator random,
             final Listener<T> listener) {
         this.loop = Objects.requireNonNull(loop, "loop is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.kind = Objects.requireNonNull(kind, "kind is null");
-        this.wait = Objects.requireNonNull(wait, "wait is null");
+        this.pace = Objects.requireNonNull(pace, "pace is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
     }
@@ -173,7 +171,7 @@
 
     private void watch() {
         if (!stopped) {
-            store.watch(kind, revision, wait, this::onWatched);
+            store.watch(kind, revision, pace.watchTime(), this::onWatched);
         }
     }
 
@@ -198,7 +196,11 @@
         revision = page.revision();
         understood(page.values()).forEach(listener::onChange);
         listener.onRevision(revision);
-        watch();
+        if (page.values().isEmpty()) {
+            watch();
+        } else {
+            loop.schedule(this::watch, pace.pause().toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
     private List<StoredValue<T>> understood(final List<StoredValue<T>> values) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Store.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Store.java
@@ -25,6 +25,15 @@
      */
     <T> void list(StoreKind<T> kind, Optional<String> after, Consumer<StoreAnswer<Page<T>>> answer);
 
+    /**
+     * Lists the objects of a kind as they were some seconds ago, at a fraction of the price.
+     *
+     * @param <T> what an object decodes to
+     * @param kind the kind
+     * @param answer takes the first part of the list
+     */
+    <T> void listStale(StoreKind<T> kind, Consumer<StoreAnswer<Page<T>>> answer);
+
     /**
      * Waits for changes of a kind.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Objects;
@@ -34,6 +33,7 @@
 import org.fennelstage.store.Store;
 import org.fennelstage.store.StoreKind;
 import org.fennelstage.store.VmEntry;
+import org.fennelstage.store.WatchPace;
 import org.fennelstage.time.MonotonicClock;
 
 /**
@@ -48,13 +48,16 @@
     private static final long DUTY_MILLIS = 100;
 
     /**
-     * Wait of the watch on the configuration. It is the one that notices a store that keeps silent,
+     * Pace of the watch on the configuration. It is the one that notices a store that keeps silent,
      * and keys that were taken away must be refused a few seconds later.
      */
-    private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_500);
+    private static final WatchPace CONFIGURATION_PACE = WatchPace.ofMillis(2_500, 100);
 
-    /** Wait of the other watches; changes end them at once, so a long wait only saves calls. */
-    private static final Duration WAIT = Duration.ofSeconds(10);
+    /** Pace of the watch on workers: those that leave may get requests for two seconds or more. */
+    private static final WatchPace SERVER_PACE = WatchPace.ofMillis(10_000, 250);
+
+    /** Pace of the watch on roll-outs: a halt must be known at once, and is rare. */
+    private static final WatchPace ROLLOUT_PACE = WatchPace.ofMillis(10_000, 0);
 
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -103,7 +106,6 @@
         final FallbackStore store =
                 new FallbackStore(
                         storeAt.apply(storeClient, settings.store()), peers::relays, clock);
-        peers.enterInto(store);
         this.serverFeed = new ServerFeed(beliefs, this::onServersListed);
         this.rolloutFeed =
                 new RolloutFeed(beliefs, store, InstantSource.system(), this::onRolloutsListed);
@@ -112,16 +114,16 @@
                         loop,
                         store,
                         StoreKind.CONFIGURATION,
-                        CONFIGURATION_WAIT,
+                        CONFIGURATION_PACE,
                         random,
                         configurationFeed)
                 .start();
         final Follower<RolloutOrder> rollouts =
-                new Follower<>(loop, store, StoreKind.ROLLOUTS, WAIT, random, rolloutFeed);
+                new Follower<>(loop, store, StoreKind.ROLLOUTS, ROLLOUT_PACE, random, rolloutFeed);
         beliefs.onOrdersWanted(rollouts::refresh);
         rollouts.start();
-        new Follower<>(loop, store, StoreKind.SERVERS, WAIT, random, serverFeed).start();
-        new Follower<>(loop, store, StoreKind.VMS, WAIT, random, peers).start();
+        new Follower<>(loop, store, StoreKind.SERVERS, SERVER_PACE, random, serverFeed).start();
+        peers.start(loop, store);
         loop.scheduleWithFixedDelay(
                 this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
         HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, this::answerReadiness);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -1,11 +1,13 @@
 package org.fennelstage.vm;
 
+import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.IntConsumer;
 import org.fennelstage.fleet.ServerAddress;
@@ -13,9 +15,10 @@
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.member.Rendezvous;
-import org.fennelstage.store.Follower;
+import org.fennelstage.store.Page;
 import org.fennelstage.store.Store;
 import org.fennelstage.store.StoreAnswer;
+import org.fennelstage.store.StoreKind;
 import org.fennelstage.store.StoredValue;
 import org.fennelstage.store.VmEntry;
 
@@ -25,14 +28,23 @@
  * <p>Entries of VMs that are gone stay; a relay that does not answer is passed over. Confined to
  * the event loop.
  */
-final class Peers implements Follower.Listener<VmEntry> {
+final class Peers {
+
+    /**
+     * How often the list is read; milliseconds. It matters only to a VM that the store turns away;
+     * a watch would wake every VM for each VM that enters, 64 times 64 calls at the start of a
+     * fleet of that size.
+     */
+    private static final long PERIOD_MILLIS = 15_000;
+
+    /** When the list is read for the second time: all VMs of a fleet that starts are in it then. */
+    private static final long SECOND_MILLIS = 3_000;
 
     private final VmEntry own;
     private final Function<ServerAddress, Store> relayOf;
     private final Map<VmId, VmEntry> entries = new LinkedHashMap<>();
     private List<Store> relays = List.of();
     private final IntConsumer onCount;
-    private Runnable enter = () -> {};
 
     Peers(
             final VmEntry own,
@@ -43,9 +55,23 @@
         this.relayOf = Objects.requireNonNull(relayOf, "relayOf is null");
     }
 
-    /** Sets the store into which the own entry goes when the list lacks it. */
-    void enterInto(final Store store) {
-        enter = () -> store.writeVm(own, Peers::onEntered);
+    /** Begins to read the list, and to enter this VM when the list lacks it. */
+    void start(final EventLoop loop, final Store store) {
+        read(loop, store, SECOND_MILLIS);
+    }
+
+    private void read(final EventLoop loop, final Store store, final long againMillis) {
+        store.listStale(StoreKind.VMS, answer -> onList(store, answer));
+        loop.schedule(() -> read(loop, store, PERIOD_MILLIS), againMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void onList(final Store store, final StoreAnswer<Page<VmEntry>> answer) {
+        if (answer instanceof StoreAnswer.Done<Page<VmEntry>> done) {
+            take(done.value().values());
+            if (!own.equals(entries.get(own.vm()))) {
+                store.writeVm(own, Peers::onEntered);
+            }
+        }
     }
 
     /** Returns the store as the others reach it: those of the own data centre first. */
@@ -53,22 +79,10 @@
         return relays;
     }
 
-    @Override
-    public void onAll(final List<StoredValue<VmEntry>> values) {
+    private void take(final List<StoredValue<VmEntry>> values) {
         entries.clear();
         values.forEach(v -> v.value().ifPresent(e -> entries.put(e.vm(), e)));
         rank();
-        if (!own.equals(entries.get(own.vm()))) {
-            enter.run();
-        }
-    }
-
-    @Override
-    public void onChange(final StoredValue<VmEntry> change) {
-        change.value()
-                .ifPresentOrElse(
-                        e -> entries.put(e.vm(), e), () -> entries.remove(VmId.of(change.name())));
-        rank();
     }
 
     private void rank() {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FallbackStoreTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FallbackStoreTest.java
@@ -27,6 +27,12 @@
             keep(answer);
         }
 
+        @Override
+        public <T> void listStale(
+                final StoreKind<T> kind, final Consumer<StoreAnswer<Page<T>>> answer) {
+            keep(answer);
+        }
+
         @Override
         public <T> void watch(
                 final StoreKind<T> kind,
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -38,6 +38,12 @@
             calls.add(new Waiting("list " + after.orElse("-"), (Consumer) answer));
         }
 
+        @Override
+        public <T> void listStale(
+                final StoreKind<T> kind, final Consumer<StoreAnswer<Page<T>>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         @SuppressWarnings({"unchecked", "rawtypes"})
         public <T> void watch(
@@ -71,7 +77,7 @@
                     loop,
                     new ManualStore(),
                     StoreKind.VMS,
-                    Duration.ofSeconds(1),
+                    WatchPace.ofMillis(1_000, 1),
                     new Random(1),
                     this);
 
