Start the followers on the event loop

Cause (found on reading): they were started from the main thread, while the loop already took the first answers; the store's client, the calls that wait and the beliefs are confined to the loop. It shows as a lost or doubled first call at worst; none was seen.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.gateway.Beliefs;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
@@ -109,34 +110,49 @@
         this.serverFeed = new ServerFeed(beliefs, this::onServersListed);
         this.rolloutFeed =
                 new RolloutFeed(beliefs, store, InstantSource.system(), this::onRolloutsListed);
-        final ConfigurationFeed configurationFeed = new ConfigurationFeed(beliefs);
-        new Follower<>(
+        this.callers =
+                HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
+        startSideServers(storeClient, store, workers);
+        // On the loop, like everything that touches the store's client and the beliefs: started
+        // from
+        // this thread, the first answers would race with the calls that are still being made.
+        loop.execute(() -> follow(store, peers, random));
+    }
+
+    private void startSideServers(
+            final HttpClient storeClient, final FallbackStore store, final HttpClient workers)
+            throws IOException {
+        HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, this::answerReadiness);
+        HttpServer.start(
+                group,
+                settings.peers(),
+                ServerLimits.DEFAULT,
+                new StoreRelay(storeClient, settings.store(), store::reachesStore));
+        if (settings.metrics().isPresent()) {
+            startMetrics(settings.metrics().get(), workers);
+        }
+    }
+
+    private void follow(final Store store, final Peers peers, final RandomGenerator random) {
+        final Follower<ServingConfiguration> configurations =
+                new Follower<>(
                         loop,
                         store,
                         StoreKind.CONFIGURATION,
                         CONFIGURATION_PACE,
                         random,
-                        configurationFeed)
-                .start();
+                        new ConfigurationFeed(beliefs));
         final Follower<RolloutOrder> rollouts =
                 new Follower<>(loop, store, StoreKind.ROLLOUTS, ROLLOUT_PACE, random, rolloutFeed);
+        final Follower<ServerEntry> servers =
+                new Follower<>(loop, store, StoreKind.SERVERS, SERVER_PACE, random, serverFeed);
         beliefs.onOrdersWanted(rollouts::refresh);
+        configurations.start();
         rollouts.start();
-        new Follower<>(loop, store, StoreKind.SERVERS, SERVER_PACE, random, serverFeed).start();
+        servers.start();
         peers.start(loop, store);
         loop.scheduleWithFixedDelay(
                 this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
-        HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, this::answerReadiness);
-        HttpServer.start(
-                group,
-                settings.peers(),
-                ServerLimits.DEFAULT,
-                new StoreRelay(storeClient, settings.store(), store::reachesStore));
-        if (settings.metrics().isPresent()) {
-            startMetrics(settings.metrics().get(), workers);
-        }
-        this.callers =
-                HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
     }
 
     /**
