Guards for attempts, lapsed entries, followers and foreign answers; say which check has none

The check for surplus bytes has no test that fails without it: a second answer is dropped by its id as well.

--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -13,6 +13,8 @@
 CORE = "fennelstage-core/src/main/java/org/fennelstage/"
 OBJECTS = "fennelstage-objects/src/main/java/org/fennelstage/"
 PEER = "fennelstage-peer/src/main/java/org/fennelstage/"
+HTTP = "fennelstage-http/src/main/java/org/fennelstage/"
+GATEWAY = "fennelstage-gateway/src/main/java/org/fennelstage/"
 ROUTER = "fennelstage-router/src/main/java/org/fennelstage/"
 
 # name, file, text of the guard, text without it, test that must fail
@@ -77,6 +79,21 @@
     ("halt-spreads-by-peers", ROUTER + "control/Rollouts.java",
      "group.publishHalts();", "if (group == null) {\n return;\n}",
      "FleetRolloutTest"),
+    ("no-second-send-after-a-lost-answer", CORE + "attempt/AttemptLog.java",
+     "final boolean safe = repeatable || !mayHaveRun;", "final boolean safe = repeatable || !open;",
+     "AttemptLogTest"),
+    ("open-attempt-may-have-run", CORE + "attempt/AttemptLog.java",
+     "return mayHaveRun || open;", "return mayHaveRun;",
+     "AttemptLogTest"),
+    ("lapsed-entries-have-a-grace", CORE + "fleet/ServerTable.java",
+     "if (storeAway || clock.millis() < graceUntilMillis) {", "if (storeAway) {",
+     "ServerTableTest"),
+    ("list-anew-after-a-failure", GATEWAY + "store/Follower.java",
+     "() -> list(Optional.empty()), 1 +", "this::watch, 1 +",
+     "FollowerTest"),
+    ("foreign-answers-are-dropped", HTTP + "http/ResponseHandler.java",
+     "dropping = informational || !options.answersThis().test(response.headers());", "dropping = informational && options != null;",
+     "PathTest"),
 ]
 
 
@@ -90,7 +107,7 @@
             return "guard not found in " + path
         source.write_text(text.replace(guard, without, 1))
         done = subprocess.run(
-            ["mvn", "-q", "-B", "-o", "test", "-Dspotless.check.skip", "-pl", "fennelstage-core,fennelstage-http,fennelstage-objects,fennelstage-peer,fennelstage-standin,fennelstage-router",
+            ["mvn", "-q", "-B", "-o", "test", "-Dspotless.check.skip", "-pl", "fennelstage-core,fennelstage-http,fennelstage-log,fennelstage-gateway,platform,fennelstage-objects,fennelstage-peer,fennelstage-standin,fennelstage-router",
              "-Dtest=" + test, "-Dsurefire.failIfNoSpecifiedTests=false"],
             cwd=copy, capture_output=True, text=True)
         output = done.stdout + done.stderr
