Remove what nothing calls; say once when a worker is doubtful

Found on the last reading: CanaryPlan.firstHalf and Follower.inTouch had no caller; the same condition stood twice in ServerHealth and once more in Reachability.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
@@ -47,16 +47,6 @@
         return elapsed.toMillis() >= moveAtMillis();
     }
 
-    /**
-     * Tells whether sessions may still not move to the new version.
-     *
-     * @param elapsed the time since the order
-     * @return true in the first half
-     */
-    public boolean firstHalf(final Duration elapsed) {
-        return elapsed.toMillis() * 2 < duration.toMillis();
-    }
-
     /**
      * Tells whether the completion is to be written.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
@@ -44,7 +44,7 @@
      * @return true while it seems cut off
      */
     public boolean cut() {
-        return failures >= FAILURES && clock.millis() < pausedUntilMillis;
+        return doubtful() && clock.millis() < pausedUntilMillis;
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -80,8 +80,7 @@
         if (paused || dataCentre.cut()) {
             return Tier.UNREACHABLE;
         }
-        final boolean doubtful = unreachable > 0 || dataCentre.doubtful();
-        return doubtful || excessNow() >= SUSPECT_SHARE ? Tier.SUSPECT : Tier.SOUND;
+        return doubtful() || excessNow() >= SUSPECT_SHARE ? Tier.SUSPECT : Tier.SOUND;
     }
 
     /**
@@ -91,8 +90,7 @@
      * @return true after each pause, until it answers
      */
     public boolean probeDue() {
-        final boolean doubtful = unreachable > 0 || dataCentre.doubtful();
-        return doubtful && tier() != Tier.UNREACHABLE;
+        return doubtful() && tier() != Tier.UNREACHABLE;
     }
 
     /** Notes that a request tries the worker again: no other does so within the next pause. */
@@ -139,6 +137,11 @@
         return clock.millis() - lastSignMillis;
     }
 
+    /** It, or its data centre, could not be reached, and no byte has come since. */
+    private boolean doubtful() {
+        return unreachable > 0 || dataCentre.doubtful();
+    }
+
     private double excessNow() {
         final double age = clock.millis() - excessAtMillis;
         return excess * Math.pow(0.5, age / HALF_LIFE_MILLIS);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -75,7 +75,7 @@
                         .filter(d -> d.compareTo(route.timeout()) < 0)
                         .orElse(route.timeout());
         this.deadlineMillis = arrivedMillis + allowed.toMillis();
-        this.answer = new CallerAnswer(exchange, () -> onFirstByte());
+        this.answer = new CallerAnswer(exchange, this::onFirstByte);
     }
 
     void start() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -130,15 +130,6 @@
         stopped = true;
     }
 
-    /**
-     * Tells whether the store answered the last call.
-     *
-     * @return false while it cannot be reached
-     */
-    public boolean inTouch() {
-        return failures == 0 && revision >= 0;
-    }
-
     private void list(final Optional<String> after) {
         if (stopped) {
             return;
