Send requests that must not be repeated on connections of their own

A reset of a kept connection was also held against the worker.

Change: a connection of its own for each request that must not be repeated, which leaves kept ones alone; a failure on a kept connection without a byte of an answer says nothing of the worker. HttpClientTest covers both; it was written with the change and not run against the old code.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -33,11 +33,11 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(200);
 
     /**
-     * How long a connection may have been idle to carry a request that must not be repeated. A
-     * server that closes an idle connection while such a request is on its way leaves it unknown
-     * whether it ran; a connection that was in use a moment ago is rarely being closed.
+     * A request that must not be repeated goes out on a connection of its own. Servers drop
+     * connections that rest, some after 300 ms and without a word; a request that is sent on one is
+     * lost, and nobody can tell whether it ran. A new connection costs a millisecond.
      */
-    private static final Duration MAX_IDLE_AT_MOST_ONCE = Duration.ofSeconds(1);
+    private static final Duration MAX_IDLE_AT_MOST_ONCE = Duration.ZERO;
 
     /** The run's own deadline ends an attempt; this only frees a connection that it missed. */
     private static final Duration BEYOND_DEADLINE = Duration.ofMillis(500);
@@ -143,7 +143,9 @@
             server.health().onUnreachable();
             fail(AttemptEnd.NOT_SENT, failure.detail());
         } else {
-            noteHealth(true);
+            if (!failure.keptConnection()) {
+                noteHealth(true);
+            }
             fail(AttemptEnd.UNKNOWN, failure.phase() + ": " + failure.detail());
         }
     }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/CallFailure.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/CallFailure.java
@@ -6,9 +6,11 @@
  * Why a call has no whole response. Immutable and thread-safe.
  *
  * @param phase how far the request got
+ * @param keptConnection whether the request went out on a connection that had rested and brought no
+ *     byte: the server may have dropped the connection before, which says nothing of its health
  * @param detail text for a person
  */
-public record CallFailure(Phase phase, String detail) {
+public record CallFailure(Phase phase, boolean keptConnection, String detail) {
 
     /** How far the request got. */
     public enum Phase {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -95,10 +95,13 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
         final Call call = new Call();
-        idle.take(address, options.maxIdle())
-                .ifPresentOrElse(
-                        pooled -> write(pooled, address, request, options, call, listener),
-                        () -> connect(address, request, options, call, listener));
+        final Optional<Channel> kept =
+                options.maxIdle().isZero()
+                        ? Optional.empty()
+                        : idle.take(address, options.maxIdle());
+        kept.ifPresentOrElse(
+                pooled -> write(pooled, address, request, options, call, listener),
+                () -> connect(address, request, options, call, listener));
         return call;
     }
 
@@ -145,6 +148,7 @@
                         listener.onFailure(
                                 new CallFailure(
                                         CallFailure.Phase.NOT_SENT,
+                                        false,
                                         "cannot connect to " + address));
                     }
                 });
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
@@ -34,6 +34,8 @@
     private long lastReadNanos;
     private boolean requestWritten;
     private boolean headSeen;
+    private boolean used;
+    private boolean kept;
     private boolean dropping;
     private boolean reusable;
     private boolean returning;
@@ -50,6 +52,8 @@
         giveBack = newGiveBack;
         requestWritten = false;
         headSeen = false;
+        kept = used;
+        used = true;
         dropping = false;
         reusable = true;
         returning = false;
@@ -209,7 +213,7 @@
         if (!failedCall.isCancelled()) {
             final CallFailure.Phase phase =
                     headSeen ? CallFailure.Phase.RESPONDING : CallFailure.Phase.MAYBE_SENT;
-            failed.onFailure(new CallFailure(phase, detail));
+            failed.onFailure(new CallFailure(phase, kept && !headSeen, detail));
         }
     }
 }
--- /dev/null
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
@@ -0,0 +1,138 @@
+package org.fennelstage.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpClientTest {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final HttpClient client = new HttpClient(group.next());
+    private final List<Socket> accepted = new ArrayList<>();
+    private ServerSocket server;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        for (final Socket socket : accepted) {
+            socket.close();
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    /** Asks and returns what came: a {@code Responses.Whole} or a {@code CallFailure}. */
+    private CompletableFuture<Object> ask(final boolean freshConnection) {
+        final CompletableFuture<Object> end = new CompletableFuture<>();
+        client.eventLoop()
+                .execute(
+                        () ->
+                                client.send(
+                                        new InetSocketAddress(
+                                                InetAddress.getLoopbackAddress(),
+                                                server.getLocalPort()),
+                                        new DefaultFullHttpRequest(
+                                                HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                                        CallOptions.of(PATIENCE, PATIENCE, freshConnection),
+                                        Responses.collecting(end::complete, end::complete)));
+        return end;
+    }
+
+    private Socket accept() throws IOException {
+        final Socket socket = server.accept();
+        accepted.add(socket);
+        return socket;
+    }
+
+    private static void readHead(final Socket socket) throws IOException {
+        final BufferedReader in =
+                new BufferedReader(
+                        new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        String line = in.readLine();
+        while (line != null && !line.isEmpty()) {
+            line = in.readLine();
+        }
+    }
+
+    private static void answer(final Socket socket) throws IOException {
+        readHead(socket);
+        socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private Socket answerOneOnANewConnection() throws Exception {
+        final CompletableFuture<Object> first = ask(false);
+        final Socket socket = accept();
+        answer(socket);
+        assertThat(first.get()).isInstanceOf(Responses.Whole.class);
+        return socket;
+    }
+
+    /**
+     * Symptom: a sound server is left out. Events: it drops a connection that rested, and the next
+     * request on it is reset. Cause: the reset was held against the server.
+     */
+    @Test
+    void aFailureOnAKeptConnectionIsToldFromOneOnANewConnection() throws Exception {
+        final Socket kept = answerOneOnANewConnection();
+        final CompletableFuture<Object> second = ask(false);
+        readHead(kept);
+        kept.close();
+        assertThat(second.get())
+                .isInstanceOfSatisfying(
+                        CallFailure.class, f -> assertThat(f.keptConnection()).isTrue());
+
+        final CompletableFuture<Object> third = ask(false);
+        final Socket opened = accept();
+        readHead(opened);
+        opened.close();
+        assertThat(third.get())
+                .isInstanceOfSatisfying(
+                        CallFailure.class, f -> assertThat(f.keptConnection()).isFalse());
+    }
+
+    /**
+     * Symptom: a payment's outcome is unknown though all servers are sound. Events: as above.
+     * Cause: a request that must not be repeated went out on a connection that had rested.
+     */
+    @Test
+    void aCallThatNeedsAConnectionOfItsOwnLeavesKeptOnesAlone() throws Exception {
+        final Socket kept = answerOneOnANewConnection();
+        final CompletableFuture<Object> own = ask(true);
+        final Socket second = accept();
+        answer(second);
+        assertThat(own.get()).isInstanceOf(Responses.Whole.class);
+
+        final List<CompletableFuture<Object>> next = List.of(ask(false), ask(false));
+        answer(kept);
+        answer(second);
+        assertThat(next.get(0).get()).isInstanceOf(Responses.Whole.class);
+        assertThat(next.get(1).get()).isInstanceOf(Responses.Whole.class);
+        assertThat(client.connectionsOpened()).isEqualTo(2);
+    }
+}
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -533,7 +533,7 @@
             } else {
                 ChatRun.this.onFailure(
                         new CallFailure(
-                                CallFailure.Phase.RESPONDING, "the answer ended too early"));
+                                CallFailure.Phase.RESPONDING, false, "the answer ended too early"));
             }
         }
 
