Let one VM of a data centre ask the store for all of them

Each change ends a watch of every VM.

Change: in data centres of four VMs or more all ask the VM first in an order on which they agree; it makes reads that are alike once (StoreRelay, RelayedCall). A watch of 0.7 s on the configuration shows within 1.5 s that this VM or its store keeps silent; then all watches fail, are listed anew, and the next VM or the store itself is asked (CoalescedStore). VMs take turns to write a phase of a roll-out that all of them find due (RolloutFeed).

--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
@@ -0,0 +1,187 @@
+package org.fennelstage.store;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * The store as one VM of the data centre reaches it for all of them, and the store itself while
+ * that VM fails.
+ *
+ * <p>Each call to the store is paid for, and each change ends a watch of every VM that watches by
+ * itself. All VMs of a data centre therefore ask the same VM, which makes calls that are alike only
+ * once. The answers are the store's own, so nothing has to be reconciled. A fleet of 16 VMs made
+ * 1,671 calls in a minute with every VM asking by itself.
+ *
+ * <p>A VM that stands still or is cut off answers nothing and breaks no connection; those that
+ * depend on it would miss what the store tells everybody else. The watch on the configuration is
+ * therefore kept short through another VM: when it is not answered in time, that VM is left out and
+ * all other calls that wait for it fail at once. Invariant: every call gets exactly one answer.
+ * Confined to one event loop.
+ */
+public final class CoalescedStore implements Store {
+
+    /**
+     * The longest wait of the watch on the configuration through another VM. Together with the time
+     * that an answer may take, a failure shows within 1.5 s; configurations and drains may take two
+     * seconds or more to reach every VM.
+     */
+    static final Duration LIVENESS_WATCH = Duration.ofMillis(700);
+
+    /** How long a VM that failed is not asked; milliseconds. Restarts and freezes take seconds. */
+    static final long PAUSE_MILLIS = 5_000;
+
+    /** How often in a row the pause doubles for a VM that never answers; it may be gone. */
+    private static final int MOST_DOUBLINGS = 4;
+
+    /** A watch that waits at another VM. */
+    private final class Watch<T> {
+        private final Store relay;
+        private final Consumer<StoreAnswer<Page<T>>> answer;
+
+        private Watch(final Store relay, final Consumer<StoreAnswer<Page<T>>> answer) {
+            this.relay = relay;
+            this.answer = answer;
+        }
+
+        private void onAnswer(final StoreAnswer<Page<T>> result) {
+            if (!watches.remove(this)) {
+                return;
+            }
+            if (result instanceof StoreAnswer.Unavailable<Page<T>> unavailable) {
+                onFailed(relay, unavailable.detail());
+            } else {
+                failures.remove(relay);
+            }
+            answer.accept(result);
+        }
+
+        private void fail() {
+            answer.accept(new StoreAnswer.Unavailable<>(false, "the VM that was asked failed"));
+        }
+    }
+
+    private final Store direct;
+    private final Supplier<List<Store>> relays;
+    private final MonotonicClock clock;
+    private final Set<Watch<?>> watches = new LinkedHashSet<>();
+    private final Map<Store, Long> pausedUntilMillis = new HashMap<>();
+    private final Map<Store, Integer> failures = new HashMap<>();
+
+    /**
+     * Creates the store.
+     *
+     * @param direct the store as this VM reaches it by itself
+     * @param relays the store as VMs of the data centre reach it, in an order on which all of them
+     *     agree; empty while each VM is to ask by itself
+     * @param clock the clock
+     */
+    public CoalescedStore(
+            final Store direct, final Supplier<List<Store>> relays, final MonotonicClock clock) {
+        this.direct = Objects.requireNonNull(direct, "direct is null");
+        this.relays = Objects.requireNonNull(relays, "relays is null");
+        this.clock = Objects.requireNonNull(clock, "clock is null");
+    }
+
+    @Override
+    public <T> void list(
+            final StoreKind<T> kind,
+            final Optional<String> after,
+            final Consumer<StoreAnswer<Page<T>>> answer) {
+        final Optional<Store> relay = relay();
+        if (relay.isEmpty()) {
+            direct.list(kind, after, answer);
+            return;
+        }
+        relay.get()
+                .list(
+                        kind,
+                        after,
+                        result -> {
+                            if (result instanceof StoreAnswer.Unavailable<Page<T>> unavailable) {
+                                onFailed(relay.get(), unavailable.detail());
+                                direct.list(kind, after, answer);
+                            } else {
+                                failures.remove(relay.get());
+                                answer.accept(result);
+                            }
+                        });
+    }
+
+    @Override
+    public <T> void listStale(
+            final StoreKind<T> kind, final Consumer<StoreAnswer<Page<T>>> answer) {
+        direct.listStale(kind, answer);
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>A watch that fails at another VM is not made again at the store: one that follows a cut at
+     * once may be deaf to what changed before it, so its caller has to list anew.
+     */
+    @Override
+    public <T> void watch(
+            final StoreKind<T> kind,
+            final long since,
+            final Duration wait,
+            final Consumer<StoreAnswer<Page<T>>> answer) {
+        final Optional<Store> relay = relay();
+        if (relay.isEmpty()) {
+            direct.watch(kind, since, wait, answer);
+            return;
+        }
+        final Watch<T> watch = new Watch<>(relay.get(), answer);
+        watches.add(watch);
+        final Duration relayed = kind.equals(StoreKind.CONFIGURATION) ? LIVENESS_WATCH : wait;
+        relay.get().watch(kind, since, relayed, watch::onAnswer);
+    }
+
+    @Override
+    public void writePhase(
+            final RolloutOrder order,
+            final RolloutPhase phase,
+            final Instant begunAt,
+            final Consumer<StoreAnswer<Void>> answer) {
+        direct.writePhase(order, phase, begunAt, answer);
+    }
+
+    @Override
+    public void writeVm(final VmEntry entry, final Consumer<StoreAnswer<Void>> answer) {
+        direct.writeVm(entry, answer);
+    }
+
+    private Optional<Store> relay() {
+        final long now = clock.millis();
+        return relays.get().stream()
+                .filter(r -> pausedUntilMillis.getOrDefault(r, Long.MIN_VALUE) <= now)
+                .findFirst();
+    }
+
+    private void onFailed(final Store relay, final String detail) {
+        final int before = failures.merge(relay, 1, Integer::sum) - 1;
+        final long pause = PAUSE_MILLIS << Math.min(before, MOST_DOUBLINGS);
+        pausedUntilMillis.put(relay, clock.millis() + pause);
+        EventLog.write(Event.RELAY_FAILED, "relay", relay, "detail", detail, "pause_ms", pause);
+        final List<Watch<?>> waiting = new ArrayList<>(watches);
+        for (final Watch<?> watch : waiting) {
+            if (watch.relay.equals(relay) && watches.remove(watch)) {
+                watch.fail();
+            }
+        }
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
@@ -131,12 +131,34 @@
     }
 
     /**
-     * Tells whether the store answers this VM itself, so that it can pass on others' calls.
+     * Tells whether a call of another VM may be passed on to the store. While the store does not
+     * answer this VM, one call after each pause finds out whether it does again.
      *
-     * @return false from the first call that failed to the first that did not
+     * @return false if the call would be made in vain
      */
-    public boolean reachesStore() {
-        return !failed;
+    public boolean mayRelay() {
+        if (!failed) {
+            return true;
+        }
+        if (clock.millis() < retryAtMillis) {
+            return false;
+        }
+        retryAtMillis = clock.millis() + RETRY_MILLIS;
+        return true;
+    }
+
+    /** Notes that the store answered a call of another VM. */
+    public void onRelayed() {
+        onStoreAnswered();
+    }
+
+    /**
+     * Notes that the store did not answer a call of another VM.
+     *
+     * @param detail what was seen
+     */
+    public void onRelayFailed(final String detail) {
+        onStoreFailed(detail);
     }
 
     private <T> void call(final Call<T> call, final Consumer<StoreAnswer<T>> answer) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -29,6 +29,7 @@
 import org.fennelstage.placement.Placement;
 import org.fennelstage.serving.CallerLimits;
 import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.store.CoalescedStore;
 import org.fennelstage.store.FallbackStore;
 import org.fennelstage.store.Follower;
 import org.fennelstage.store.Store;
@@ -107,16 +108,25 @@
         final FallbackStore store =
                 new FallbackStore(
                         storeAt.apply(storeClient, settings.store()), peers::relays, clock);
+        final CoalescedStore coalesced = new CoalescedStore(store, peers::coalescing, clock);
         this.serverFeed = new ServerFeed(beliefs, this::onServersListed);
         this.rolloutFeed =
-                new RolloutFeed(beliefs, store, InstantSource.system(), this::onRolloutsListed);
+                new RolloutFeed(
+                        beliefs,
+                        store,
+                        InstantSource.system(),
+                        peers::turn,
+                        this::onRolloutsListed);
         this.callers =
                 HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
         startSideServers(storeClient, store, workers);
-        // On the loop, like everything that touches the store's client and the beliefs: started
-        // from
-        // this thread, the first answers would race with the calls that are still being made.
-        loop.execute(() -> follow(store, peers, random));
+        // On the loop, like all that touches the store's client and the beliefs: started from this
+        // thread, the first answers would race with the calls that are still being made.
+        loop.execute(
+                () -> {
+                    follow(coalesced, random);
+                    peers.start(loop, store);
+                });
     }
 
     private void startSideServers(
@@ -127,13 +137,13 @@
                 group,
                 settings.peers(),
                 ServerLimits.DEFAULT,
-                new StoreRelay(storeClient, settings.store(), store::reachesStore));
+                new StoreRelay(storeClient, settings.store(), store, beliefs.clock()));
         if (settings.metrics().isPresent()) {
             startMetrics(settings.metrics().get(), workers);
         }
     }
 
-    private void follow(final Store store, final Peers peers, final RandomGenerator random) {
+    private void follow(final Store store, final RandomGenerator random) {
         final Follower<ServingConfiguration> configurations =
                 new Follower<>(
                         loop,
@@ -150,7 +160,6 @@
         configurations.start();
         rollouts.start();
         servers.start();
-        peers.start(loop, store);
         loop.scheduleWithFixedDelay(
                 this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +24,7 @@
 import org.fennelstage.store.VmEntry;
 
 /**
- * The other VMs, as they entered themselves into the store, and the store as they reach it.
+ * The VMs, as they entered themselves into the store, and the store as they reach it.
  *
  * <p>Entries of VMs that are gone stay; a relay that does not answer is passed over. Confined to
  * the event loop.
@@ -40,10 +41,19 @@
     /** When the list is read for the second time: all VMs of a fleet that starts are in it then. */
     private static final long SECOND_MILLIS = 3_000;
 
+    /**
+     * VMs in a data centre from which on one of them asks the store for all. Through one VM that is
+     * 1.7 calls a second, most of them for the liveness watch, and one for each change; a VM that
+     * asks by itself makes 0.6 a second and one for each change.
+     */
+    private static final int LEAST_TO_COALESCE = 4;
+
     private final VmEntry own;
     private final Function<ServerAddress, Store> relayOf;
     private final Map<VmId, VmEntry> entries = new LinkedHashMap<>();
+    private final Map<ServerAddress, Store> stores = new HashMap<>();
     private List<Store> relays = List.of();
+    private List<Store> coalescing = List.of();
     private final IntConsumer onCount;
 
     Peers(
@@ -79,6 +89,14 @@
         return relays;
     }
 
+    /**
+     * Returns the store as the VMs of the own data centre reach it, this VM included, in the order
+     * on which all of them agree.
+     */
+    List<Store> coalescing() {
+        return coalescing;
+    }
+
     private void take(final List<StoredValue<VmEntry>> values) {
         entries.clear();
         values.forEach(v -> v.value().ifPresent(e -> entries.put(e.vm(), e)));
@@ -87,6 +105,12 @@
 
     private void rank() {
         onCount.accept(entries.size());
+        stores.keySet().retainAll(entries.values().stream().map(VmEntry::address).toList());
+        rankOthers();
+        rankDataCentre();
+    }
+
+    private void rankOthers() {
         final List<VmEntry> others = new ArrayList<>(entries.values());
         others.removeIf(e -> e.vm().equals(own.vm()));
         final Comparator<VmEntry> nearFirst =
@@ -95,7 +119,35 @@
         final Comparator<VmEntry> spread =
                 Comparator.comparingLong(e -> Rendezvous.weight(own.vm().value(), e.vm().value()));
         others.sort(nearFirst.thenComparing(spread));
-        relays = others.stream().map(VmEntry::address).map(relayOf).toList();
+        relays = others.stream().map(this::storeThrough).toList();
+    }
+
+    private void rankDataCentre() {
+        final List<VmId> near =
+                entries.values().stream()
+                        .filter(e -> e.dataCentre().equals(own.dataCentre()))
+                        .map(VmEntry::vm)
+                        .toList();
+        coalescing =
+                near.size() < LEAST_TO_COALESCE
+                        ? List.of()
+                        : Rendezvous.rank(own.dataCentre().value(), near).stream()
+                                .map(vm -> storeThrough(entries.get(vm)))
+                                .toList();
+    }
+
+    /**
+     * Returns this VM's turn at a task that any VM may do and one is to do.
+     *
+     * @param task the task's name
+     * @return the number of VMs before it
+     */
+    int turn(final String task) {
+        return Math.max(0, Rendezvous.rank(task, entries.keySet()).indexOf(own.vm()));
+    }
+
+    private Store storeThrough(final VmEntry entry) {
+        return stores.computeIfAbsent(entry.address(), relayOf);
     }
 
     private static void onEntered(final StoreAnswer<Void> answer) {
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RelayedCall.java
@@ -0,0 +1,87 @@
+package org.fennelstage.vm;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.fennelstage.http.Call;
+import org.fennelstage.http.Responses;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * One call to the store on behalf of all VMs that asked for the same.
+ *
+ * <p>Invariant: each asker gets one answer. Confined to the event loop.
+ */
+final class RelayedCall {
+
+    private final long begunMillis;
+    private final Set<ServerExchange> askers = new LinkedHashSet<>();
+    private Runnable onAbandoned = () -> {};
+    private Call call;
+
+    RelayedCall(final MonotonicClock clock, final ServerExchange first) {
+        begunMillis = clock.millis();
+        add(Objects.requireNonNull(first, "first is null"));
+    }
+
+    long ageMillis(final MonotonicClock clock) {
+        return clock.millis() - begunMillis;
+    }
+
+    void add(final ServerExchange asker) {
+        askers.add(asker);
+        asker.onClosed(() -> leave(asker));
+    }
+
+    /** Registers what to do when no asker is left that waits. */
+    void onAbandoned(final Runnable action) {
+        onAbandoned = action;
+    }
+
+    void attach(final Call made) {
+        call = made;
+        abandonIfUnwanted();
+    }
+
+    void answer(final Responses.Whole whole) {
+        for (final ServerExchange asker : List.copyOf(askers)) {
+            asker.respond(
+                    whole.status(),
+                    Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "application/json"),
+                    whole.body());
+        }
+        askers.clear();
+    }
+
+    /**
+     * Tells all askers that there is no answer.
+     *
+     * @param status the status to answer with; zero to close the connection
+     */
+    void fail(final int status) {
+        for (final ServerExchange asker : List.copyOf(askers)) {
+            if (status > 0) {
+                asker.respond(status, "text/plain", "");
+            } else {
+                asker.abort();
+            }
+        }
+        askers.clear();
+    }
+
+    private void leave(final ServerExchange asker) {
+        askers.remove(asker);
+        abandonIfUnwanted();
+    }
+
+    private void abandonIfUnwanted() {
+        if (askers.isEmpty() && call != null) {
+            call.cancel();
+            onAbandoned.run();
+        }
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -3,12 +3,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.fennelstage.canary.Canary;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
@@ -29,20 +31,37 @@
  */
 final class RolloutFeed implements Follower.Listener<RolloutOrder> {
 
+    /**
+     * How long a VM waits for each VM before it in turn to write; milliseconds. A write and the
+     * news of it take some ten milliseconds.
+     */
+    private static final long TURN_MILLIS = 100;
+
+    /** Turns waited for at most: a roll-out's last part may be half a second long. */
+    private static final int MOST_TURNS = 4;
+
+    /** A phase that is to be written. */
+    private record Due(String target, RolloutPhase phase) {}
+
     private final Beliefs beliefs;
     private final Store store;
+    private final ToIntFunction<String> turnAt;
     private final InstantSource wallClock;
     private final Runnable afterList;
     private final Set<ServiceName> writing = new HashSet<>();
+    private final Map<ServiceName, Due> due = new HashMap<>();
+    private final Map<ServiceName, Long> dueSinceMillis = new HashMap<>();
 
     RolloutFeed(
             final Beliefs beliefs,
             final Store store,
             final InstantSource wallClock,
+            final ToIntFunction<String> turnAt,
             final Runnable afterList) {
         this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.wallClock = Objects.requireNonNull(wallClock, "wallClock is null");
+        this.turnAt = Objects.requireNonNull(turnAt, "turnAt is null");
         this.afterList = Objects.requireNonNull(afterList, "afterList is null");
     }
 
@@ -95,12 +114,35 @@
 
     /** Writes what is due. To be called a few times a second. */
     void writeDue() {
-        for (final Map.Entry<ServiceName, Canary> entry : beliefs.canaries().entrySet()) {
-            final Optional<RolloutPhase> due = entry.getValue().due();
-            if (due.isPresent() && writing.add(entry.getKey())) {
-                write(entry.getKey(), entry.getValue(), due.get());
-            }
+        beliefs.canaries().forEach(this::writeDue);
+    }
+
+    private void writeDue(final ServiceName service, final Canary canary) {
+        final Optional<RolloutPhase> phase = canary.due();
+        if (phase.isEmpty()) {
+            due.remove(service);
+            return;
+        }
+        final String target = canary.order().orElseThrow().target();
+        if (isOwnTurn(service, new Due(target, phase.get())) && writing.add(service)) {
+            write(service, canary, phase.get());
+        }
+    }
+
+    /**
+     * Lets one VM after the other write what all of them find due at the same time; each write is
+     * paid for, and all but one would be in vain. A halt is found by few, and is urgent.
+     */
+    private boolean isOwnTurn(final ServiceName service, final Due now) {
+        if (now.phase() == RolloutPhase.ROLLED_BACK) {
+            return true;
+        }
+        if (!now.equals(due.put(service, now))) {
+            dueSinceMillis.put(service, beliefs.clock().millis());
         }
+        final int turns = Math.min(MOST_TURNS, turnAt.applyAsInt(now.target()));
+        final long waited = beliefs.clock().millis() - dueSinceMillis.get(service);
+        return waited >= turns * TURN_MILLIS;
     }
 
     private void write(final ServiceName service, final Canary canary, final RolloutPhase phase) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
@@ -8,53 +8,85 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.function.BooleanSupplier;
+import org.fennelstage.http.Call;
 import org.fennelstage.http.CallFailure;
 import org.fennelstage.http.CallOptions;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.Responses;
 import org.fennelstage.http.ServerExchange;
+import org.fennelstage.store.FallbackStore;
+import org.fennelstage.time.MonotonicClock;
 
 /**
  * Passes other VMs' calls on to the store, unread.
  *
- * <p>A VM that does not reach the store itself refuses at once: while the store is away for all,
- * calls passed on to it would only multiply the calls that are made in vain.
+ * <p>Reads that are alike and come together are one call to the store, whose answer goes to all who
+ * asked: the VMs of a data centre that watch the same revision pay for one watch. A VM that does
+ * not reach the store itself refuses at once: while the store is away for all, calls passed on to
+ * it would only multiply the calls that are made in vain.
  *
- * <p>Invariant: the asker gets the store's own answer, 503 if the call certainly did not reach the
+ * <p>Invariant: each asker gets the store's own answer, 503 if the call certainly did not reach the
  * store, or a closed connection if nobody knows. Confined to the event loop.
  */
 final class StoreRelay implements RequestHandler {
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
-    /** Longer than any watch; the asker gives up first. */
+    /** Longer than any watch; the askers give up first. */
     private static final Duration SILENCE = Duration.ofSeconds(35);
 
+    /**
+     * How old a call may be for others to join it; milliseconds. VMs that heard the same answer ask
+     * again within moments of one another. A call that the store swallowed must not collect new
+     * askers for ever, each of which would wait in vain.
+     */
+    private static final long JOIN_MILLIS = 500;
+
     private static final int NOT_REACHED = 503;
+    private static final int SERVER_ERROR = 500;
+    private static final int TOO_MANY_CALLS = 429;
 
     private final HttpClient http;
     private final InetSocketAddress store;
-    private final BooleanSupplier reachesStore;
+    private final FallbackStore reach;
+    private final MonotonicClock clock;
+    private final Map<String, RelayedCall> reads = new HashMap<>();
 
     StoreRelay(
             final HttpClient http,
             final InetSocketAddress store,
-            final BooleanSupplier reachesStore) {
+            final FallbackStore reach,
+            final MonotonicClock clock) {
         this.http = Objects.requireNonNull(http, "http is null");
-        this.reachesStore = Objects.requireNonNull(reachesStore, "reachesStore is null");
         this.store = Objects.requireNonNull(store, "store is null");
+        this.reach = Objects.requireNonNull(reach, "reach is null");
+        this.clock = Objects.requireNonNull(clock, "clock is null");
     }
 
     @Override
     public void handle(final ServerExchange exchange) {
-        if (!reachesStore.getAsBoolean()) {
+        final boolean isRead = exchange.method().equals(HttpMethod.GET.name());
+        final RelayedCall running = isRead ? reads.get(exchange.uri()) : null;
+        if (running != null && running.ageMillis(clock) < JOIN_MILLIS) {
+            running.add(exchange);
+            return;
+        }
+        if (!reach.mayRelay()) {
             exchange.respond(NOT_REACHED, "text/plain", "");
             return;
         }
+        final RelayedCall read = new RelayedCall(clock, exchange);
+        if (isRead) {
+            reads.put(exchange.uri(), read);
+        }
+        read.attach(send(exchange, read));
+    }
+
+    private Call send(final ServerExchange exchange, final RelayedCall read) {
         final FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -65,26 +97,35 @@
         if (type != null) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
         }
-        http.send(
+        final String uri = exchange.uri();
+        read.onAbandoned(() -> onAbandoned(uri, read));
+        return http.send(
                 store,
                 request,
                 CallOptions.of(CONNECT_TIMEOUT, SILENCE, false),
                 Responses.collecting(
-                        whole -> answer(exchange, whole), failure -> fail(exchange, failure)));
+                        whole -> onAnswer(uri, read, whole),
+                        failure -> onFailure(uri, read, failure)));
     }
 
-    private static void answer(final ServerExchange exchange, final Responses.Whole whole) {
-        exchange.respond(
-                whole.status(),
-                Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "application/json"),
-                whole.body());
-    }
-
-    private static void fail(final ServerExchange exchange, final CallFailure failure) {
-        if (failure.phase() == CallFailure.Phase.NOT_SENT) {
-            exchange.respond(NOT_REACHED, "text/plain", "");
+    private void onAnswer(final String uri, final RelayedCall read, final Responses.Whole whole) {
+        reads.remove(uri, read);
+        if (whole.status() >= SERVER_ERROR || whole.status() == TOO_MANY_CALLS) {
+            reach.onRelayFailed("store answered " + whole.status());
         } else {
-            exchange.abort();
+            reach.onRelayed();
         }
+        read.answer(whole);
+    }
+
+    private void onFailure(final String uri, final RelayedCall read, final CallFailure failure) {
+        reads.remove(uri, read);
+        reach.onRelayFailed(failure.detail());
+        read.fail(failure.phase() == CallFailure.Phase.NOT_SENT ? NOT_REACHED : 0);
+    }
+
+    /** All who asked gave up waiting: the store keeps silent, or they left. */
+    private void onAbandoned(final String uri, final RelayedCall read) {
+        reads.remove(uri, read);
     }
 }
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/CoalescedStoreTest.java
@@ -0,0 +1,117 @@
+package org.fennelstage.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class CoalescedStoreTest {
+
+    private static final StoreAnswer<Page<VmEntry>> PAGE =
+            new StoreAnswer.Done<>(new Page<>(List.of(), Optional.empty(), 7));
+    private static final StoreAnswer<Page<VmEntry>> AWAY =
+            new StoreAnswer.Unavailable<>(false, "503");
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final ManualStore direct = new ManualStore();
+    private final ManualStore first = new ManualStore();
+    private final ManualStore second = new ManualStore();
+    private final List<Store> relays = new ArrayList<>(List.of(first, second));
+    private final List<StoreAnswer<Page<VmEntry>>> answers = new ArrayList<>();
+    private final CoalescedStore store = new CoalescedStore(direct, () -> relays, now::get);
+
+    private void list() {
+        store.list(StoreKind.VMS, Optional.empty(), answers::add);
+    }
+
+    private void watch() {
+        store.watch(StoreKind.VMS, 7, Duration.ofSeconds(10), answers::add);
+    }
+
+    @Test
+    void readsGoThroughTheFirstVmOfTheDataCentre() {
+        list();
+        watch();
+        first.answer(PAGE);
+        first.answer(PAGE);
+        assertThat(answers).containsExactly(PAGE, PAGE);
+        assertThat(direct.waiting()).isEmpty();
+    }
+
+    @Test
+    void withoutOtherVmsTheStoreItselfIsAsked() {
+        relays.clear();
+        list();
+        watch();
+        direct.answer(PAGE);
+        direct.answer(PAGE);
+        assertThat(answers).containsExactly(PAGE, PAGE);
+    }
+
+    /**
+     * Symptom: all VMs of a data centre miss a change of routes. Events: the VM that asks for them
+     * stands still; its connections stay open. Cause: each watch waited for its own end.
+     */
+    @Test
+    void whenOneCallToAVmFailsAllWatchesThereFailAndTheNextVmIsAsked() {
+        watch();
+        watch();
+        first.answer(AWAY);
+        assertThat(answers).hasSize(2).allMatch(a -> a instanceof StoreAnswer.Unavailable);
+        list();
+        second.answer(PAGE);
+        assertThat(answers).hasSize(3).last().isEqualTo(PAGE);
+        assertThat(direct.waiting()).isEmpty();
+    }
+
+    @Test
+    void aListThatFailsAtAVmIsMadeAtTheStoreItself() {
+        list();
+        first.answer(AWAY);
+        assertThat(answers).isEmpty();
+        direct.answer(PAGE);
+        assertThat(answers).containsExactly(PAGE);
+    }
+
+    /**
+     * Symptom: a drain is heard of ten seconds late. Events: a watch fails with the VM that made
+     * it, is made again at once, and is deaf to what changed before. Cause: it was not listed anew.
+     */
+    @Test
+    void aWatchThatFailsAtAVmIsNotMadeAgain() {
+        watch();
+        first.answer(AWAY);
+        assertThat(direct.waiting()).isEmpty();
+        assertThat(second.waiting()).isEmpty();
+        assertThat(answers).containsExactly(AWAY);
+    }
+
+    @Test
+    void aVmThatFailedIsAskedAgainAfterAPauseThatGrows() {
+        list();
+        first.answer(AWAY);
+        now.addAndGet(CoalescedStore.PAUSE_MILLIS);
+        list();
+        first.answer(AWAY);
+        now.addAndGet(CoalescedStore.PAUSE_MILLIS);
+        list();
+        assertThat(second.waiting()).hasSize(1);
+        now.addAndGet(CoalescedStore.PAUSE_MILLIS);
+        list();
+        assertThat(first.waiting()).hasSize(1);
+    }
+
+    /** A late answer of a watch that was given up brings no second answer. */
+    @Test
+    void everyWatchGetsOneAnswer() {
+        watch();
+        watch();
+        first.answer(AWAY);
+        first.answer(PAGE);
+        assertThat(answers).hasSize(2);
+    }
+}
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FallbackStoreTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FallbackStoreTest.java
@@ -2,70 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
-import org.fennelstage.canary.RolloutOrder;
-import org.fennelstage.canary.RolloutPhase;
 import org.junit.jupiter.api.Test;
 
 class FallbackStoreTest {
 
-    /** A store whose answers a test gives. */
-    private static final class ManualStore implements Store {
-        private final List<Consumer<StoreAnswer<?>>> waiting = new ArrayList<>();
-
-        @Override
-        public <T> void list(
-                final StoreKind<T> kind,
-                final Optional<String> after,
-                final Consumer<StoreAnswer<Page<T>>> answer) {
-            keep(answer);
-        }
-
-        @Override
-        public <T> void listStale(
-                final StoreKind<T> kind, final Consumer<StoreAnswer<Page<T>>> answer) {
-            keep(answer);
-        }
-
-        @Override
-        public <T> void watch(
-                final StoreKind<T> kind,
-                final long since,
-                final Duration wait,
-                final Consumer<StoreAnswer<Page<T>>> answer) {
-            keep(answer);
-        }
-
-        @Override
-        public void writePhase(
-                final RolloutOrder order,
-                final RolloutPhase phase,
-                final Instant begunAt,
-                final Consumer<StoreAnswer<Void>> answer) {
-            keep(answer);
-        }
-
-        @Override
-        public void writeVm(final VmEntry entry, final Consumer<StoreAnswer<Void>> answer) {
-            keep(answer);
-        }
-
-        @SuppressWarnings({"unchecked", "rawtypes"})
-        private void keep(final Consumer answer) {
-            waiting.add((Consumer<StoreAnswer<?>>) answer);
-        }
-
-        private void answer(final StoreAnswer<?> answer) {
-            waiting.remove(0).accept(answer);
-        }
-    }
-
     private static final StoreAnswer<Page<VmEntry>> PAGE =
             new StoreAnswer.Done<>(new Page<>(List.of(), Optional.empty(), 7));
     private static final StoreAnswer<Page<VmEntry>> AWAY =
@@ -88,7 +32,7 @@
         list();
         store.answer(PAGE);
         assertThat(answers).containsExactly(PAGE);
-        assertThat(near.waiting).isEmpty();
+        assertThat(near.waiting()).isEmpty();
     }
 
     /**
@@ -103,7 +47,7 @@
         far.answer(PAGE);
         assertThat(answers).containsExactly(PAGE);
         list();
-        assertThat(store.waiting).isEmpty();
+        assertThat(store.waiting()).isEmpty();
         near.answer(PAGE);
         assertThat(answers).hasSize(2);
     }
@@ -123,8 +67,25 @@
         store.answer(PAGE);
         assertThat(answers).hasSize(2);
         list();
-        assertThat(near.waiting).hasSize(1);
-        assertThat(fallback.reachesStore()).isFalse();
+        assertThat(near.waiting()).hasSize(1);
+        assertThat(fallback.mayRelay()).isFalse();
+    }
+
+    /**
+     * Symptom: a VM passes no calls on although the store serves it again. Events: the store turned
+     * it away for a moment; since then it asks through another VM. Cause: only its own calls could
+     * tell that the store is back.
+     */
+    @Test
+    void aVmThatWasTurnedAwayPassesOneCallOnAfterAPauseAndAllOnceThatWasAnswered() {
+        list();
+        store.answer(AWAY);
+        assertThat(fallback.mayRelay()).isFalse();
+        now.addAndGet(1_500);
+        assertThat(fallback.mayRelay()).isTrue();
+        assertThat(fallback.mayRelay()).isFalse();
+        fallback.onRelayed();
+        assertThat(fallback.mayRelay()).isTrue();
     }
 
     @Test
@@ -136,7 +97,7 @@
         list();
         store.answer(PAGE);
         list();
-        assertThat(store.waiting).hasSize(1);
+        assertThat(store.waiting()).hasSize(1);
     }
 
     @Test
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
@@ -0,0 +1,81 @@
+package org.fennelstage.vm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.VmId;
+import org.fennelstage.store.ManualStore;
+import org.fennelstage.store.Page;
+import org.fennelstage.store.Store;
+import org.fennelstage.store.StoreAnswer;
+import org.fennelstage.store.StoredValue;
+import org.fennelstage.store.VmEntry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeersTest {
+
+    private final EventLoop loop = new DefaultEventLoop();
+    private final Map<ServerAddress, Store> stores = new HashMap<>();
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownGracefully();
+    }
+
+    private static VmEntry entry(final int number, final String dataCentre) {
+        return new VmEntry(
+                VmId.of("vm-" + number),
+                DataCentreId.of(dataCentre),
+                new ServerAddress("10.0.0." + number, 7000));
+    }
+
+    private Peers knowing(final VmEntry own, final List<VmEntry> all) {
+        final Peers peers =
+                new Peers(own, a -> stores.computeIfAbsent(a, b -> new ManualStore()), count -> {});
+        final ManualStore store = new ManualStore();
+        peers.start(loop, store);
+        final List<StoredValue<VmEntry>> values = new ArrayList<>();
+        for (final VmEntry entry : all) {
+            values.add(
+                    new StoredValue<>(entry.vm().value(), 1, Optional.of(entry), Optional.empty()));
+        }
+        store.answer(new StoreAnswer.Done<>(new Page<>(values, Optional.empty(), 1)));
+        return peers;
+    }
+
+    private static List<VmEntry> dataCentre(final String name, final int first, final int count) {
+        final List<VmEntry> result = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            result.add(entry(first + i, name));
+        }
+        return result;
+    }
+
+    @Test
+    void allVmsOfADataCentreAgreeOnWhoAsksTheStore() {
+        final List<VmEntry> all = dataCentre("dc-a", 1, 8);
+        all.addAll(dataCentre("dc-b", 20, 8));
+        final List<Store> expected = knowing(all.get(0), all).coalescing();
+        assertThat(expected).hasSize(8);
+        for (final VmEntry own : all.subList(1, 8)) {
+            assertThat(knowing(own, all).coalescing()).isEqualTo(expected);
+        }
+        assertThat(knowing(all.get(8), all).coalescing()).doesNotContainAnyElementsOf(expected);
+    }
+
+    @Test
+    void inASmallDataCentreEachVmAsksByItself() {
+        final List<VmEntry> all = dataCentre("dc-a", 1, 3);
+        all.addAll(dataCentre("dc-b", 20, 8));
+        assertThat(knowing(all.get(0), all).coalescing()).isEmpty();
+    }
+}
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
@@ -0,0 +1,97 @@
+package org.fennelstage.vm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.gateway.GatewaySettings;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.ServiceName;
+import org.fennelstage.store.ManualStore;
+import org.fennelstage.store.StoreAnswer;
+import org.fennelstage.store.StoredValue;
+import org.junit.jupiter.api.Test;
+
+class RolloutFeedTest {
+
+    private static final ServiceName MODELS = ServiceName.of("models");
+    private static final GatewaySettings BOUNDS =
+            new GatewaySettings(
+                    0.9,
+                    Duration.ofSeconds(10),
+                    50,
+                    0.1,
+                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(8));
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final Beliefs beliefs = new Beliefs(now::get, BOUNDS);
+    private final ManualStore store = new ManualStore();
+
+    private RolloutFeed feedWithTurn(final int turn) {
+        return new RolloutFeed(
+                beliefs, store, InstantSource.fixed(Instant.EPOCH), target -> turn, () -> {});
+    }
+
+    private static List<StoredValue<RolloutOrder>> order(
+            final RolloutPhase phase, final long revision) {
+        final RolloutOrder order =
+                new RolloutOrder(
+                        MODELS, "v2", Duration.ofSeconds(20), phase, Optional.empty(), revision);
+        return List.of(new StoredValue<>("models", revision, Optional.of(order), Optional.empty()));
+    }
+
+    /**
+     * Symptom: each step of a roll-out is as many calls to the store as there are VMs. Events: all
+     * hear of the order at the same moment. Cause: each wrote at once.
+     */
+    @Test
+    void aVmWhoseTurnIsLaterWritesOnlyIfNobodyDidBefore() {
+        final RolloutFeed feed = feedWithTurn(2);
+        feed.onAll(order(RolloutPhase.ORDERED, 5));
+        feed.writeDue();
+        now.addAndGet(199);
+        feed.writeDue();
+        assertThat(store.waiting()).isEmpty();
+        now.addAndGet(1);
+        feed.writeDue();
+        assertThat(store.waiting()).hasSize(1);
+        store.answer(new StoreAnswer.Done<>(null));
+
+        feed.onAll(order(RolloutPhase.IN_PROGRESS, 6));
+        now.addAndGet(1_000);
+        feed.writeDue();
+        assertThat(store.waiting()).isEmpty();
+    }
+
+    @Test
+    void theFirstInTurnWritesAtOnceAndNobodyWaitsForMoreThanFour() {
+        final RolloutFeed first = feedWithTurn(0);
+        first.onAll(order(RolloutPhase.ORDERED, 5));
+        first.writeDue();
+        assertThat(store.waiting()).hasSize(1);
+        final RolloutFeed last = feedWithTurn(300);
+        last.writeDue();
+        now.addAndGet(400);
+        last.writeDue();
+        assertThat(store.waiting()).hasSize(2);
+    }
+
+    @Test
+    void aHaltIsWrittenOutOfTurn() {
+        final RolloutFeed feed = feedWithTurn(300);
+        feed.onAll(order(RolloutPhase.IN_PROGRESS, 5));
+        for (int i = 0; i < 10; i++) {
+            beliefs.canary(MODELS).onAnswer(BackendServerId.of("i-" + i), "v2", true, 0);
+        }
+        feed.writeDue();
+        assertThat(store.waiting()).hasSize(1);
+    }
+}
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -29,6 +29,7 @@
     SERVER_LAPSED(2017, Level.WARNING, "backend server did not register again; dropped"),
     STORE_REFUSES(2019, Level.WARNING, "store does not answer this VM; others are asked"),
     STORE_SERVES(2020, Level.INFO, "store answers this VM itself again"),
+    RELAY_FAILED(2021, Level.WARNING, "VM that asks the store for its data centre failed"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store did not take effect for sure"),
 
     MEMBER_CHANGED(3001, Level.INFO, "another VM changed state"),
