Tell the other VMs of a data centre which workers could not be reached

A VM meets each worker once in many seconds and found out by itself; its later tries went out on kept connections that were dead.

Change: a VM that could not reach a worker, though it hears others of the same data centre, sends its id to the VMs beside it, one datagram each (PeerNews). Those use the worker after others for 2 to 4 s, unless they heard it in the last second. Idle connections to a worker that went silent are closed. A VM asks the store through another one only 5 s after its own start: when all start at once, that one is as busy. The last line of a request has first_byte_ms.

Tests written with the change.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
@@ -20,9 +20,13 @@
     /** How long its workers are left out before one is tried again; milliseconds. */
     private static final long PAUSE_MILLIS = 1_000;
 
+    /** Milliseconds; a VM with a few requests a second hears some worker in each second. */
+    private static final long HEARD_MILLIS = 1_000;
+
     private final MonotonicClock clock;
     private int failures;
     private long pausedUntilMillis;
+    private long lastSignMillis = Long.MIN_VALUE / 2;
 
     private Reachability(final MonotonicClock clock) {
         this.clock = clock;
@@ -65,7 +69,17 @@
         pausedUntilMillis = clock.millis() + PAUSE_MILLIS;
     }
 
+    /**
+     * Tells whether a byte came from one of its workers a moment ago, so that the way there works.
+     *
+     * @return true if one came within the last {@link #HEARD_MILLIS}
+     */
+    boolean heardLately() {
+        return clock.millis() - lastSignMillis <= HEARD_MILLIS;
+    }
+
     void onSign() {
         failures = 0;
+        lastSignMillis = clock.millis();
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -42,6 +42,15 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
+    /**
+     * How long the word of another VM counts; milliseconds. A worker that crashed is back, or gone
+     * from the store, after some seconds; when the word has faded one VM finds out for all again.
+     */
+    private static final long HEARSAY_MILLIS = 2_000;
+
+    /** A byte that this VM got from the worker this lately outweighs the word of others. */
+    private static final long OWN_SIGN_MILLIS = 1_000;
+
     private final MonotonicClock clock;
     private final Reachability dataCentre;
     private double excess;
@@ -49,6 +58,7 @@
     private int unreachable;
     private long pausedUntilMillis;
     private long lastSignMillis;
+    private long hearsayUntilMillis = Long.MIN_VALUE;
 
     private ServerHealth(final MonotonicClock clock, final Reachability dataCentre) {
         this.clock = clock;
@@ -80,7 +90,9 @@
         if (paused || dataCentre.cut()) {
             return Tier.UNREACHABLE;
         }
-        return doubtful() || excessNow() >= SUSPECT_SHARE ? Tier.SUSPECT : Tier.SOUND;
+        final boolean hearsay = clock.millis() < hearsayUntilMillis;
+        final boolean suspect = hearsay || doubtful() || excessNow() >= SUSPECT_SHARE;
+        return suspect ? Tier.SUSPECT : Tier.SOUND;
     }
 
     /**
@@ -101,17 +113,45 @@
         }
     }
 
-    /** Notes that the worker could not be reached. */
-    public void onUnreachable() {
+    /**
+     * Notes that the worker could not be reached.
+     *
+     * @return whether that speaks against this worker alone, so that other VMs should know: bytes
+     *     come from others in its data centre, so this VM's own way there works
+     */
+    public boolean onUnreachable() {
+        final boolean ofThisWorkerAlone = dataCentre.heardLately();
         final long pause = FIRST_PAUSE_MILLIS << Math.min(unreachable, 2);
         unreachable++;
         dataCentre.onUnreachable();
         pausedUntilMillis = clock.millis() + Math.min(pause, LONGEST_PAUSE_MILLIS);
+        return ofThisWorkerAlone;
+    }
+
+    /**
+     * Takes the word of another VM that it could not reach the worker.
+     *
+     * <p>In a large fleet a VM meets each worker once in many seconds. Left to itself, every VM
+     * would find out by a request of its own that a worker is dark, and that request waits for more
+     * than a second. The word only puts the worker behind others: it may be the other VM's way that
+     * is broken.
+     *
+     * @param draw spreads the end of the word over VMs, in [0, 1): those that believe it for longer
+     *     hear of the next try of the others
+     * @return false if this VM heard the worker itself a moment ago
+     */
+    public boolean onHearsay(final double draw) {
+        if (silentMillis() < OWN_SIGN_MILLIS) {
+            return false;
+        }
+        hearsayUntilMillis = clock.millis() + (long) (HEARSAY_MILLIS * (1 + draw));
+        return true;
     }
 
     /** Notes that a byte came from the worker. */
     public void onSign() {
         unreachable = 0;
+        hearsayUntilMillis = Long.MIN_VALUE;
         dataCentre.onSign();
         lastSignMillis = clock.millis();
     }
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
@@ -81,4 +81,43 @@
         health.onSign();
         assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
     }
+
+    /**
+     * Symptom: while one worker is dark, one request of every VM waits for it in vain. Events: in a
+     * large fleet a VM meets each worker once in many seconds. Cause: each VM found out by itself.
+     */
+    @Test
+    void aWorkerThatAnotherVmCouldNotReachIsUsedAfterOthersForAWhile() {
+        now.addAndGet(5_000);
+        assertThat(health.onHearsay(0.5)).isTrue();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
+        assertThat(health.probeDue()).isFalse();
+        now.addAndGet(2_999);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
+        now.addAndGet(1);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+
+    @Test
+    void theWordOfAnotherVmCountsLessThanAByteFromTheWorker() {
+        now.addAndGet(5_000);
+        health.onSign();
+        assertThat(health.onHearsay(0)).isFalse();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+        now.addAndGet(5_000);
+        assertThat(health.onHearsay(0)).isTrue();
+        health.onSign();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SOUND);
+    }
+
+    /** A VM whose own way is cut must not speak against all workers. */
+    @Test
+    void aFailureIsWorthTellingOnlyWhileOtherWorkersOfTheDataCentreAreHeard() {
+        final ServerHealth other = ServerHealth.of(now::get, dataCentre);
+        assertThat(health.onUnreachable()).isFalse();
+        other.onSign();
+        assertThat(health.onUnreachable()).isTrue();
+        now.addAndGet(1_001);
+        assertThat(health.onUnreachable()).isFalse();
+    }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -4,13 +4,11 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.Pace;
 import org.fennelstage.attempt.UsualFailures;
-import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.Call;
 import org.fennelstage.http.CallFailure;
@@ -72,7 +70,6 @@
     void send(final Dispatch dispatch) {
         server.begin(workTokens);
         sentMillis = now();
-        final ServerAddress address = server.entry().address();
         final boolean repeatable = run.route().repeatable();
         final CallOptions options =
                 new CallOptions(
@@ -84,7 +81,7 @@
                 run.gateway()
                         .client()
                         .send(
-                                new InetSocketAddress(address.host(), address.port()),
+                                server.entry().address().socketAddress(),
                                 codec().encode(run.request(), dispatch),
                                 options,
                                 this);
@@ -140,7 +137,7 @@
     @Override
     public void onFailure(final CallFailure failure) {
         if (failure.phase() == CallFailure.Phase.NOT_SENT) {
-            server.health().onUnreachable();
+            run.gateway().onUnreachable(server);
             fail(AttemptEnd.NOT_SENT, failure.detail());
         } else {
             if (!failure.keptConnection()) {
@@ -175,7 +172,7 @@
         }
         final String detail = server.entry().id() + " silent for " + silent + " ms";
         if (run.gaveUpSilent(detail)) {
-            server.health().onUnreachable();
+            run.gateway().onUnreachable(server);
         } else {
             watchForSilence(patience);
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -2,10 +2,13 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
+import org.fennelstage.id.BackendServerId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.placement.Placement;
@@ -26,6 +29,7 @@
     private final Placement placement;
     private final RandomGenerator random;
     private final GatewayMetrics metrics;
+    private Consumer<BackendServerId> unreachableListener = id -> {};
     private int inFlight;
 
     /**
@@ -81,6 +85,15 @@
         new RequestRun(this, exchange, request, configuration, route.get(), access).start();
     }
 
+    /**
+     * Sets who hears of workers that could not be reached though the way there works.
+     *
+     * @param listener takes the worker
+     */
+    public void onUnreachable(final Consumer<BackendServerId> listener) {
+        unreachableListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
     /**
      * Returns how many requests have no whole answer yet.
      *
@@ -123,6 +136,14 @@
         inFlight--;
     }
 
+    /** Notes that a worker could not be reached, and tells the other VMs if it is at fault. */
+    void onUnreachable(final TrackedServer server) {
+        client.closeIdle(server.entry().address().socketAddress());
+        if (server.health().onUnreachable()) {
+            unreachableListener.accept(server.entry().id());
+        }
+    }
+
     /** Answers for the router itself. */
     void respond(final ServerExchange exchange, final String requestId, final Refusal refusal) {
         final byte[] body = OwnAnswer.body(refusal);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -21,6 +21,7 @@
     private final String route;
     private final long configurationVersion;
     private final AttemptLog attempts;
+    private long firstByteMillis;
 
     RequestLog(
             final CallerRequest request,
@@ -94,6 +95,11 @@
                 elapsedMillis);
     }
 
+    /** Notes when the caller got the first byte; zero if it got none. */
+    void firstByte(final long elapsedMillis) {
+        firstByteMillis = elapsedMillis;
+    }
+
     void finished(
             final String outcome,
             final int status,
@@ -118,6 +124,8 @@
                 model,
                 "confidence",
                 confidence.orElse(-1),
+                "first_byte_ms",
+                firstByteMillis,
                 "elapsed_ms",
                 elapsedMillis);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -278,6 +278,7 @@
     }
 
     private void onFirstByte() {
+        log.firstByte(elapsedMillis());
         gateway.metrics().firstByte(route.name(), elapsedMillis());
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -15,6 +15,7 @@
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.gateway.Beliefs;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
@@ -23,6 +24,7 @@
 import org.fennelstage.http.HttpServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
+import org.fennelstage.id.BackendServerId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.log.LogSetup;
@@ -103,7 +105,7 @@
         final Peers peers =
                 new Peers(
                         ownEntry(settings),
-                        address -> storeAt.apply(storeClient, socketAddress(address)),
+                        address -> storeAt.apply(storeClient, address.socketAddress()),
                         beliefs::onVmCount);
         final FallbackStore store =
                 new FallbackStore(
@@ -120,6 +122,14 @@
         this.callers =
                 HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
         startSideServers(storeClient, store, workers);
+        final PeerNews news =
+                PeerNews.start(
+                        loop,
+                        settings.peers(),
+                        peers::nearOthers,
+                        clock,
+                        server -> onReported(server, random.nextDouble()));
+        gateway.onUnreachable(news::tell);
         // On the loop, like all that touches the store's client and the beliefs: started from this
         // thread, the first answers would race with the calls that are still being made.
         loop.execute(
@@ -129,6 +139,14 @@
                 });
     }
 
+    private void onReported(final BackendServerId id, final double draw) {
+        final Optional<TrackedServer> server = beliefs.servers().find(id);
+        if (server.isPresent()) {
+            final boolean believed = server.get().health().onHearsay(draw);
+            EventLog.write(Event.SERVER_REPORTED, "server", id, "believed", believed);
+        }
+    }
+
     private void startSideServers(
             final HttpClient storeClient, final FallbackStore store, final HttpClient workers)
             throws IOException {
@@ -317,10 +335,6 @@
                 new ServerAddress(peers.getHostString(), peers.getPort()));
     }
 
-    private static InetSocketAddress socketAddress(final ServerAddress address) {
-        return new InetSocketAddress(address.host(), address.port());
-    }
-
     private ServerLimits limits() {
         final CallerLimits limits =
                 beliefs.configuration()
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerNews.java
@@ -0,0 +1,136 @@
+package org.fennelstage.vm;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * Tells the other VMs of the data centre which workers this VM could not reach, and hears it from
+ * them.
+ *
+ * <p>One datagram a VM with the worker's id, text of one line: news that is lost costs a VM one
+ * request that finds out by itself, so nothing is acknowledged or sent again. Text, since a message
+ * of one field does not pay for loading another library at every start. Confined to the event loop.
+ */
+final class PeerNews {
+
+    /** Begins each message, so that anything else that arrives is told from it. */
+    private static final String UNREACHABLE = "unreachable ";
+
+    /** The longest message taken; ids have some ten characters. */
+    private static final int MAX_BYTES = 200;
+
+    /** How often the same worker is told of at most; milliseconds. The word counts for longer. */
+    private static final long REPEAT_MILLIS = 1_000;
+
+    private final Channel channel;
+    private final Supplier<List<InetSocketAddress>> others;
+    private final MonotonicClock clock;
+    private final Map<BackendServerId, Long> toldMillis = new HashMap<>();
+
+    private PeerNews(
+            final Channel channel,
+            final Supplier<List<InetSocketAddress>> others,
+            final MonotonicClock clock) {
+        this.channel = channel;
+        this.others = others;
+        this.clock = clock;
+    }
+
+    /**
+     * Binds and listens.
+     *
+     * @param loop runs it
+     * @param own where this VM listens for datagrams
+     * @param others where the others do
+     * @param clock the clock
+     * @param listener takes the workers that others could not reach, on the loop
+     * @return the running exchange
+     * @throws IOException if the address cannot be bound
+     */
+    static PeerNews start(
+            final EventLoop loop,
+            final InetSocketAddress own,
+            final Supplier<List<InetSocketAddress>> others,
+            final MonotonicClock clock,
+            final Consumer<BackendServerId> listener)
+            throws IOException {
+        Objects.requireNonNull(others, "others is null");
+        Objects.requireNonNull(listener, "listener is null");
+        final ChannelFuture bound =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Reader(listener))
+                        .bind(own)
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen for datagrams on " + own, bound.cause());
+        }
+        return new PeerNews(bound.channel(), others, clock);
+    }
+
+    /** Tells the others that this VM could not reach a worker. */
+    void tell(final BackendServerId server) {
+        final long now = clock.millis();
+        toldMillis.values().removeIf(told -> now - told >= REPEAT_MILLIS);
+        if (toldMillis.putIfAbsent(server, now) != null) {
+            return;
+        }
+        final byte[] text = (UNREACHABLE + server.value()).getBytes(StandardCharsets.UTF_8);
+        for (final InetSocketAddress other : others.get()) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(text), other));
+        }
+        channel.flush();
+    }
+
+    /** Takes what others tell. */
+    private static final class Reader extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        private final Consumer<BackendServerId> listener;
+
+        private Reader(final Consumer<BackendServerId> listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        protected void channelRead0(
+                final ChannelHandlerContext context, final DatagramPacket packet) {
+            final ByteBuf content = packet.content();
+            final String text =
+                    content.readableBytes() > MAX_BYTES
+                            ? ""
+                            : content.toString(StandardCharsets.UTF_8);
+            if (text.startsWith(UNREACHABLE) && text.length() > UNREACHABLE.length()) {
+                listener.accept(BackendServerId.of(text.substring(UNREACHABLE.length())));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            // A VM that is gone answers datagrams with "port unreachable"; the next message may
+            // arrive, so the channel stays open.
+            EventLog.write(Event.INTERNAL_ERROR, "task", "news of other VMs", "error", cause);
+        }
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -1,6 +1,7 @@
 package org.fennelstage.vm;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -38,8 +39,12 @@
      */
     private static final long PERIOD_MILLIS = 15_000;
 
-    /** When the list is read for the second time: all VMs of a fleet that starts are in it then. */
-    private static final long SECOND_MILLIS = 3_000;
+    /**
+     * When the list is read for the second time; milliseconds. All VMs of a fleet that starts are
+     * in it then. Until then this VM asks the store by itself: when all VMs start at once, the one
+     * that is to ask for them is as busy with its own start.
+     */
+    private static final long SECOND_MILLIS = 5_000;
 
     /**
      * VMs in a data centre from which on one of them asks the store for all. Through one VM that is
@@ -54,6 +59,8 @@
     private final Map<ServerAddress, Store> stores = new HashMap<>();
     private List<Store> relays = List.of();
     private List<Store> coalescing = List.of();
+    private List<InetSocketAddress> nearOthers = List.of();
+    private int reads;
     private final IntConsumer onCount;
 
     Peers(
@@ -97,7 +104,13 @@
         return coalescing;
     }
 
+    /** Returns where the other VMs of the own data centre listen. */
+    List<InetSocketAddress> nearOthers() {
+        return nearOthers;
+    }
+
     private void take(final List<StoredValue<VmEntry>> values) {
+        reads++;
         entries.clear();
         values.forEach(v -> v.value().ifPresent(e -> entries.put(e.vm(), e)));
         rank();
@@ -128,8 +141,14 @@
                         .filter(e -> e.dataCentre().equals(own.dataCentre()))
                         .map(VmEntry::vm)
                         .toList();
+        nearOthers =
+                near.stream()
+                        .filter(vm -> !vm.equals(own.vm()))
+                        .map(vm -> entries.get(vm).address().socketAddress())
+                        .toList();
+        final boolean justStarted = reads < 2;
         coalescing =
-                near.size() < LEAST_TO_COALESCE
+                justStarted || near.size() < LEAST_TO_COALESCE
                         ? List.of()
                         : Rendezvous.rank(own.dataCentre().value(), near).stream()
                                 .map(vm -> storeThrough(entries.get(vm)))
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerNewsTest.java
@@ -0,0 +1,79 @@
+package org.fennelstage.vm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.id.BackendServerId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerNewsTest {
+
+    private static final int PATIENCE_SECONDS = 10;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final BlockingQueue<BackendServerId> heard = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void stopLoops() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    private PeerNews start(final InetSocketAddress own, final List<InetSocketAddress> others)
+            throws IOException {
+        return PeerNews.start(group.next(), own, () -> others, now::get, heard::add);
+    }
+
+    private BackendServerId next() throws InterruptedException {
+        return heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void theOthersHearOfAWorkerOnceASecond() throws Exception {
+        final InetSocketAddress second = freeAddress();
+        start(second, List.of());
+        final PeerNews first = start(freeAddress(), List.of(second));
+        first.tell(BackendServerId.of("i-1"));
+        first.tell(BackendServerId.of("i-1"));
+        first.tell(BackendServerId.of("i-2"));
+        now.addAndGet(1_000);
+        first.tell(BackendServerId.of("i-1"));
+        assertThat(List.of(next(), next(), next()))
+                .extracting(BackendServerId::value)
+                .containsExactlyInAnyOrder("i-1", "i-2", "i-1");
+    }
+
+    @Test
+    void anythingElseThatArrivesIsPassedOver() throws Exception {
+        final InetSocketAddress own = freeAddress();
+        start(own, List.of());
+        try (DatagramSocket stranger = new DatagramSocket()) {
+            final List<String> messages =
+                    List.of("", "unreachable ", "x".repeat(500), "unreachable i-1");
+            for (final String message : messages) {
+                final byte[] bytes = message.getBytes(StandardCharsets.UTF_8);
+                stranger.send(new DatagramPacket(bytes, bytes.length, own));
+            }
+        }
+        assertThat(next()).isEqualTo(BackendServerId.of("i-1"));
+        assertThat(heard).isEmpty();
+    }
+}
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
@@ -48,7 +48,12 @@
             values.add(
                     new StoredValue<>(entry.vm().value(), 1, Optional.of(entry), Optional.empty()));
         }
-        store.answer(new StoreAnswer.Done<>(new Page<>(values, Optional.empty(), 1)));
+        final StoreAnswer<Page<VmEntry>> list =
+                new StoreAnswer.Done<>(new Page<>(values, Optional.empty(), 1));
+        store.answer(list);
+        assertThat(peers.coalescing()).as("just started").isEmpty();
+        peers.start(loop, store);
+        store.answer(list);
         return peers;
     }
 
@@ -72,6 +77,15 @@
         assertThat(knowing(all.get(8), all).coalescing()).doesNotContainAnyElementsOf(expected);
     }
 
+    @Test
+    void newsGoesToTheOtherVmsOfTheDataCentre() {
+        final List<VmEntry> all = dataCentre("dc-a", 1, 3);
+        all.addAll(dataCentre("dc-b", 20, 8));
+        assertThat(knowing(all.get(0), all).nearOthers())
+                .containsExactly(
+                        all.get(1).address().socketAddress(), all.get(2).address().socketAddress());
+    }
+
     @Test
     void inASmallDataCentreEachVmAsksByItself() {
         final List<VmEntry> all = dataCentre("dc-a", 1, 3);
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionPool.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionPool.java
@@ -61,6 +61,13 @@
         connections.addLast(new Idle(channel, System.nanoTime(), usable));
     }
 
+    void closeAll(final InetSocketAddress address) {
+        final Deque<Idle> connections = idle.remove(address);
+        if (connections != null) {
+            connections.forEach(i -> i.channel().close());
+        }
+    }
+
     void forget(final InetSocketAddress address, final Channel channel) {
         final Deque<Idle> connections = idle.get(address);
         if (connections == null) {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -72,6 +72,16 @@
         return connectionsOpened;
     }
 
+    /**
+     * Closes the idle connections to an address. After a server went silent, they are dead without
+     * a word: a call on one waits for bytes, where a new connection fails in a moment.
+     *
+     * @param address the address
+     */
+    public void closeIdle(final InetSocketAddress address) {
+        idle.closeAll(address);
+    }
+
     /**
      * Sends a request.
      *
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -44,6 +44,7 @@
     REQUEST_SENT(4012, Level.INFO, "request is sent to a backend server"),
     ATTEMPT_FAILED(4013, Level.INFO, "attempt ended without a whole answer"),
     ANSWER_DROPPED(4015, Level.INFO, "answer is dropped; a larger model is asked"),
+    SERVER_REPORTED(4016, Level.INFO, "backend server could not be reached by another VM"),
     REQUEST_FINISHED(4014, Level.INFO, "request reached its end"),
 
     CLAIM_UNAVAILABLE(5001, Level.WARNING, "claim could not be made; request refused"),
