--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -64,8 +64,6 @@
     private static final WatchPace ROLLOUT_PACE = WatchPace.ofMillis(10_000, 0);
 
     private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
-    private static final int NOT_FOUND = 404;
 
     private VmSettings settings;
     private final NioEventLoopGroup group;
@@ -76,9 +74,7 @@
     private final ServerFeed serverFeed;
     private final RolloutFeed rolloutFeed;
     private final HttpServer callers;
-    private boolean serversListed;
-    private boolean rolloutsListed;
-    private boolean ready;
+    private final Readiness readiness;
     private boolean stopping;
 
     private GatewayVm(
@@ -111,14 +107,15 @@
                 new FallbackStore(
                         storeAt.apply(storeClient, settings.store()), peers::relays, clock);
         final CoalescedStore coalesced = new CoalescedStore(store, peers::coalescing, clock);
-        this.serverFeed = new ServerFeed(beliefs, this::onServersListed);
+        this.readiness = new Readiness(settings, beliefs);
+        this.serverFeed = new ServerFeed(beliefs, readiness::onServersListed);
         this.rolloutFeed =
                 new RolloutFeed(
                         beliefs,
                         store,
                         InstantSource.system(),
                         peers::turn,
-                        this::onRolloutsListed);
+                        readiness::onRolloutsListed);
         this.callers =
                 HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
         startSideServers(storeClient, store, workers);
@@ -150,7 +147,7 @@
     private void startSideServers(
             final HttpClient storeClient, final FallbackStore store, final HttpClient workers)
             throws IOException {
-        HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, this::answerReadiness);
+        HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, readiness);
         HttpServer.start(
                 group,
                 settings.peers(),
@@ -248,7 +245,7 @@
             return;
         }
         stopping = true;
-        ready = false;
+        readiness.onStopping();
         callers.closeAfterResponses();
         EventLog.write(
                 Event.DRAINING,
@@ -285,7 +282,7 @@
         try {
             serverFeed.dropLapsed();
             rolloutFeed.writeDue();
-            becomeReady();
+            readiness.update();
         } catch (final RuntimeException e) {
             // Netty cancels a periodic task that throws: without this, one fault would silently
             // end all duties of the VM while it goes on serving.
@@ -293,40 +290,6 @@
         }
     }
 
-    private void onServersListed() {
-        serversListed = true;
-        becomeReady();
-    }
-
-    private void onRolloutsListed() {
-        rolloutsListed = true;
-        becomeReady();
-    }
-
-    private void becomeReady() {
-        final boolean knowsAll =
-                serversListed && rolloutsListed && beliefs.configuration().isPresent();
-        if (knowsAll && !ready && !stopping) {
-            ready = true;
-            EventLog.write(
-                    Event.READY,
-                    "vm",
-                    settings.vm(),
-                    "configuration",
-                    beliefs.configuration().get().version(),
-                    "servers",
-                    beliefs.servers().size());
-        }
-    }
-
-    private void answerReadiness(final ServerExchange exchange) {
-        if (!exchange.path().equals(settings.readinessPath())) {
-            exchange.respond(NOT_FOUND, "text/plain", "");
-            return;
-        }
-        exchange.respond(ready ? OK : UNAVAILABLE, "text/plain", "");
-    }
-
     private static VmEntry ownEntry(final VmSettings settings) {
         final InetSocketAddress peers = settings.peers();
         return new VmEntry(
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
@@ -0,0 +1,74 @@
+package org.fennelstage.vm;
+
+import java.util.Objects;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.http.RequestHandler;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+
+/**
+ * Whether the balancer may send callers to this VM, and the answer to its question.
+ *
+ * <p>Laws: a VM is ready once it knows a configuration, the workers and the roll-outs, stays so
+ * while the store is away, and is never ready again once it stops. Confined to the event loop.
+ */
+final class Readiness implements RequestHandler {
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int NOT_FOUND = 404;
+
+    private final VmSettings settings;
+    private final Beliefs beliefs;
+    private boolean serversListed;
+    private boolean rolloutsListed;
+    private boolean ready;
+    private boolean stopping;
+
+    Readiness(final VmSettings settings, final Beliefs beliefs) {
+        this.settings = Objects.requireNonNull(settings, "settings is null");
+        this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
+    }
+
+    void onServersListed() {
+        serversListed = true;
+        update();
+    }
+
+    void onRolloutsListed() {
+        rolloutsListed = true;
+        update();
+    }
+
+    void onStopping() {
+        stopping = true;
+        ready = false;
+    }
+
+    /** Becomes ready if nothing is missing any more. */
+    void update() {
+        final boolean knowsAll =
+                serversListed && rolloutsListed && beliefs.configuration().isPresent();
+        if (knowsAll && !ready && !stopping) {
+            ready = true;
+            EventLog.write(
+                    Event.READY,
+                    "vm",
+                    settings.vm(),
+                    "configuration",
+                    beliefs.configuration().get().version(),
+                    "servers",
+                    beliefs.servers().size());
+        }
+    }
+
+    @Override
+    public void handle(final ServerExchange exchange) {
+        if (!exchange.path().equals(settings.readinessPath())) {
+            exchange.respond(NOT_FOUND, "text/plain", "");
+            return;
+        }
+        exchange.respond(ready ? OK : UNAVAILABLE, "text/plain", "");
+    }
+}
