Share an answer of the store only as far as the VM's link carries it in a moment

Cause (by reading): the grown sites have links of 10 Mbit/s; a configuration of a thousand routes sent by one VM to twenty others would hold its link for ten seconds.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -152,7 +152,12 @@
                 group,
                 settings.peers(),
                 ServerLimits.DEFAULT,
-                new StoreRelay(storeClient, settings.store(), store, beliefs.clock()));
+                new StoreRelay(
+                        storeClient,
+                        settings.store(),
+                        store,
+                        settings.linkMegabits(),
+                        beliefs.clock()));
         if (settings.metrics().isPresent()) {
             startMetrics(settings.metrics().get(), workers);
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RelayedCall.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RelayedCall.java
@@ -18,6 +18,8 @@
  */
 final class RelayedCall {
 
+    private static final int TOO_LARGE = 413;
+
     private final long begunMillis;
     private final Set<ServerExchange> askers = new LinkedHashSet<>();
     private Runnable onAbandoned = () -> {};
@@ -47,12 +49,25 @@
         abandonIfUnwanted();
     }
 
-    void answer(final Responses.Whole whole) {
+    /**
+     * Hands the answer on.
+     *
+     * @param whole the answer
+     * @param most how many askers may get it, one at least; the others are told to ask by
+     *     themselves
+     */
+    void answer(final Responses.Whole whole, final long most) {
+        long answered = 0;
         for (final ServerExchange asker : List.copyOf(askers)) {
-            asker.respond(
-                    whole.status(),
-                    Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "application/json"),
-                    whole.body());
+            if (answered < Math.max(1, most)) {
+                answered++;
+                asker.respond(
+                        whole.status(),
+                        Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "application/json"),
+                        whole.body());
+            } else {
+                asker.respond(TOO_LARGE, "text/plain", "");
+            }
         }
         askers.clear();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
@@ -46,6 +46,15 @@
      */
     private static final long JOIN_MILLIS = 500;
 
+    /**
+     * How long one answer may take this VM's link when it goes to all who asked; seconds. A
+     * configuration of a thousand routes sent to twenty VMs would hold a link of 10 Mbit/s for ten
+     * seconds, and callers with it; those beyond this ask the store by themselves.
+     */
+    private static final double SHARED_LINK_SECONDS = 0.4;
+
+    private static final double BYTES_PER_MEGABIT = 125_000;
+
     private static final int NOT_REACHED = 503;
     private static final int SERVER_ERROR = 500;
     private static final int TOO_MANY_CALLS = 429;
@@ -54,17 +63,20 @@
     private final InetSocketAddress store;
     private final FallbackStore reach;
     private final MonotonicClock clock;
+    private final long shareableBytes;
     private final Map<String, RelayedCall> reads = new HashMap<>();
 
     StoreRelay(
             final HttpClient http,
             final InetSocketAddress store,
             final FallbackStore reach,
+            final double linkMegabits,
             final MonotonicClock clock) {
         this.http = Objects.requireNonNull(http, "http is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.reach = Objects.requireNonNull(reach, "reach is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.shareableBytes = (long) (linkMegabits * BYTES_PER_MEGABIT * SHARED_LINK_SECONDS);
     }
 
     @Override
@@ -115,7 +127,7 @@
         } else {
             reach.onRelayed();
         }
-        read.answer(whole);
+        read.answer(whole, shareableBytes / Math.max(1, whole.body().length));
     }
 
     private void onFailure(final String uri, final RelayedCall read, final CallFailure failure) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
@@ -18,6 +18,7 @@
  * @param metrics where metrics are read, empty for nowhere
  * @param peers where other VMs connect
  * @param store where the store listens
+ * @param linkMegabits what the VM's own link carries; megabits a second
  * @param bounds the deployment's bounds
  */
 public record VmSettings(
@@ -29,6 +30,7 @@
         Optional<InetSocketAddress> metrics,
         InetSocketAddress peers,
         InetSocketAddress store,
+        double linkMegabits,
         GatewaySettings bounds) {
 
     public VmSettings {
@@ -51,6 +53,15 @@
      */
     public VmSettings withBounds(final GatewaySettings newer) {
         return new VmSettings(
-                vm, dataCentre, callers, readiness, readinessPath, metrics, peers, store, newer);
+                vm,
+                dataCentre,
+                callers,
+                readiness,
+                readinessPath,
+                metrics,
+                peers,
+                store,
+                linkMegabits,
+                newer);
     }
 }
