--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -44,7 +44,7 @@
      * in it then. Until then this VM asks the store by itself: when all VMs start at once, the one
      * that is to ask for them is as busy with its own start.
      */
-    private static final long SECOND_MILLIS = 5_000;
+    private static final long SECOND_MILLIS = 3_000;
 
     /**
      * VMs in a data centre from which on one of them asks the store for all. Through one VM that is
