Hear an attempt of a chat request in a class of its own; begin nothing for callers that left

A request handed on after its caller left now ends in ChatRun and ServiceRun before anything is sent, as it does on the platform.

--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatRun.java
@@ -1,10 +1,7 @@
 package org.fennelstage.route;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -16,7 +13,6 @@
 import org.fennelstage.control.Claims;
 import org.fennelstage.control.Share;
 import org.fennelstage.http.CallFailure;
-import org.fennelstage.http.ResponseListener;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.RequestId;
@@ -25,7 +21,6 @@
 import org.fennelstage.log.EventLog;
 import org.fennelstage.model.ModelVersion;
 import org.fennelstage.model.VersionChooser;
-import org.fennelstage.objects.Json;
 import org.fennelstage.outcome.Outcome;
 import org.fennelstage.outcome.Reason;
 import org.fennelstage.profile.Profile;
@@ -48,7 +43,6 @@
     private static final int NOT_FOUND = 404;
     private static final int TOO_MANY = 429;
     private static final int UNAVAILABLE = 503;
-    private static final int OK = 200;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Services services;
@@ -107,6 +101,9 @@
                 exchange.eventLoop()
                         .schedule(this::onDeadline, limit.toMillis(), TimeUnit.MILLISECONDS);
         exchange.onClosed(this::onCallerGone);
+        if (ended) {
+            return;
+        }
         exchange.onWritable(() -> attempts.pause(false));
         chooseVersion();
     }
@@ -248,7 +245,7 @@
                 server.get(),
                 Attempts.options(profile.deadline(), profile.idempotent()),
                 () -> EngineRequest.of(exchange, request, profile, version.id(), id),
-                new Listener());
+                new ChatListener(this));
     }
 
     private void giveSlotBack(final BackendServer server) {
@@ -303,7 +300,7 @@
         end(new Outcome.Unknown("the caller went away"));
     }
 
-    private void onFailure(final CallFailure failure) {
+    void onFailure(final CallFailure failure) {
         attempts.onFailure(failure);
         final boolean notSent = failure.phase() == CallFailure.Phase.NOT_SENT;
         if (!notSent) {
@@ -322,7 +319,7 @@
         }
     }
 
-    private void onErrorStatus(final int status) {
+    void onErrorStatus(final int status) {
         final boolean refused = status == NOT_FOUND || status == TOO_MANY || status == UNAVAILABLE;
         if (refused) {
             attempts.drop();
@@ -370,7 +367,7 @@
         exposure.ifPresent(r -> services.rollouts().judged(r.id(), signal, isBad));
     }
 
-    private void onWholeAnswer() {
+    void onWholeAnswer() {
         attempts.onAnswer();
         attempts.release();
         judge(Signal.ERROR, false);
@@ -410,6 +407,21 @@
         services.bills().record(bill).thenAccept(done -> onLoop(this::finishAnswer));
     }
 
+    /** Takes one piece of the answer. */
+    void onPiece(final JsonNode piece) {
+        if (!answer.hasBegun() && !answer.isHeld()) {
+            onFirstToken();
+        }
+        answer.add(piece);
+    }
+
+    /** Reads no more of the answer while the caller takes it too slowly. */
+    void slowDown() {
+        if (!exchange.isWritable()) {
+            attempts.pause(true);
+        }
+    }
+
     private void finishAnswer() {
         final Optional<String> token =
                 SessionIssue.token(configuration.keys(), request, session, team, version.id());
@@ -500,63 +512,4 @@
                     }
                 });
     }
-
-    /** Hears one attempt. A new one is made for each, so nothing of an old attempt remains. */
-    private final class Listener implements ResponseListener {
-
-        private final ServerEvents events = new ServerEvents(this::onData);
-        private int status;
-        private boolean whole;
-
-        @Override
-        public void onHead(final int newStatus, final HttpHeaders headers) {
-            status = newStatus;
-            if (status != OK) {
-                onErrorStatus(status);
-            }
-        }
-
-        @Override
-        public void onContent(final ByteBuf content) {
-            if (status == OK) {
-                events.feed(content);
-                if (!exchange.isWritable()) {
-                    attempts.pause(true);
-                }
-            }
-        }
-
-        @Override
-        public void onEnd() {
-            if (whole) {
-                onWholeAnswer();
-            } else {
-                ChatRun.this.onFailure(
-                        new CallFailure(
-                                CallFailure.Phase.RESPONDING, false, "the answer ended too early"));
-            }
-        }
-
-        @Override
-        public void onFailure(final CallFailure failure) {
-            ChatRun.this.onFailure(failure);
-        }
-
-        private void onData(final String data) {
-            if (data.equals("[DONE]")) {
-                whole = true;
-                return;
-            }
-            final JsonNode chunk;
-            try {
-                chunk = Json.mapper().readTree(data);
-            } catch (final IOException e) {
-                return;
-            }
-            if (!answer.hasBegun() && !answer.isHeld()) {
-                onFirstToken();
-            }
-            answer.add(chunk);
-        }
-    }
 }
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ServiceRun.java
@@ -77,6 +77,9 @@
 
     void start() {
         exchange.onClosed(this::onCallerGone);
+        if (ended) {
+            return;
+        }
         exchange.onWritable(() -> attempts.pause(false));
         if (idempotent || key.isEmpty()) {
             dispatch();
