--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
@@ -37,11 +37,14 @@
 public final class CoalescedStore implements Store {
 
     /**
-     * The longest wait of the watch on the configuration through another VM. Together with the time
-     * that an answer may take, a failure shows within 1.5 s; configurations and drains may take two
-     * seconds or more to reach every VM.
+     * What is left of the time that news may take, when the watch on the configuration through
+     * another VM ends unanswered: 0.8 s until that shows, some hundred milliseconds to list anew,
+     * and as much again.
      */
-    static final Duration LIVENESS_WATCH = Duration.ofMillis(700);
+    private static final Duration RESERVE = Duration.ofMillis(1_300);
+
+    /** Below this the watch would cost more calls than it saves. */
+    private static final Duration SHORTEST_WATCH = Duration.ofMillis(500);
 
     /** How long a VM that failed is not asked; milliseconds. Restarts and freezes take seconds. */
     static final long PAUSE_MILLIS = 5_000;
@@ -79,6 +82,7 @@
     private final Store direct;
     private final Supplier<List<Store>> relays;
     private final MonotonicClock clock;
+    private final Supplier<Duration> newsDelay;
     private final Set<Watch<?>> watches = new LinkedHashSet<>();
     private final Map<Store, Long> pausedUntilMillis = new HashMap<>();
     private final Map<Store, Integer> failures = new HashMap<>();
@@ -89,13 +93,18 @@
      * @param direct the store as this VM reaches it by itself
      * @param relays the store as VMs of the data centre reach it, in an order on which all of them
      *     agree; empty while each VM is to ask by itself
+     * @param newsDelay how long news from the store may take to reach this VM
      * @param clock the clock
      */
     public CoalescedStore(
-            final Store direct, final Supplier<List<Store>> relays, final MonotonicClock clock) {
+            final Store direct,
+            final Supplier<List<Store>> relays,
+            final Supplier<Duration> newsDelay,
+            final MonotonicClock clock) {
         this.direct = Objects.requireNonNull(direct, "direct is null");
         this.relays = Objects.requireNonNull(relays, "relays is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.newsDelay = Objects.requireNonNull(newsDelay, "newsDelay is null");
     }
 
     @Override
@@ -148,7 +157,7 @@
         }
         final Watch<T> watch = new Watch<>(relay.get(), answer);
         watches.add(watch);
-        final Duration relayed = kind.equals(StoreKind.CONFIGURATION) ? LIVENESS_WATCH : wait;
+        final Duration relayed = kind.equals(StoreKind.CONFIGURATION) ? livenessWatch() : wait;
         relay.get().watch(kind, since, relayed, watch::onAnswer);
     }
 
@@ -166,6 +175,11 @@
         direct.writeVm(entry, answer);
     }
 
+    private Duration livenessWatch() {
+        final Duration longest = newsDelay.get().minus(RESERVE);
+        return longest.compareTo(SHORTEST_WATCH) < 0 ? SHORTEST_WATCH : longest;
+    }
+
     private Optional<Store> relay() {
         final long now = clock.millis();
         return relays.get().stream()
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -106,7 +106,9 @@
         final FallbackStore store =
                 new FallbackStore(
                         storeAt.apply(storeClient, settings.store()), peers::relays, clock);
-        final CoalescedStore coalesced = new CoalescedStore(store, peers::coalescing, clock);
+        final CoalescedStore coalesced =
+                new CoalescedStore(
+                        store, peers::coalescing, () -> this.settings.bounds().newsDelay(), clock);
         this.readiness = new Readiness(settings, beliefs);
         this.serverFeed = new ServerFeed(beliefs, readiness::onServersListed);
         this.rolloutFeed =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -48,8 +48,8 @@
 
     /**
      * VMs in a data centre from which on one of them asks the store for all. Through one VM that is
-     * 1.7 calls a second, most of them for the liveness watch, and one for each change; a VM that
-     * asks by itself makes 0.6 a second and one for each change.
+     * 0.8 to 1.7 calls a second, most of them for the liveness watch, and one for each change; a VM
+     * that asks by itself makes 0.6 a second and one for each change.
      */
     private static final int LEAST_TO_COALESCE = 4;
 
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/CoalescedStoreTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/CoalescedStoreTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 class CoalescedStoreTest {
@@ -22,7 +23,8 @@
     private final ManualStore second = new ManualStore();
     private final List<Store> relays = new ArrayList<>(List.of(first, second));
     private final List<StoreAnswer<Page<VmEntry>>> answers = new ArrayList<>();
-    private final CoalescedStore store = new CoalescedStore(direct, () -> relays, now::get);
+    private final CoalescedStore store =
+            new CoalescedStore(direct, () -> relays, () -> Duration.ofSeconds(3), now::get);
 
     private void list() {
         store.list(StoreKind.VMS, Optional.empty(), answers::add);
@@ -105,6 +107,39 @@
         assertThat(first.waiting()).hasSize(1);
     }
 
+    /** The rest of the bound is needed to notice the failure and to list anew. */
+    @Test
+    void theWatchOnTheConfigurationIsShorterThanNewsMayTakeAndOthersAreNot() {
+        final List<Duration> waits = new ArrayList<>();
+        final Store recording =
+                new ManualStore() {
+                    @Override
+                    public <T> void watch(
+                            final StoreKind<T> kind,
+                            final long since,
+                            final Duration wait,
+                            final Consumer<StoreAnswer<Page<T>>> answer) {
+                        waits.add(wait);
+                    }
+                };
+        for (final int seconds : List.of(3, 1)) {
+            final CoalescedStore bounded =
+                    new CoalescedStore(
+                            direct,
+                            () -> List.of(recording),
+                            () -> Duration.ofSeconds(seconds),
+                            now::get);
+            bounded.watch(StoreKind.CONFIGURATION, 7, Duration.ofSeconds(10), a -> {});
+            bounded.watch(StoreKind.SERVERS, 7, Duration.ofSeconds(10), a -> {});
+        }
+        assertThat(waits)
+                .containsExactly(
+                        Duration.ofMillis(1_700),
+                        Duration.ofSeconds(10),
+                        Duration.ofMillis(500),
+                        Duration.ofSeconds(10));
+    }
+
     /** A late answer of a watch that was given up brings no second answer. */
     @Test
     void everyWatchGetsOneAnswer() {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/ManualStore.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/ManualStore.java
@@ -10,7 +10,7 @@
 import org.fennelstage.canary.RolloutPhase;
 
 /** A store whose answers a test gives. Confined to the thread of its test. */
-public final class ManualStore implements Store {
+public class ManualStore implements Store {
     private final List<Consumer<StoreAnswer<?>>> waiting = new ArrayList<>();
 
     @Override
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
@@ -29,6 +29,8 @@
                     50,
                     0.1,
                     Duration.ofSeconds(5),
+                    Duration.ofSeconds(2),
+                    Duration.ofSeconds(2),
                     Duration.ofSeconds(8));
 
     private final AtomicLong now = new AtomicLong(1_000_000);
