--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
@@ -30,7 +30,8 @@
  * it would only multiply the calls that are made in vain.
  *
  * <p>Invariant: each asker gets the store's own answer, 503 if the call certainly did not reach the
- * store, or a closed connection if nobody knows. Confined to the event loop.
+ * store, 413 if the answer is too large for all who asked, or a closed connection if nobody knows.
+ * Confined to the event loop.
  */
 final class StoreRelay implements RequestHandler {
 
