--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerAddress.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerAddress.java
@@ -1,6 +1,5 @@
 package org.fennelstage.fleet;
 
-import java.net.InetSocketAddress;
 import java.util.Objects;
 
 /**
@@ -31,15 +30,6 @@
                 text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
-    /**
-     * Returns the address for a socket.
-     *
-     * @return the address
-     */
-    public InetSocketAddress socketAddress() {
-        return new InetSocketAddress(host, port);
-    }
-
     @Override
     public String toString() {
         return host + ":" + port;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -81,7 +81,7 @@
                 run.gateway()
                         .client()
                         .send(
-                                server.entry().address().socketAddress(),
+                                Sockets.address(server.entry().address()),
                                 codec().encode(run.request(), dispatch),
                                 options,
                                 this);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -138,7 +138,7 @@
 
     /** Notes that a worker could not be reached, and tells the other VMs if it is at fault. */
     void onUnreachable(final TrackedServer server) {
-        client.closeIdle(server.entry().address().socketAddress());
+        client.closeIdle(Sockets.address(server.entry().address()));
         if (server.health().onUnreachable()) {
             unreachableListener.accept(server.entry().id());
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -19,6 +19,7 @@
 import org.fennelstage.gateway.Beliefs;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
+import org.fennelstage.gateway.Sockets;
 import org.fennelstage.gateway.WireCodec;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.HttpServer;
@@ -101,7 +102,7 @@
         final Peers peers =
                 new Peers(
                         ownEntry(settings),
-                        address -> storeAt.apply(storeClient, address.socketAddress()),
+                        address -> storeAt.apply(storeClient, Sockets.address(address)),
                         beliefs::onVmCount);
         final FallbackStore store =
                 new FallbackStore(
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.IntConsumer;
 import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.gateway.Sockets;
 import org.fennelstage.id.VmId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -144,7 +145,7 @@
         nearOthers =
                 near.stream()
                         .filter(vm -> !vm.equals(own.vm()))
-                        .map(vm -> entries.get(vm).address().socketAddress())
+                        .map(vm -> Sockets.address(entries.get(vm).address()))
                         .toList();
         final boolean justStarted = reads < 2;
         coalescing =
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.gateway.Sockets;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
 import org.fennelstage.store.ManualStore;
@@ -83,7 +84,8 @@
         all.addAll(dataCentre("dc-b", 20, 8));
         assertThat(knowing(all.get(0), all).nearOthers())
                 .containsExactly(
-                        all.get(1).address().socketAddress(), all.get(2).address().socketAddress());
+                        Sockets.address(all.get(1).address()),
+                        Sockets.address(all.get(2).address()));
     }
 
     @Test
