Keep what is learnt of a worker by its incarnation; entries of other writers name no worker

Cause: a worker may start again under its id; its health, counts, open connections and attempts were kept by id, and a late write of a former life replaced the newer entry.

Roll-out evidence counts workers by id on purpose: one broken worker that starts again is still one worker.

PeerNewsTest: the message has one field more, so the accepted text changed and two malformed ones were added.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerAddress.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerAddress.java
@@ -10,8 +10,13 @@
  */
 public record ServerAddress(String host, int port) {
 
+    private static final int MAX_PORT = 65_535;
+
     public ServerAddress {
         Objects.requireNonNull(host, "host is null");
+        if (port < 1 || port > MAX_PORT) {
+            throw new IllegalArgumentException("no TCP port: " + port);
+        }
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
@@ -8,7 +8,7 @@
 /**
  * What the store says of one worker. Immutable and thread-safe.
  *
- * @param id names this incarnation of the worker
+ * @param incarnation the worker and which of its lives this is
  * @param service what it serves
  * @param address where it listens
  * @param dataCentre where it stands
@@ -18,7 +18,7 @@
  * @param revision the revision of the store at which this was written
  */
 public record ServerEntry(
-        BackendServerId id,
+        Incarnation incarnation,
         ServiceName service,
         ServerAddress address,
         DataCentreId dataCentre,
@@ -28,10 +28,19 @@
         long revision) {
 
     public ServerEntry {
-        Objects.requireNonNull(id, "id is null");
+        Objects.requireNonNull(incarnation, "incarnation is null");
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(dataCentre, "dataCentre is null");
         Objects.requireNonNull(version, "version is null");
     }
+
+    /**
+     * Returns the worker's id, which outlives its incarnations.
+     *
+     * @return the id
+     */
+    public BackendServerId id() {
+        return incarnation.server();
+    }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
@@ -48,6 +49,8 @@
     private final Set<BackendServerId> vanished = new HashSet<>();
     private final Map<ServiceName, List<TrackedServer>> usable = new HashMap<>();
     private final Map<DataCentreId, Reachability> dataCentres = new HashMap<>();
+    private final Births births = Births.empty();
+    private Consumer<TrackedServer> restartListener = former -> {};
     private boolean storeAway;
     private long awaySinceMillis;
     private long graceUntilMillis = Long.MIN_VALUE;
@@ -66,22 +69,54 @@
         return new ServerTable(Objects.requireNonNull(clock, "clock is null"));
     }
 
+    /**
+     * Sets what runs when a worker has started again under its id, with the state of its former
+     * life, which the table has dropped.
+     *
+     * @param listener takes the former state
+     */
+    public void onRestart(final Consumer<TrackedServer> listener) {
+        restartListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
     /**
      * Adds a worker or replaces its entry.
      *
+     * <p>An entry of an incarnation that has ended may come late: a write that was under way when
+     * its worker crashed, a stale read. Taken at its word it would bring back an address where
+     * nobody listens, or mark the restarted worker as leaving.
+     *
      * @param entry the entry
+     * @return false if it speaks of an incarnation that has ended, and was passed over
      */
-    public void put(final ServerEntry entry) {
+    public boolean put(final ServerEntry entry) {
+        if (!births.offer(entry.incarnation())) {
+            return false;
+        }
         vanished.remove(entry.id());
+        usable.clear();
         final TrackedServer known = servers.get(entry.id());
-        if (known == null) {
-            final Reachability reachability =
-                    dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(clock));
-            servers.put(entry.id(), TrackedServer.of(entry, clock, reachability));
-        } else {
+        if (known != null && known.entry().incarnation().equals(entry.incarnation())) {
             known.update(entry);
+            return true;
         }
-        usable.clear();
+        final Reachability reachability =
+                dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(clock));
+        servers.put(entry.id(), TrackedServer.of(entry, clock, reachability));
+        if (known != null) {
+            restartListener.accept(known);
+        }
+        return true;
+    }
+
+    /**
+     * Drops a worker whose entry cannot be understood any more, at once: whoever wrote that, the
+     * entry names no worker to use, also while entries that merely vanished are kept.
+     *
+     * @param id the worker
+     */
+    public void reject(final BackendServerId id) {
+        drop(id);
     }
 
     /**
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fennelstage.id.BackendServerId;
@@ -18,7 +19,7 @@
 
     static ServerEntry entry(final String id, final boolean leaving) {
         return new ServerEntry(
-                BackendServerId.of(id),
+                Incarnation.of(BackendServerId.of(id)),
                 SERVICE,
                 new ServerAddress("127.0.0.1", 9000),
                 DataCentreId.of("dc-a"),
@@ -79,6 +80,62 @@
         assertThat(ids()).isEmpty();
     }
 
+    private static ServerEntry born(final String id, final long bornMillis) {
+        final ServerEntry plain = entry(id, false);
+        return new ServerEntry(
+                new Incarnation(plain.id(), bornMillis),
+                plain.service(),
+                plain.address(),
+                plain.dataCentre(),
+                plain.version(),
+                plain.capacity(),
+                plain.leaving(),
+                plain.revision());
+    }
+
+    private TrackedServer server(final String id) {
+        return table.find(BackendServerId.of(id)).orElseThrow();
+    }
+
+    /**
+     * Symptom: a worker that came back sound is used after all others for seconds, and its count of
+     * running requests never falls to zero. Events: a worker fails, crashes and starts again under
+     * its id. Cause: evidence and counts were kept by id.
+     */
+    @Test
+    void aWorkerThatStartedAgainBeginsWithNothingKnownOfIt() {
+        table.put(born("a", 1));
+        final TrackedServer former = server("a");
+        former.begin(100);
+        former.health().onUnreachable();
+        final List<TrackedServer> ended = new ArrayList<>();
+        table.onRestart(ended::add);
+        table.put(born("a", 2));
+        assertThat(server("a").running()).isZero();
+        assertThat(server("a").health().tier()).isEqualTo(ServerHealth.Tier.SOUND);
+        assertThat(ended).containsExactly(former);
+    }
+
+    @Test
+    void anEntryOfAFormerLifeIsPassedOverAlsoAfterTheLaterOneIsGone() {
+        table.put(born("a", 2));
+        assertThat(table.put(born("a", 1))).isFalse();
+        assertThat(server("a").entry().incarnation().bornMillis()).isEqualTo(2);
+        table.remove(BackendServerId.of("a"));
+        assertThat(table.put(born("a", 1))).isFalse();
+        assertThat(ids()).isEmpty();
+        assertThat(table.put(born("a", 2))).isTrue();
+    }
+
+    @Test
+    void anEntryThatTurnedBadNamesNoWorkerAlsoWhileTheStoreIsAway() {
+        table.put(entry("a", false));
+        table.put(entry("b", false));
+        table.onStoreLost();
+        table.reject(BackendServerId.of("a"));
+        assertThat(ids()).containsExactly("b");
+    }
+
     @Test
     void nothingIsDroppedWhileTheStoreIsAway() {
         table.put(entry("a", false));
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Reachability;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
@@ -30,7 +31,7 @@
             servers.add(
                     TrackedServer.of(
                             new ServerEntry(
-                                    BackendServerId.of("s-" + i),
+                                    Incarnation.of(BackendServerId.of("s-" + i)),
                                     ServiceName.of("models"),
                                     new ServerAddress("127.0.0.1", 9000 + i),
                                     DataCentreId.of(i % 3 == 0 ? "dc-a" : "dc-b"),
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -163,14 +163,18 @@
      * Takes a worker's entry.
      *
      * @param entry the entry
+     * @return false if it speaks of an incarnation that has ended, and was passed over
      */
-    public void onServer(final ServerEntry entry) {
-        servers.put(entry);
+    public boolean onServer(final ServerEntry entry) {
+        if (!servers.put(entry)) {
+            return false;
+        }
         admitVersion(entry);
         final boolean waits = !canary(entry.service()).knows(entry.version());
         if (waits && ordersKnownTo >= 0) {
             ordersWanted.run();
         }
+        return true;
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -4,11 +4,12 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
-import org.fennelstage.id.BackendServerId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.placement.Placement;
@@ -29,7 +30,7 @@
     private final Placement placement;
     private final RandomGenerator random;
     private final GatewayMetrics metrics;
-    private Consumer<BackendServerId> unreachableListener = id -> {};
+    private Consumer<Incarnation> unreachableListener = id -> {};
     private int inFlight;
 
     /**
@@ -55,6 +56,7 @@
         this.placement = Objects.requireNonNull(placement, "placement is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+        beliefs.servers().onRestart(this::onRestarted);
     }
 
     @Override
@@ -90,7 +92,7 @@
      *
      * @param listener takes the worker
      */
-    public void onUnreachable(final Consumer<BackendServerId> listener) {
+    public void onUnreachable(final Consumer<Incarnation> listener) {
         unreachableListener = Objects.requireNonNull(listener, "listener is null");
     }
 
@@ -140,10 +142,27 @@
     void onUnreachable(final TrackedServer server) {
         client.closeIdle(Sockets.address(server.entry().address()));
         if (server.health().onUnreachable()) {
-            unreachableListener.accept(server.entry().id());
+            unreachableListener.accept(server.entry().incarnation());
         }
     }
 
+    /**
+     * Ends what was under way at the former life of a worker: its process is gone, and without a
+     * reset (behind a cut) a request there would wait out its caller's time for an answer.
+     */
+    private void onRestarted(final TrackedServer former) {
+        final ServerEntry entry = former.entry();
+        EventLog.write(
+                Event.SERVER_RESTARTED,
+                "server",
+                entry.id(),
+                "born_ms",
+                entry.incarnation().bornMillis(),
+                "running",
+                former.running());
+        client.closeAll(Sockets.address(entry.address()));
+    }
+
     /** Answers for the router itself. */
     void respond(final ServerExchange exchange, final String requestId, final Refusal refusal) {
         final byte[] body = OwnAnswer.body(refusal);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -54,6 +54,14 @@
          */
         default void onRevision(final long revision) {}
 
+        /**
+         * Hears of an object that is there and cannot be understood; after {@link #onAll}, if it
+         * was in a list.
+         *
+         * @param value its name and what is wrong with it
+         */
+        default void onMalformed(final StoredValue<T> value) {}
+
         /** Hears that the store cannot be reached. */
         default void onLost() {}
 
@@ -68,6 +76,7 @@
     private final WatchPace pace;
     private final RandomGenerator random;
     private final List<StoredValue<T>> listed = new ArrayList<>();
+    private final MalformedObjects malformed;
     private long revision = -1;
     private int failures;
     private boolean refreshing;
@@ -96,6 +105,7 @@
         this.pace = Objects.requireNonNull(pace, "pace is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
+        this.malformed = MalformedObjects.empty(kind.toString());
     }
 
     /** Begins to follow. */
@@ -120,7 +130,7 @@
         // A failure shows in the watch as well, which lists anew then. A list in parts is left to
         // it too.
         if (answer instanceof StoreAnswer.Done<Page<T>> done && done.value().next().isEmpty()) {
-            listener.onAll(understood(done.value().values()));
+            hearAll(done.value().values());
             listener.onRevision(done.value().revision());
         }
     }
@@ -153,9 +163,8 @@
             return;
         }
         revision = page.revision();
-        final List<StoredValue<T>> all = understood(listed);
+        hearAll(List.copyOf(listed));
         listed.clear();
-        listener.onAll(all);
         listener.onRevision(revision);
         watch();
     }
@@ -185,7 +194,7 @@
             return;
         }
         revision = page.revision();
-        understood(page.values()).forEach(listener::onChange);
+        page.values().forEach(this::hearChange);
         listener.onRevision(revision);
         if (page.values().isEmpty()) {
             watch();
@@ -194,25 +203,28 @@
         }
     }
 
-    private List<StoredValue<T>> understood(final List<StoredValue<T>> values) {
-        final List<StoredValue<T>> result = new ArrayList<>();
-        for (final StoredValue<T> value : values) {
-            if (value.problem().isPresent()) {
-                EventLog.write(
-                        Event.CONFIGURATION_MALFORMED,
-                        "kind",
-                        kind,
-                        "name",
-                        value.name(),
-                        "revision",
-                        value.revision(),
-                        "problem",
-                        value.problem().get());
-            } else {
-                result.add(value);
-            }
+    private void hearAll(final List<StoredValue<T>> values) {
+        final List<StoredValue<T>> good = new ArrayList<>();
+        final List<StoredValue<T>> bad = new ArrayList<>();
+        values.forEach(value -> (value.problem().isEmpty() ? good : bad).add(value));
+        malformed.keep(values);
+        good.forEach(malformed::note);
+        listener.onAll(good);
+        bad.forEach(this::hearMalformed);
+    }
+
+    private void hearChange(final StoredValue<T> value) {
+        if (value.problem().isPresent()) {
+            hearMalformed(value);
+        } else {
+            malformed.note(value);
+            listener.onChange(value);
         }
-        return result;
+    }
+
+    private void hearMalformed(final StoredValue<T> value) {
+        malformed.note(value);
+        listener.onMalformed(value);
     }
 
     private void onSuccess() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -13,6 +13,7 @@
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.TrackedServer;
@@ -25,7 +26,6 @@
 import org.fennelstage.http.HttpServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
-import org.fennelstage.id.BackendServerId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.log.LogSetup;
@@ -139,11 +139,15 @@
                 });
     }
 
-    private void onReported(final BackendServerId id, final double draw) {
-        final Optional<TrackedServer> server = beliefs.servers().find(id);
+    private void onReported(final Incarnation about, final double draw) {
+        // What was said of a former life says nothing of the worker that started again.
+        final Optional<TrackedServer> server =
+                beliefs.servers()
+                        .find(about.server())
+                        .filter(s -> s.entry().incarnation().equals(about));
         if (server.isPresent()) {
             final boolean believed = server.get().health().onHearsay(draw);
-            EventLog.write(Event.SERVER_REPORTED, "server", id, "believed", believed);
+            EventLog.write(Event.SERVER_REPORTED, "server", about, "believed", believed);
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerNews.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerNews.java
@@ -17,8 +17,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -28,15 +32,20 @@
  * Tells the other VMs of the data centre which workers this VM could not reach, and hears it from
  * them.
  *
- * <p>One datagram a VM with the worker's id, text of one line: news that is lost costs a VM one
- * request that finds out by itself, so nothing is acknowledged or sent again. Text, since a message
- * of one field does not pay for loading another library at every start. Confined to the event loop.
+ * <p>One datagram a VM with the worker's id and birth, text of one line: news that is lost costs a
+ * VM one request that finds out by itself, so nothing is acknowledged or sent again. Text, since a
+ * message of one field does not pay for loading another library at every start. Confined to the
+ * event loop.
  */
 final class PeerNews {
 
     /** Begins each message, so that anything else that arrives is told from it. */
     private static final String UNREACHABLE = "unreachable ";
 
+    /** The worker's id and, in Unix milliseconds, its birth. */
+    private static final Pattern MESSAGE =
+            Pattern.compile(UNREACHABLE + "([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
+
     /** The longest message taken; ids have some ten characters. */
     private static final int MAX_BYTES = 200;
 
@@ -46,7 +55,7 @@
     private final Channel channel;
     private final Supplier<List<InetSocketAddress>> others;
     private final MonotonicClock clock;
-    private final Map<BackendServerId, Long> toldMillis = new HashMap<>();
+    private final Map<Incarnation, Long> toldMillis = new HashMap<>();
 
     private PeerNews(
             final Channel channel,
@@ -73,7 +82,7 @@
             final InetSocketAddress own,
             final Supplier<List<InetSocketAddress>> others,
             final MonotonicClock clock,
-            final Consumer<BackendServerId> listener)
+            final Consumer<Incarnation> listener)
             throws IOException {
         Objects.requireNonNull(others, "others is null");
         Objects.requireNonNull(listener, "listener is null");
@@ -91,13 +100,15 @@
     }
 
     /** Tells the others that this VM could not reach a worker. */
-    void tell(final BackendServerId server) {
+    void tell(final Incarnation server) {
         final long now = clock.millis();
         toldMillis.values().removeIf(told -> now - told >= REPEAT_MILLIS);
         if (toldMillis.putIfAbsent(server, now) != null) {
             return;
         }
-        final byte[] text = (UNREACHABLE + server.value()).getBytes(StandardCharsets.UTF_8);
+        final byte[] text =
+                (UNREACHABLE + server.server().value() + " " + server.bornMillis())
+                        .getBytes(StandardCharsets.UTF_8);
         for (final InetSocketAddress other : others.get()) {
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(text), other));
         }
@@ -107,9 +118,9 @@
     /** Takes what others tell. */
     private static final class Reader extends SimpleChannelInboundHandler<DatagramPacket> {
 
-        private final Consumer<BackendServerId> listener;
+        private final Consumer<Incarnation> listener;
 
-        private Reader(final Consumer<BackendServerId> listener) {
+        private Reader(final Consumer<Incarnation> listener) {
             this.listener = listener;
         }
 
@@ -121,9 +132,18 @@
                     content.readableBytes() > MAX_BYTES
                             ? ""
                             : content.toString(StandardCharsets.UTF_8);
-            if (text.startsWith(UNREACHABLE) && text.length() > UNREACHABLE.length()) {
-                listener.accept(BackendServerId.of(text.substring(UNREACHABLE.length())));
-            }
+            parse(text).ifPresent(listener);
+        }
+
+        /** Reads {@code unreachable ID BORN}; empty for anything else. */
+        private static Optional<Incarnation> parse(final String text) {
+            final Matcher matcher = MESSAGE.matcher(text);
+            return matcher.matches()
+                    ? Optional.of(
+                            new Incarnation(
+                                    BackendServerId.of(matcher.group(1)),
+                                    Long.parseLong(matcher.group(2))))
+                    : Optional.empty();
         }
 
         @Override
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
@@ -10,6 +10,7 @@
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.store.Follower;
+import org.fennelstage.store.StoreKind;
 import org.fennelstage.store.StoredValue;
 
 /** Brings news of workers into the table. Confined to the event loop. */
@@ -39,7 +40,7 @@
     public void onChange(final StoredValue<ServerEntry> change) {
         if (change.value().isPresent()) {
             final ServerEntry entry = change.value().get();
-            beliefs.onServer(entry);
+            final boolean taken = beliefs.onServer(entry);
             EventLog.write(
                     Event.SERVER_ENTRY,
                     "server",
@@ -50,15 +51,35 @@
                     entry.version(),
                     "leaving",
                     entry.leaving(),
+                    "born_ms",
+                    entry.incarnation().bornMillis(),
+                    "taken",
+                    taken,
                     "revision",
                     change.revision());
         } else {
-            servers.remove(BackendServerId.of(change.name()));
+            id(change.name()).ifPresent(servers::remove);
             EventLog.write(
                     Event.SERVER_GONE, "server", change.name(), "revision", change.revision());
         }
     }
 
+    @Override
+    public void onMalformed(final StoredValue<ServerEntry> value) {
+        id(value.name()).ifPresent(servers::reject);
+    }
+
+    /** Another writer may use names that no worker can have; those name no worker. */
+    private static Optional<BackendServerId> id(final String name) {
+        try {
+            return Optional.of(BackendServerId.of(name));
+        } catch (final IllegalArgumentException e) {
+            EventLog.write(
+                    Event.OBJECT_MALFORMED, "kind", StoreKind.SERVERS, "problem", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void onLost() {
         servers.onStoreLost();
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerNewsTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerNewsTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.id.BackendServerId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final AtomicLong now = new AtomicLong(1_000_000);
-    private final BlockingQueue<BackendServerId> heard = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Incarnation> heard = new LinkedBlockingQueue<>();
 
     @AfterEach
     void stopLoops() {
@@ -42,7 +43,11 @@
         return PeerNews.start(group.next(), own, () -> others, now::get, heard::add);
     }
 
-    private BackendServerId next() throws InterruptedException {
+    private static Incarnation worker(final String id) {
+        return Incarnation.of(BackendServerId.of(id));
+    }
+
+    private Incarnation next() throws InterruptedException {
         return heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
     }
 
@@ -51,13 +56,13 @@
         final InetSocketAddress second = freeAddress();
         start(second, List.of());
         final PeerNews first = start(freeAddress(), List.of(second));
-        first.tell(BackendServerId.of("i-1"));
-        first.tell(BackendServerId.of("i-1"));
-        first.tell(BackendServerId.of("i-2"));
+        first.tell(worker("i-1"));
+        first.tell(worker("i-1"));
+        first.tell(worker("i-2"));
         now.addAndGet(1_000);
-        first.tell(BackendServerId.of("i-1"));
+        first.tell(worker("i-1"));
         assertThat(List.of(next(), next(), next()))
-                .extracting(BackendServerId::value)
+                .extracting(i -> i.server().value())
                 .containsExactlyInAnyOrder("i-1", "i-2", "i-1");
     }
 
@@ -67,13 +72,19 @@
         start(own, List.of());
         try (DatagramSocket stranger = new DatagramSocket()) {
             final List<String> messages =
-                    List.of("", "unreachable ", "x".repeat(500), "unreachable i-1");
+                    List.of(
+                            "",
+                            "unreachable ",
+                            "x".repeat(500),
+                            "unreachable i-1",
+                            "unreachable i-1 x",
+                            "unreachable i-1 17");
             for (final String message : messages) {
                 final byte[] bytes = message.getBytes(StandardCharsets.UTF_8);
                 stranger.send(new DatagramPacket(bytes, bytes.length, own));
             }
         }
-        assertThat(next()).isEqualTo(BackendServerId.of("i-1"));
+        assertThat(next()).isEqualTo(new Incarnation(BackendServerId.of("i-1"), 17));
         assertThat(heard).isEmpty();
     }
 }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -30,6 +30,9 @@
     STORE_REFUSES(2019, Level.WARNING, "store does not answer this VM; others are asked"),
     STORE_SERVES(2020, Level.INFO, "store answers this VM itself again"),
     RELAY_FAILED(2021, Level.WARNING, "VM that asks the store for its data centre failed"),
+    OBJECT_MALFORMED(2022, Level.WARNING, "object of the store cannot be understood; not used"),
+    OBJECT_UNDERSTOOD(2023, Level.INFO, "object of the store can be understood again"),
+    SERVER_RESTARTED(2024, Level.WARNING, "backend server started again under its id"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store did not take effect for sure"),
 
     MEMBER_CHANGED(3001, Level.INFO, "another VM changed state"),
