Notice a worker that stops in the middle of its answers within 0.8 s

Change: attempts are looked at ten times a second with the patience that fits now; two begun answers of a worker that stop together for 0.7 s speak for all requests there; one failure of a worker is counted once.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -6,18 +6,23 @@
 /**
  * A worker with this VM's requests at it.
  *
- * <p>Invariant: work and count return to zero when all requests have ended. Not thread-safe.
+ * <p>Invariant: work and counts return to zero when all requests have ended. Not thread-safe.
  */
 public final class TrackedServer {
 
     private final ServerHealth health;
+    private final MonotonicClock clock;
     private ServerEntry entry;
     private int running;
+    private int begunAnswers;
+    private long stalledFromMillis;
     private long workTokens;
 
-    private TrackedServer(final ServerEntry entry, final ServerHealth health) {
+    private TrackedServer(
+            final ServerEntry entry, final ServerHealth health, final MonotonicClock clock) {
         this.entry = entry;
         this.health = health;
+        this.clock = clock;
     }
 
     /**
@@ -31,7 +36,7 @@
     public static TrackedServer of(
             final ServerEntry entry, final MonotonicClock clock, final Reachability dataCentre) {
         Objects.requireNonNull(entry, "entry is null");
-        return new TrackedServer(entry, ServerHealth.of(clock, dataCentre));
+        return new TrackedServer(entry, ServerHealth.of(clock, dataCentre), clock);
     }
 
     public ServerEntry entry() {
@@ -80,6 +85,39 @@
         workTokens -= tokens;
     }
 
+    /** Notes that an answer began, or goes on after a pause that this VM asked for. */
+    public void beginAnswer() {
+        if (begunAnswers == 0) {
+            stalledFromMillis = clock.millis();
+        }
+        begunAnswers++;
+    }
+
+    /** Notes that an answer that had begun ended, or is paused by this VM. */
+    public void endAnswer() {
+        begunAnswers--;
+    }
+
+    /**
+     * Returns how many answers to this VM have begun and not ended.
+     *
+     * @return the count
+     */
+    public int begunAnswers() {
+        return begunAnswers;
+    }
+
+    /**
+     * Returns how long all answers that have begun have been without a byte.
+     *
+     * @return milliseconds, zero if no answer is under way
+     */
+    public long stalledMillis() {
+        return begunAnswers == 0
+                ? 0
+                : Math.min(health.silentMillis(), clock.millis() - stalledFromMillis);
+    }
+
     void update(final ServerEntry newer) {
         entry = newer;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.Pace;
+import org.fennelstage.attempt.Silence;
 import org.fennelstage.attempt.UsualFailures;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.Call;
@@ -54,6 +55,7 @@
     private long lastByteMillis;
     private long firstEventMillis;
     private int eventCount;
+    private boolean flowing;
     private boolean ended;
 
     Attempt(
@@ -86,7 +88,7 @@
                                 options,
                                 this);
         lastByteMillis = sentMillis;
-        watchForSilence(patienceMillis());
+        run.gateway().attempts().add(this);
     }
 
     /** Ends the attempt: the worker sees its connection close and drops the request. */
@@ -96,8 +98,24 @@
         }
     }
 
+    /** Stops or resumes reading, as the caller takes the bytes. */
     void pause(final boolean pause) {
         call.pause(pause);
+        setFlowing(!pause);
+    }
+
+    /** A paused answer says nothing of its worker: its bytes wait unread on this VM. */
+    private void setFlowing(final boolean nowFlowing) {
+        if (flowing == nowFlowing || (nowFlowing && (ended || head.isEmpty()))) {
+            return;
+        }
+        flowing = nowFlowing;
+        if (nowFlowing) {
+            lastByteMillis = now();
+            server.beginAnswer();
+        } else {
+            server.endAnswer();
+        }
     }
 
     @Override
@@ -106,6 +124,7 @@
         pace.onFirstByte(now() - sentMillis, promptTokens());
         final AnswerHead decoded = codec().decodeAnswer(status, headers);
         head = Optional.of(decoded);
+        setFlowing(true);
         if (decoded.isSuccess() && run.dropped(decoded)) {
             noteHealth(false);
         }
@@ -153,29 +172,37 @@
     }
 
     /**
-     * Watches for a worker that neither answers nor closes its connection: without power, behind a
-     * partition, or hanging. One that gives other requests their bytes meanwhile is only busy.
+     * Looks for a worker that neither answers nor closes its connection; called several times a
+     * second. A timer set when the request was sent would be as patient with a begun stream as with
+     * a long prompt: a stream cut off right after its first event was noticed six seconds late.
      */
-    private void watchForSilence(final long inMillis) {
-        run.schedule(this::checkSilence, Math.max(1, inMillis));
-    }
-
-    private void checkSilence() {
-        if (ended) {
+    void checkSilence() {
+        if (ended || isPaused()) {
             return;
         }
-        final long silent = Math.min(now() - lastByteMillis, server.health().silentMillis());
-        final long patience = patienceMillis();
-        if (silent < patience) {
-            watchForSilence(patience - silent);
+        final Silence silence =
+                new Silence(
+                        now() - lastByteMillis,
+                        server.health().silentMillis(),
+                        server.stalledMillis(),
+                        server.begunAnswers());
+        if (!silence.exceeds(patienceMillis())) {
             return;
         }
-        final String detail = server.entry().id() + " silent for " + silent + " ms";
-        if (run.gaveUpSilent(detail)) {
-            run.gateway().onUnreachable(server);
-        } else {
-            watchForSilence(patience);
-        }
+        final String detail =
+                server.entry().id()
+                        + " silent for "
+                        + silence.serverMillis()
+                        + " ms, own "
+                        + silence.ownMillis()
+                        + " ms, answers "
+                        + silence.begunAnswers();
+        run.gateway().onSilent(server);
+        run.onSilent(detail);
+    }
+
+    private boolean isPaused() {
+        return head.isPresent() && !flowing;
     }
 
     private long patienceMillis() {
@@ -251,6 +278,8 @@
             return false;
         }
         ended = true;
+        setFlowing(false);
+        run.gateway().attempts().remove(this);
         server.end(workTokens);
         return true;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -1,11 +1,15 @@
 package org.fennelstage.gateway;
 
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.RequestHandler;
@@ -31,6 +35,7 @@
     private final RandomGenerator random;
     private final GatewayMetrics metrics;
     private Consumer<Incarnation> unreachableListener = id -> {};
+    private final Set<Attempt> attempts = new LinkedHashSet<>();
     private int inFlight;
 
     /**
@@ -105,6 +110,15 @@
         return inFlight;
     }
 
+    /** Gives up attempts at workers that went silent. To be called several times a second. */
+    public void checkSilence() {
+        List.copyOf(attempts).forEach(Attempt::checkSilence);
+    }
+
+    Set<Attempt> attempts() {
+        return attempts;
+    }
+
     Beliefs beliefs() {
         return beliefs;
     }
@@ -138,6 +152,17 @@
         inFlight--;
     }
 
+    /**
+     * Notes that a worker is silent to requests that it has. All requests there notice it in the
+     * same moment; it is one failure, and counted for each it would seem that three workers of the
+     * data centre are out of reach.
+     */
+    void onSilent(final TrackedServer server) {
+        if (server.health().tier() != ServerHealth.Tier.UNREACHABLE) {
+            onUnreachable(server);
+        }
+    }
+
     /** Notes that a worker could not be reached, and tells the other VMs if it is at fault. */
     void onUnreachable(final TrackedServer server) {
         client.closeIdle(Sockets.address(server.entry().address()));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -176,24 +176,23 @@
     }
 
     /**
-     * Decides whether a worker that has been silent for too long is given up.
+     * Asks another worker in place of one that has been silent for too long, if the request may be
+     * sent again and there is another.
      *
      * @param detail what was seen, for the log
-     * @return true if the attempt was given up
      */
-    boolean gaveUpSilent(final String detail) {
+    void onSilent(final String detail) {
         final boolean stays =
                 !route.repeatable()
                         || attempts.sent() >= route.maxServers()
                         || !hasOtherServer()
                         || !gateway.beliefs().budget(service).tryRepeat();
         if (stays) {
-            return false;
+            return;
         }
         abandonOpen(AttemptEnd.UNKNOWN);
         log.attemptFailed(AttemptEnd.UNKNOWN, detail, elapsedMillis());
         attempt();
-        return true;
     }
 
     /** Ends the request with what is known of its attempts. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -49,7 +49,7 @@
  */
 public final class GatewayVm {
 
-    /** How often lapsed workers and due writes are looked for; milliseconds. */
+    /** How often silent workers, lapsed workers and due writes are looked for; milliseconds. */
     private static final long DUTY_MILLIS = 100;
 
     /**
@@ -292,6 +292,7 @@
 
     private void performDuties() {
         try {
+            gateway.checkSilence();
             serverFeed.dropLapsed();
             rolloutFeed.writeDue();
             readiness.update();
