--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/Pace.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/Pace.java
@@ -32,7 +32,21 @@
      */
     private static final double FACTOR = 4;
 
+    /**
+     * Weight of an answer that began sooner than usual in the time that reading alone takes, and of
+     * one that began later: those that waited behind others tell little of it. The estimate settles
+     * where about a tenth of the answers are below it.
+     */
+    private static final double SOONER_WEIGHT = 0.1;
+
+    private static final double LATER_WEIGHT = 0.01;
+
+    /** Time that a request keeps its place, before any has ended; milliseconds. */
+    private static final double FIRST_GUESS_ANSWER_MILLIS = 100;
+
     private double millisPerToken = FIRST_GUESS_MILLIS;
+    private double readMillisPerToken = FIRST_GUESS_MILLIS;
+    private double answerMillis = FIRST_GUESS_ANSWER_MILLIS;
 
     /**
      * Notes the time to the first byte of an answer.
@@ -43,6 +57,35 @@
     public void onFirstByte(final long millis, final int promptTokens) {
         final double observed = millis / (double) (promptTokens + FIXED_TOKENS);
         millisPerToken += WEIGHT * (observed - millisPerToken);
+        final double weight = observed < readMillisPerToken ? SOONER_WEIGHT : LATER_WEIGHT;
+        readMillisPerToken += weight * (observed - readMillisPerToken);
+    }
+
+    /**
+     * Notes that a whole answer has come.
+     *
+     * @param millis the time from its sending to its end
+     */
+    public void onEnd(final long millis) {
+        answerMillis += WEIGHT * (millis - answerMillis);
+    }
+
+    /**
+     * Returns how long a worker that has nothing else to read takes for a token of a prompt.
+     *
+     * @return milliseconds
+     */
+    public double readMillisPerToken() {
+        return readMillisPerToken;
+    }
+
+    /**
+     * Returns how long a request usually keeps a place at a worker.
+     *
+     * @return milliseconds
+     */
+    public double answerMillis() {
+        return answerMillis;
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -16,7 +16,7 @@
     private int running;
     private int begunAnswers;
     private long stalledFromMillis;
-    private long workTokens;
+    private long unreadMillis;
 
     private TrackedServer(
             final ServerEntry entry, final ServerHealth health, final MonotonicClock clock) {
@@ -57,32 +57,36 @@
     }
 
     /**
-     * Returns the size of this VM's requests at the worker.
+     * Returns this VM's requests at the worker with the time to read their prompts.
      *
-     * @return tokens, weighted as the requests were
+     * @return the load
      */
-    public long workTokens() {
-        return workTokens;
+    public Load load() {
+        return new Load(running, unreadMillis);
     }
 
     /**
      * Notes a request sent.
      *
-     * @param tokens its size
+     * @param readMillis how long the worker takes to read its prompt; milliseconds
      */
-    public void begin(final long tokens) {
+    public void begin(final long readMillis) {
         running++;
-        workTokens += tokens;
+        unreadMillis += readMillis;
     }
 
     /**
-     * Notes that a request ended.
+     * Notes that a request's prompt was read, or that it ended before.
      *
-     * @param tokens its size, as given at its begin
+     * @param readMillis as given at its begin
      */
-    public void end(final long tokens) {
+    public void onRead(final long readMillis) {
+        unreadMillis -= readMillis;
+    }
+
+    /** Notes that a request ended whose prompt was read. */
+    public void end() {
         running--;
-        workTokens -= tokens;
     }
 
     /** Notes that an answer began, or goes on after a pause that this VM asked for. */
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -7,20 +7,25 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.fennelstage.fleet.Load;
+import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.member.Rendezvous;
 
 /**
- * Chooses the worker of a request.
+ * Chooses the worker of a request: the one where it is expected to begin first.
  *
- * <p>Requests with a long shared part go to the worker on which all VMs agree without a word
- * (highest random weight of the part), since that one likely has the part in memory. Its load is
- * bounded: a worker with clearly more work than the average of this VM passes the request on to the
- * next in rank, so that a part that everybody asks for does not bury one worker. Everything else
- * goes to the worker with the fewest requests of this VM, in the own data centre where that costs
- * no wait.
+ * <p>The expected wait is the time to read the prompts that were sent before and are not read yet,
+ * by all VMs as far as they say ({@link LoadBoard}); the time until a place is free, where all are
+ * taken; and the time to read the own prompt, less what is saved where the worker has the shared
+ * part in memory. All VMs agree without a word which worker that is: the one with the highest
+ * random weight of the part. So a part that everybody asks for spreads over as many workers as its
+ * load needs, and no further.
+ *
+ * <p>Answers the load of long prompts beside short ones: a caption of 800 tokens waited for 5 s
+ * behind prompts of 12,000 and more that other VMs had sent to the same worker.
  *
  * <p>Law: a worker of a worse {@link ServerHealth.Tier} is chosen only if there is none of a better
  * one. Not thread-safe, as its random source.
@@ -28,17 +33,31 @@
 public final class Placement {
 
     /**
-     * Work beyond the average that a worker may have and still be chosen for its memory. The field
-     * uses 1.25 to 2; at this size an average is over few requests, which needs room.
+     * Part of the saved time that counts at the worker of the highest weight, and at the second: a
+     * part leaves memory, and when the first has too much to do the second gets it.
+     */
+    private static final double[] MEMORY_LIKELY = {0.8, 0.4};
+
+    /**
+     * What another data centre costs, in requests that run beside this one: the way there and back,
+     * and bytes that are paid for.
      */
-    private static final double BOUND = 1.5;
+    private static final double AWAY_NEIGHBOURS = 0.5;
+
+    /**
+     * Ties are broken by as much, in the same unit, so that VMs with the same news do not all turn
+     * to one worker.
+     */
+    private static final double JITTER_NEIGHBOURS = 0.25;
 
     private final DataCentreId own;
     private final RandomGenerator random;
+    private final LoadBoard board;
 
-    private Placement(final DataCentreId own, final RandomGenerator random) {
+    private Placement(final DataCentreId own, final RandomGenerator random, final LoadBoard board) {
         this.own = own;
         this.random = random;
+        this.board = board;
     }
 
     /**
@@ -46,26 +65,29 @@
      *
      * @param own the VM's data centre
      * @param random breaks ties
+     * @param board what the other VMs have at the workers
      * @return the placement
      */
-    public static Placement of(final DataCentreId own, final RandomGenerator random) {
+    public static Placement of(
+            final DataCentreId own, final RandomGenerator random, final LoadBoard board) {
         return new Placement(
                 Objects.requireNonNull(own, "own is null"),
-                Objects.requireNonNull(random, "random is null"));
+                Objects.requireNonNull(random, "random is null"),
+                Objects.requireNonNull(board, "board is null"));
     }
 
     /**
      * Chooses a worker.
      *
      * @param candidates the workers that may get the request
-     * @param prompt what it asks of an engine, empty for a plain service
+     * @param job what the request asks of a worker
      * @param mayProbe whether the request may try a worker that could not be reached lately
      * @param excluded workers to avoid, used only if no other is left
      * @return the worker, empty if there is no candidate
      */
     public Optional<TrackedServer> choose(
             final List<TrackedServer> candidates,
-            final Optional<Prompt> prompt,
+            final Job job,
             final boolean mayProbe,
             final Predicate<TrackedServer> excluded) {
         if (mayProbe) {
@@ -78,10 +100,7 @@
         if (best.isEmpty()) {
             return Optional.empty();
         }
-        final Optional<PromptPart> shared = prompt.flatMap(Prompt::lastShared);
-        return shared.isPresent()
-                ? byMemory(best, shared.get(), prompt.get().workTokens())
-                : byLoad(best);
+        return Optional.of(soonest(best, job));
     }
 
     private static Optional<TrackedServer> probe(
@@ -112,33 +131,68 @@
         return best;
     }
 
-    private static Optional<TrackedServer> byMemory(
-            final List<TrackedServer> servers, final PromptPart part, final long work) {
-        final long total = servers.stream().mapToLong(TrackedServer::workTokens).sum();
-        final double bound = BOUND * (total + work) / servers.size() + work;
-        final Comparator<TrackedServer> rank =
-                Comparator.comparingLong(s -> Rendezvous.weight(part.id(), s.entry().id().value()));
-        return servers.stream()
-                .filter(s -> s.workTokens() + work <= bound)
-                .max(rank)
-                .or(() -> servers.stream().min(byWork()));
-    }
-
-    private Optional<TrackedServer> byLoad(final List<TrackedServer> servers) {
-        TrackedServer chosen = null;
+    private TrackedServer soonest(final List<TrackedServer> servers, final Job job) {
+        final List<TrackedServer> inMemory = likelyInMemory(servers, job);
+        TrackedServer chosen = servers.get(0);
         double least = Double.MAX_VALUE;
         for (final TrackedServer server : servers) {
-            final double local = server.entry().dataCentre().equals(own) ? 0 : 0.5;
-            final double load = server.running() + local + random.nextDouble() / 4;
-            if (load < least) {
-                least = load;
+            final double saved = saved(inMemory.indexOf(server), job);
+            final double wait = waitMillis(server, job) - saved + tieBreak(server, job);
+            if (wait < least) {
+                least = wait;
                 chosen = server;
             }
         }
-        return Optional.ofNullable(chosen);
+        return chosen;
+    }
+
+    /**
+     * Returns how long a request would wait for its first byte at a worker, if nothing of its
+     * prompt is in memory.
+     *
+     * @param server the worker
+     * @param job the request
+     * @return milliseconds
+     */
+    public double waitMillis(final TrackedServer server, final Job job) {
+        final Load load = server.load().plus(board.others(server.entry().id()));
+        final int capacity = Math.max(1, server.entry().capacity());
+        final int ahead = Math.max(0, load.running() + 1 - capacity);
+        return load.unreadMillis()
+                + ahead * job.answerMillis() / capacity
+                + load.running() * job.neighbourMillis(capacity)
+                + job.readMillis();
+    }
+
+    private double tieBreak(final TrackedServer server, final Job job) {
+        final boolean near = server.entry().dataCentre().equals(own);
+        final double neighbours =
+                (near ? 0 : AWAY_NEIGHBOURS) + random.nextDouble() * JITTER_NEIGHBOURS;
+        return neighbours * job.neighbourMillis(Math.max(1, server.entry().capacity()));
+    }
+
+    private static double saved(final int rank, final Job job) {
+        return rank < 0 ? 0 : MEMORY_LIKELY[rank] * job.sharedMillis();
+    }
+
+    /** The workers that likely hold the shared part, the likeliest first. */
+    private static List<TrackedServer> likelyInMemory(
+            final List<TrackedServer> servers, final Job job) {
+        if (job.affinity().isEmpty()) {
+            return List.of();
+        }
+        final String part = job.affinity().get();
+        final List<TrackedServer> ranked = new ArrayList<>(MEMORY_LIKELY.length);
+        for (int i = 0; i < MEMORY_LIKELY.length; i++) {
+            servers.stream()
+                    .filter(s -> !ranked.contains(s))
+                    .max(Comparator.comparingLong(s -> weight(part, s)))
+                    .ifPresent(ranked::add);
+        }
+        return ranked;
     }
 
-    private static Comparator<TrackedServer> byWork() {
-        return Comparator.comparingLong(TrackedServer::workTokens);
+    private static long weight(final String part, final TrackedServer server) {
+        return Rendezvous.weight(part, server.entry().id().value());
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Prompt.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Prompt.java
@@ -12,9 +12,6 @@
  */
 public record Prompt(List<PromptPart> parts, int promptTokens, int maxOutputTokens) {
 
-    /** Generating a token takes an engine about as long as reading ten. */
-    private static final int READ_TOKENS_PER_GENERATED = 10;
-
     public Prompt {
         parts = List.copyOf(parts);
     }
@@ -27,13 +24,4 @@
     public Optional<PromptPart> lastShared() {
         return parts.size() < 2 ? Optional.empty() : Optional.of(parts.get(parts.size() - 2));
     }
-
-    /**
-     * Returns the size of the request.
-     *
-     * @return tokens, a generated one counted as ten
-     */
-    public long workTokens() {
-        return promptTokens + (long) READ_TOKENS_PER_GENERATED * maxOutputTokens;
-    }
 }
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -4,10 +4,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.Load;
+import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.Reachability;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
@@ -16,6 +19,7 @@
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
+import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.Test;
 
 class PlacementTest {
@@ -23,7 +27,7 @@
     private static final DataCentreId OWN = DataCentreId.of("dc-a");
 
     private final AtomicLong now = new AtomicLong(1_000_000);
-    private final Placement placement = Placement.of(OWN, new Random(7));
+    private final Placement placement = Placement.of(OWN, new Random(7), LoadBoard.empty());
 
     private List<TrackedServer> servers(final int count) {
         final List<TrackedServer> servers = new ArrayList<>();
@@ -53,6 +57,10 @@
                         100));
     }
 
+    private static Job job(final Optional<Prompt> prompt) {
+        return new Job(prompt, Optional.empty(), 0.1, 200);
+    }
+
     @Test
     void requestsThatShareAPartGoToTheSameServerWhileItsLoadIsUsual() {
         final List<TrackedServer> servers = servers(13);
@@ -68,7 +76,7 @@
     @Test
     void aTopicThatEverybodyAsksForIsSpreadOverServers() {
         final List<TrackedServer> servers = servers(13);
-        final long work = prompt("topic").orElseThrow().workTokens();
+        final long work = job(prompt("topic")).readMillis();
         for (int i = 0; i < 130; i++) {
             choose(servers, "topic").orElseThrow().begin(work);
         }
@@ -80,11 +88,11 @@
     void plainRequestsStayInTheOwnDataCentreWhileItsServersAreAsIdleAsOthers() {
         final List<TrackedServer> servers = servers(3);
         final TrackedServer chosen =
-                placement.choose(servers, Optional.empty(), false, s -> false).orElseThrow();
+                placement.choose(servers, job(Optional.empty()), false, s -> false).orElseThrow();
         assertThat(chosen.entry().dataCentre()).isEqualTo(OWN);
         chosen.begin(1);
         final TrackedServer next =
-                placement.choose(servers, Optional.empty(), false, s -> false).orElseThrow();
+                placement.choose(servers, job(Optional.empty()), false, s -> false).orElseThrow();
         assertThat(next.entry().dataCentre()).isNotEqualTo(OWN);
     }
 
@@ -93,19 +101,21 @@
         final List<TrackedServer> servers = servers(2);
         servers.get(0).health().onUnreachable();
         for (int i = 0; i < 20; i++) {
-            assertThat(placement.choose(servers, Optional.empty(), false, s -> false))
+            assertThat(placement.choose(servers, job(Optional.empty()), false, s -> false))
                     .contains(servers.get(1));
         }
-        assertThat(placement.choose(servers.subList(0, 1), Optional.empty(), false, s -> false))
+        assertThat(
+                        placement.choose(
+                                servers.subList(0, 1), job(Optional.empty()), false, s -> false))
                 .contains(servers.get(0));
     }
 
     @Test
     void aServerThatWasTriedIsChosenAgainOnlyIfThereIsNoOther() {
         final List<TrackedServer> servers = servers(2);
-        assertThat(placement.choose(servers, prompt("t"), false, s -> s == servers.get(0)))
+        assertThat(placement.choose(servers, job(prompt("t")), false, s -> s == servers.get(0)))
                 .contains(servers.get(1));
-        assertThat(placement.choose(servers.subList(0, 1), prompt("t"), false, s -> true))
+        assertThat(placement.choose(servers.subList(0, 1), job(prompt("t")), false, s -> true))
                 .contains(servers.get(0));
     }
 
@@ -119,23 +129,55 @@
         servers.get(0).health().onUnreachable();
         now.addAndGet(500);
         for (int i = 0; i < 20; i++) {
-            assertThat(placement.choose(servers, Optional.empty(), false, s -> false))
+            assertThat(placement.choose(servers, job(Optional.empty()), false, s -> false))
                     .contains(servers.get(1));
         }
-        assertThat(placement.choose(servers, prompt("t"), true, s -> false))
+        assertThat(placement.choose(servers, job(prompt("t")), true, s -> false))
                 .contains(servers.get(0));
-        assertThat(placement.choose(servers, prompt("t"), true, s -> false))
+        assertThat(placement.choose(servers, job(prompt("t")), true, s -> false))
                 .contains(servers.get(1));
         servers.get(0).health().onSign();
         assertThat(servers.get(0).health().tier()).isEqualTo(ServerHealth.Tier.SOUND);
     }
 
+    /**
+     * Symptom: a caption waits for five seconds while other workers are idle. Events: other VMs
+     * have sent long prompts to the worker that likely holds the caption's shared part. Cause: only
+     * this VM's own requests were known.
+     */
+    @Test
+    void aShortRequestDoesNotWaitBehindLongPromptsOfOtherVms() {
+        final LoadBoard board = LoadBoard.of(now::get, () -> 1);
+        final Placement informed = Placement.of(OWN, new Random(7), board);
+        final List<TrackedServer> servers = servers(13);
+        final Job caption = job(prompt("topic"));
+        final TrackedServer first =
+                informed.choose(servers, caption, false, s -> false).orElseThrow();
+        board.onReport(VmId.of("vm-2"), Map.of(first.entry().id(), new Load(2, 5_000)));
+        final TrackedServer next =
+                informed.choose(servers, caption, false, s -> false).orElseThrow();
+        assertThat(next).isNotEqualTo(first);
+        assertThat(informed.waitMillis(first, caption)).isGreaterThan(5_000);
+    }
+
+    @Test
+    void aServerWhosePlacesAreAllTakenIsChosenAfterOneWithFreePlaces() {
+        final LoadBoard board = LoadBoard.of(now::get, () -> 1);
+        final Placement informed = Placement.of(OWN, new Random(7), board);
+        final List<TrackedServer> servers = servers(2);
+        board.onReport(VmId.of("vm-2"), Map.of(servers.get(0).entry().id(), new Load(64, 0)));
+        for (int i = 0; i < 20; i++) {
+            assertThat(informed.choose(servers, job(Optional.empty()), false, s -> false))
+                    .contains(servers.get(1));
+        }
+    }
+
     @Test
     void withoutServersThereIsNoChoice() {
-        assertThat(placement.choose(List.of(), Optional.empty(), false, s -> false)).isEmpty();
+        assertThat(placement.choose(List.of(), job(Optional.empty()), false, s -> false)).isEmpty();
     }
 
     private Optional<TrackedServer> choose(final List<TrackedServer> servers, final String shared) {
-        return placement.choose(servers, prompt(shared), false, s -> false);
+        return placement.choose(servers, job(prompt(shared)), false, s -> false);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -46,7 +46,7 @@
     private final RequestRun run;
     private final TrackedServer server;
     private final Pace pace;
-    private final long workTokens;
+    private final long readMillis;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter(this::onEvent);
     private Optional<AnswerHead> head = Optional.empty();
@@ -55,6 +55,7 @@
     private long lastByteMillis;
     private long firstEventMillis;
     private int eventCount;
+    private boolean read;
     private boolean flowing;
     private boolean ended;
 
@@ -62,15 +63,15 @@
             final RequestRun run,
             final TrackedServer server,
             final Pace pace,
-            final long workTokens) {
+            final long readMillis) {
         this.run = run;
         this.server = server;
         this.pace = pace;
-        this.workTokens = workTokens;
+        this.readMillis = readMillis;
     }
 
     void send(final Dispatch dispatch) {
-        server.begin(workTokens);
+        server.begin(readMillis);
         sentMillis = now();
         final boolean repeatable = run.route().repeatable();
         final CallOptions options =
@@ -121,6 +122,7 @@
     @Override
     public void onHead(final int status, final HttpHeaders headers) {
         onByte();
+        noteRead();
         pace.onFirstByte(now() - sentMillis, promptTokens());
         final AnswerHead decoded = codec().decodeAnswer(status, headers);
         head = Optional.of(decoded);
@@ -222,6 +224,7 @@
     private void onSigned(final AnswerHead answer) {
         final boolean failed = answer.isServerFailure();
         noteHealth(failed);
+        pace.onEnd(now() - sentMillis);
         run.canary().onAnswer(server.entry().id(), server.entry().version(), failed, paceMillis());
         if (failed) {
             final byte[] content = body.toByteArray();
@@ -273,6 +276,16 @@
         }
     }
 
+    /**
+     * The worker has read the prompt, or will not read it: what is sent next does not wait for it.
+     */
+    private void noteRead() {
+        if (!read) {
+            read = true;
+            server.onRead(readMillis);
+        }
+    }
+
     private boolean release() {
         if (ended) {
             return false;
@@ -280,7 +293,8 @@
         ended = true;
         setFlowing(false);
         run.gateway().attempts().remove(this);
-        server.end(workTokens);
+        noteRead();
+        server.end();
         return true;
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -34,7 +34,11 @@
         this.attempts = attempts;
     }
 
-    void sent(final TrackedServer server, final int candidates, final Dispatch dispatch) {
+    void sent(
+            final TrackedServer server,
+            final int candidates,
+            final Dispatch dispatch,
+            final long expectedMillis) {
         EventLog.write(
                 Event.REQUEST_SENT,
                 "request",
@@ -57,6 +61,10 @@
                 server.health().tier(),
                 "running",
                 server.running(),
+                "unread_ms",
+                server.load().unreadMillis(),
+                "expected_ms",
+                expectedMillis,
                 "candidates",
                 candidates,
                 "model",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -15,7 +15,7 @@
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
-import org.fennelstage.placement.Prompt;
+import org.fennelstage.placement.Job;
 import org.fennelstage.serving.Route;
 import org.fennelstage.serving.RouteKind;
 import org.fennelstage.serving.ServingConfiguration;
@@ -219,21 +219,18 @@
 
     private void attempt() {
         final List<TrackedServer> candidates = gateway.beliefs().candidates(service, toNew);
+        final Job job = job();
         final Optional<TrackedServer> server =
                 gateway.placement()
-                        .choose(
-                                candidates,
-                                request.prompt(),
-                                mayProbe(),
-                                s -> attempts.tried(s.entry().id()));
+                        .choose(candidates, job, mayProbe(), s -> attempts.tried(s.entry().id()));
         if (server.isEmpty()) {
             giveUp();
             return;
         }
-        send(server.get(), candidates.size());
+        send(server.get(), job, candidates.size());
     }
 
-    private void send(final TrackedServer server, final int candidates) {
+    private void send(final TrackedServer server, final Job job, final int candidates) {
         attempts.begin(server.entry().id());
         canary().onSent(sessionKey(), server.entry().version());
         final Dispatch dispatch =
@@ -243,8 +240,9 @@
                         access.map(TeamAccess::team),
                         sizes.model(),
                         answer.lastEventId().or(request::lastEventId));
-        log.sent(server, candidates, dispatch);
-        final Attempt attempt = new Attempt(this, server, pace(), workTokens());
+        final long expectedMillis = Math.round(gateway.placement().waitMillis(server, job));
+        log.sent(server, candidates, dispatch, expectedMillis);
+        final Attempt attempt = new Attempt(this, server, pace(), job.readMillis());
         open = Optional.of(attempt);
         attempt.send(dispatch);
     }
@@ -267,8 +265,10 @@
         return gateway.beliefs().pace(service, sizes.model());
     }
 
-    private long workTokens() {
-        return request.prompt().map(Prompt::workTokens).orElse(1L);
+    private Job job() {
+        final Pace pace = pace();
+        return new Job(
+                request.prompt(), sizes.model(), pace.readMillisPerToken(), pace.answerMillis());
     }
 
     /** A session's requests follow one another; a request without one stands for itself. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.TrackedServer;
@@ -74,6 +75,8 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final ServerFeed serverFeed;
     private final RolloutFeed rolloutFeed;
+    private final LoadBoard loadBoard;
+    private final LoadReports loadReports;
     private final HttpServer callers;
     private final Readiness readiness;
     private boolean stopping;
@@ -90,20 +93,21 @@
         final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
         this.beliefs = new Beliefs(clock, settings.bounds());
         final HttpClient workers = new HttpClient(loop);
+        final HttpClient storeClient = new HttpClient(loop);
+        final Peers peers =
+                new Peers(
+                        ownEntry(settings),
+                        address -> storeAt.apply(storeClient, Sockets.address(address)),
+                        beliefs::onVmCount);
+        this.loadBoard = LoadBoard.of(clock, peers::othersPerSharer);
         this.gateway =
                 new Gateway(
                         beliefs,
                         codec,
                         workers,
-                        Placement.of(settings.dataCentre(), random),
+                        Placement.of(settings.dataCentre(), random, loadBoard),
                         random,
                         metrics);
-        final HttpClient storeClient = new HttpClient(loop);
-        final Peers peers =
-                new Peers(
-                        ownEntry(settings),
-                        address -> storeAt.apply(storeClient, Sockets.address(address)),
-                        beliefs::onVmCount);
         final FallbackStore store =
                 new FallbackStore(
                         storeAt.apply(storeClient, settings.store()), peers::relays, clock);
@@ -128,8 +132,9 @@
                         settings.peers(),
                         peers::nearOthers,
                         clock,
-                        server -> onReported(server, random.nextDouble()));
+                        message -> onMessage(message, random.nextDouble()));
         gateway.onUnreachable(news::tell);
+        this.loadReports = new LoadReports(settings.vm(), beliefs.servers(), peers, news, clock);
         // On the loop, like all that touches the store's client and the beliefs: started from this
         // thread, the first answers would race with the calls that are still being made.
         loop.execute(
@@ -139,6 +144,14 @@
                 });
     }
 
+    private void onMessage(final PeerMessage message, final double draw) {
+        if (message instanceof PeerMessage.Unreachable unreachable) {
+            onReported(unreachable.server(), draw);
+        } else if (message instanceof PeerMessage.Loads loads) {
+            loadBoard.onReport(loads.vm(), loads.loads());
+        }
+    }
+
     private void onReported(final Incarnation about, final double draw) {
         // What was said of a former life says nothing of the worker that started again.
         final Optional<TrackedServer> server =
@@ -293,6 +306,7 @@
     private void performDuties() {
         try {
             gateway.checkSilence();
+            loadReports.sendDue();
             serverFeed.dropLapsed();
             rolloutFeed.writeDue();
             readiness.update();
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -0,0 +1,111 @@
+package org.fennelstage.vm;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.Load;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.VmId;
+
+/**
+ * What VMs tell each other in one datagram, a line of text: a message with a few fields does not
+ * pay for loading another library at every start.
+ *
+ * <p>Law: {@code parse(m.text())} is {@code m}, and anything that no message looks like is empty.
+ * Implementations are immutable and thread-safe.
+ */
+sealed interface PeerMessage {
+
+    /** The text of a message without its kind is made of these; a name has no blank or comma. */
+    Pattern UNREACHABLE =
+            Pattern.compile("unreachable ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
+
+    Pattern LOADS = Pattern.compile("loads ([A-Za-z0-9][A-Za-z0-9._-]{0,95})((?: [^ ]+)*)");
+
+    /** Id, requests, and milliseconds of prompts not yet read. */
+    Pattern LOAD = Pattern.compile("([A-Za-z0-9][A-Za-z0-9._-]{0,95}),([0-9]{1,6}),([0-9]{1,9})");
+
+    /**
+     * A worker could not be reached.
+     *
+     * @param server the worker and which of its lives
+     */
+    record Unreachable(Incarnation server) implements PeerMessage {
+
+        public Unreachable {
+            Objects.requireNonNull(server, "server is null");
+        }
+
+        @Override
+        public String text() {
+            return "unreachable " + server.server().value() + " " + server.bornMillis();
+        }
+    }
+
+    /**
+     * What a VM has at the workers.
+     *
+     * @param vm the VM
+     * @param loads its requests at each worker that has any
+     */
+    record Loads(VmId vm, Map<BackendServerId, Load> loads) implements PeerMessage {
+
+        public Loads {
+            Objects.requireNonNull(vm, "vm is null");
+            loads = Map.copyOf(loads);
+        }
+
+        @Override
+        public String text() {
+            final StringBuilder text = new StringBuilder("loads ").append(vm.value());
+            loads.forEach(
+                    (server, load) ->
+                            text.append(' ')
+                                    .append(server.value())
+                                    .append(',')
+                                    .append(load.running())
+                                    .append(',')
+                                    .append(load.unreadMillis()));
+            return text.toString();
+        }
+    }
+
+    /** Returns the message as it travels. */
+    String text();
+
+    /**
+     * Reads a message.
+     *
+     * @param text what arrived
+     * @return the message, empty for anything else
+     */
+    static Optional<PeerMessage> parse(final String text) {
+        final Matcher unreachable = UNREACHABLE.matcher(text);
+        if (unreachable.matches()) {
+            return Optional.of(
+                    new Unreachable(
+                            new Incarnation(
+                                    BackendServerId.of(unreachable.group(1)),
+                                    Long.parseLong(unreachable.group(2)))));
+        }
+        final Matcher loads = LOADS.matcher(text);
+        return loads.matches()
+                ? Optional.of(new Loads(VmId.of(loads.group(1)), loads(loads.group(2))))
+                : Optional.empty();
+    }
+
+    private static Map<BackendServerId, Load> loads(final String entries) {
+        final Map<BackendServerId, Load> loads = new HashMap<>();
+        final Matcher entry = LOAD.matcher(entries);
+        while (entry.find()) {
+            loads.put(
+                    BackendServerId.of(entry.group(1)),
+                    new Load(Integer.parseInt(entry.group(2)), Long.parseLong(entry.group(3))));
+        }
+        return loads;
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerNews.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerNews.java
@@ -17,13 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.fennelstage.fleet.Incarnation;
-import org.fennelstage.id.BackendServerId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.time.MonotonicClock;
@@ -39,30 +35,23 @@
  */
 final class PeerNews {
 
-    /** Begins each message, so that anything else that arrives is told from it. */
-    private static final String UNREACHABLE = "unreachable ";
-
-    /** The worker's id and, in Unix milliseconds, its birth. */
-    private static final Pattern MESSAGE =
-            Pattern.compile(UNREACHABLE + "([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
-
-    /** The longest message taken; ids have some ten characters. */
-    private static final int MAX_BYTES = 200;
+    /** The longest message taken: a datagram that no link divides. */
+    private static final int MAX_BYTES = 1_400;
 
     /** How often the same worker is told of at most; milliseconds. The word counts for longer. */
     private static final long REPEAT_MILLIS = 1_000;
 
     private final Channel channel;
-    private final Supplier<List<InetSocketAddress>> others;
+    private final Supplier<List<InetSocketAddress>> near;
     private final MonotonicClock clock;
     private final Map<Incarnation, Long> toldMillis = new HashMap<>();
 
     private PeerNews(
             final Channel channel,
-            final Supplier<List<InetSocketAddress>> others,
+            final Supplier<List<InetSocketAddress>> near,
             final MonotonicClock clock) {
         this.channel = channel;
-        this.others = others;
+        this.near = near;
         this.clock = clock;
     }
 
@@ -71,20 +60,20 @@
      *
      * @param loop runs it
      * @param own where this VM listens for datagrams
-     * @param others where the others do
+     * @param near where the others of the data centre do
      * @param clock the clock
-     * @param listener takes the workers that others could not reach, on the loop
+     * @param listener takes what others tell, on the loop
      * @return the running exchange
      * @throws IOException if the address cannot be bound
      */
     static PeerNews start(
             final EventLoop loop,
             final InetSocketAddress own,
-            final Supplier<List<InetSocketAddress>> others,
+            final Supplier<List<InetSocketAddress>> near,
             final MonotonicClock clock,
-            final Consumer<Incarnation> listener)
+            final Consumer<PeerMessage> listener)
             throws IOException {
-        Objects.requireNonNull(others, "others is null");
+        Objects.requireNonNull(near, "near is null");
         Objects.requireNonNull(listener, "listener is null");
         final ChannelFuture bound =
                 new Bootstrap()
@@ -96,20 +85,29 @@
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen for datagrams on " + own, bound.cause());
         }
-        return new PeerNews(bound.channel(), others, clock);
+        return new PeerNews(bound.channel(), near, clock);
     }
 
-    /** Tells the others that this VM could not reach a worker. */
+    /** Tells the others of the data centre that this VM could not reach a worker. */
     void tell(final Incarnation server) {
         final long now = clock.millis();
         toldMillis.values().removeIf(told -> now - told >= REPEAT_MILLIS);
-        if (toldMillis.putIfAbsent(server, now) != null) {
+        if (toldMillis.putIfAbsent(server, now) == null) {
+            send(new PeerMessage.Unreachable(server), near.get());
+        }
+    }
+
+    /** Tells some VMs what this one has at the workers. */
+    void tell(final PeerMessage.Loads loads, final List<InetSocketAddress> to) {
+        send(loads, to);
+    }
+
+    private void send(final PeerMessage message, final List<InetSocketAddress> to) {
+        final byte[] text = message.text().getBytes(StandardCharsets.UTF_8);
+        if (text.length > MAX_BYTES) {
             return;
         }
-        final byte[] text =
-                (UNREACHABLE + server.server().value() + " " + server.bornMillis())
-                        .getBytes(StandardCharsets.UTF_8);
-        for (final InetSocketAddress other : others.get()) {
+        for (final InetSocketAddress other : to) {
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(text), other));
         }
         channel.flush();
@@ -118,9 +116,9 @@
     /** Takes what others tell. */
     private static final class Reader extends SimpleChannelInboundHandler<DatagramPacket> {
 
-        private final Consumer<Incarnation> listener;
+        private final Consumer<PeerMessage> listener;
 
-        private Reader(final Consumer<Incarnation> listener) {
+        private Reader(final Consumer<PeerMessage> listener) {
             this.listener = listener;
         }
 
@@ -132,18 +130,7 @@
                     content.readableBytes() > MAX_BYTES
                             ? ""
                             : content.toString(StandardCharsets.UTF_8);
-            parse(text).ifPresent(listener);
-        }
-
-        /** Reads {@code unreachable ID BORN}; empty for anything else. */
-        private static Optional<Incarnation> parse(final String text) {
-            final Matcher matcher = MESSAGE.matcher(text);
-            return matcher.matches()
-                    ? Optional.of(
-                            new Incarnation(
-                                    BackendServerId.of(matcher.group(1)),
-                                    Long.parseLong(matcher.group(2))))
-                    : Optional.empty();
+            PeerMessage.parse(text).ifPresent(listener);
         }
 
         @Override
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -47,6 +47,12 @@
      */
     private static final long SECOND_MILLIS = 3_000;
 
+    /**
+     * VMs up to which all tell each other their loads; in a larger fleet those of a data centre do,
+     * whose bytes are not paid for.
+     */
+    private static final int MOST_TO_TELL_ALL = 16;
+
     /**
      * VMs in a data centre from which on one of them asks the store for all. Through one VM that is
      * 0.8 to 1.7 calls a second, most of them for the liveness watch, and one for each change; a VM
@@ -61,6 +67,7 @@
     private List<Store> relays = List.of();
     private List<Store> coalescing = List.of();
     private List<InetSocketAddress> nearOthers = List.of();
+    private List<InetSocketAddress> allOthers = List.of();
     private int reads;
     private final IntConsumer onCount;
 
@@ -110,6 +117,17 @@
         return nearOthers;
     }
 
+    /** Returns where the VMs listen that tell this one their loads, and hear its own. */
+    List<InetSocketAddress> sharers() {
+        return allOthers.size() < MOST_TO_TELL_ALL ? allOthers : nearOthers;
+    }
+
+    /** Returns how many other VMs there are for each that tells this one its load. */
+    double othersPerSharer() {
+        final int sharers = sharers().size();
+        return sharers == 0 ? 1 : (double) allOthers.size() / sharers;
+    }
+
     private void take(final List<StoredValue<VmEntry>> values) {
         reads++;
         entries.clear();
@@ -134,6 +152,7 @@
                 Comparator.comparingLong(e -> Rendezvous.weight(own.vm().value(), e.vm().value()));
         others.sort(nearFirst.thenComparing(spread));
         relays = others.stream().map(this::storeThrough).toList();
+        allOthers = others.stream().map(e -> Sockets.address(e.address())).toList();
     }
 
     private void rankDataCentre() {
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -0,0 +1,43 @@
+package org.fennelstage.vm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.Load;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.VmId;
+import org.junit.jupiter.api.Test;
+
+class PeerMessageTest {
+
+    @Property(tries = 200)
+    void aReportOfLoadsIsReadAsItWasWritten(
+            @ForAll final List<@IntRange(max = 999_999) Integer> counts) {
+        final Map<BackendServerId, Load> loads = new HashMap<>();
+        for (int i = 0; i < counts.size(); i++) {
+            loads.put(BackendServerId.of("i-" + i), new Load(counts.get(i), counts.get(i) * 7L));
+        }
+        final PeerMessage message = new PeerMessage.Loads(VmId.of("edge-1"), loads);
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
+    @Test
+    void aWorkerThatCouldNotBeReachedIsReadWithItsBirth() {
+        final PeerMessage message =
+                new PeerMessage.Unreachable(new Incarnation(BackendServerId.of("i-7"), 12));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
+    @Property(tries = 500)
+    void anyTextIsReadWithoutAnError(@ForAll final String text) {
+        assertThat(PeerMessage.parse(text)).isNotNull();
+        assertThat(PeerMessage.parse("loads vm " + text)).isNotNull();
+        assertThat(PeerMessage.parse("unreachable " + text)).isNotNull();
+    }
+}
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerNewsTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerNewsTest.java
@@ -25,7 +25,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final AtomicLong now = new AtomicLong(1_000_000);
-    private final BlockingQueue<Incarnation> heard = new LinkedBlockingQueue<>();
+    private final BlockingQueue<PeerMessage> heard = new LinkedBlockingQueue<>();
 
     @AfterEach
     void stopLoops() {
@@ -48,7 +48,8 @@
     }
 
     private Incarnation next() throws InterruptedException {
-        return heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        final PeerMessage message = heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        return ((PeerMessage.Unreachable) message).server();
     }
 
     @Test
@@ -75,7 +76,7 @@
                     List.of(
                             "",
                             "unreachable ",
-                            "x".repeat(500),
+                            "x".repeat(2_000),
                             "unreachable i-1",
                             "unreachable i-1 x",
                             "unreachable i-1 17");
