--- a/fennelstage-bench/src/test/java/org/fennelstage/bench/engine/PlayTest.java
+++ b/fennelstage-bench/src/test/java/org/fennelstage/bench/engine/PlayTest.java
@@ -49,7 +49,8 @@
     /**
      * Symptom: with news of other VMs, requests of a large fleet begin later than without. Events:
      * many VMs hear that a worker is idle and all send their next request there. Cause: news is old
-     * when it is used, and every VM compared all workers.
+     * when it is used, and every VM compared all workers. Now 99 of 100 captions begin within 1.17
+     * s, without news within 1.79 s.
      */
     @Test
     void theVmsOfALargeFleetDoNotAllTurnToOneIdleWorker() {
@@ -78,7 +79,10 @@
                 .isLessThan(before.tallies().get(0).sendsPerRequest() + 0.15);
     }
 
-    /** At 65 requests a second the largest model alone leaves a third of the drafts late. */
+    /**
+     * 85 requests a second: of what callers are owed 0.711 if only the largest model is asked,
+     * 0.991 if the smallest is asked first.
+     */
     @Test
     void theLargestModelAloneIsTooSlowForTheLoad() {
         final Result largest = play(6, 13, 1.3, without(Mechanism.SMALL_FIRST));
--- a/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Main.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Main.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -19,6 +20,7 @@
 import org.fennelstage.objects.CallBudget;
 import org.fennelstage.objects.ObjectApiClient;
 import org.fennelstage.objects.ObjectStore;
+import org.fennelstage.report.ReportCommand;
 import org.fennelstage.rollout.Rollout;
 
 /** The {@code fennelctl} program. Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown. */
@@ -32,6 +34,9 @@
                     System.lineSeparator(),
                     "usage: fennelctl check DIR",
                     "       fennelctl team-key",
+                    "       fennelctl report [--format text|json|html] [LOG ...]   where and why",
+                    "                        requests were late or lost; standard input without LOG",
+                    "       fennelctl explain REQUEST [LOG ...]   the story of one request",
                     "       fennelctl --store IP:PORT plan DIR",
                     "       fennelctl --store IP:PORT apply DIR [--wait-ms 10000]",
                     "       fennelctl --store IP:PORT status [--json]",
@@ -77,11 +82,42 @@
             Commands.check(Path.of(word(words, 1)), out);
         } else if (command.equals("team-key")) {
             Commands.teamKey(out);
+        } else if (command.equals("report") || command.equals("explain")) {
+            readLogs(line, command, words, out);
         } else {
             withStore(line, command, words, out);
         }
     }
 
+    private static void readLogs(
+            final CommandLine line,
+            final String command,
+            final List<String> words,
+            final PrintStream out)
+            throws ParseException, CommandException {
+        final boolean explains = command.equals("explain");
+        final List<Path> files = words.stream().skip(explains ? 2 : 1).map(Path::of).toList();
+        try {
+            final ReportCommand logs = ReportCommand.reading(files, System.in, out);
+            if (!explains) {
+                logs.report(format(line.getOptionValue("format", "text")));
+            } else if (!logs.explain(word(words, 1))) {
+                throw new CommandException(Exit.REFUSED, "no line speaks of " + word(words, 1));
+            }
+        } catch (final IOException e) {
+            throw new CommandException(Exit.REFUSED, "cannot read the logs: " + e.getMessage());
+        }
+    }
+
+    private static ReportCommand.Format format(final String name) throws ParseException {
+        for (final ReportCommand.Format format : ReportCommand.Format.values()) {
+            if (format.name().equalsIgnoreCase(name)) {
+                return format;
+            }
+        }
+        throw new ParseException("--format text, json or html");
+    }
+
     private static void withStore(
             final CommandLine line,
             final String command,
@@ -153,6 +189,7 @@
         return new Options()
                 .addOption(Option.builder().longOpt("store").hasArg().build())
                 .addOption(Option.builder().longOpt("wait-ms").hasArg().build())
+                .addOption(Option.builder().longOpt("format").hasArg().build())
                 .addOption(Option.builder().longOpt("json").build());
     }
 }
--- /dev/null
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/report/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the structured logs of VMs and says where requests were lost or late, and why. */
+package org.fennelstage.report;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -8,6 +8,7 @@
 import org.fennelstage.id.TeamId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
+import org.fennelstage.serving.Route;
 
 /**
  * The log lines of one request: each decision with what decided it. Stateless but for the request's
@@ -19,17 +20,19 @@
 
     private final CallerRequest request;
     private final String route;
+    private final long objectiveMillis;
     private final long configurationVersion;
     private final AttemptLog attempts;
     private long firstByteMillis;
 
     RequestLog(
             final CallerRequest request,
-            final String route,
+            final Route route,
             final long configurationVersion,
             final AttemptLog attempts) {
         this.request = request;
-        this.route = route;
+        this.route = route.name();
+        this.objectiveMillis = route.objective().toMillis();
         this.configurationVersion = configurationVersion;
         this.attempts = attempts;
     }
@@ -155,6 +158,8 @@
                 model,
                 "confidence",
                 confidence.orElse(-1),
+                "objective_ms",
+                objectiveMillis,
                 "first_byte_ms",
                 firstByteMillis,
                 "elapsed_ms",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -76,7 +76,7 @@
         this.route = route;
         this.access = access;
         this.attempts = AttemptLog.of(route.repeatable(), route.maxServers());
-        this.log = new RequestLog(request, route.name(), configuration.version(), attempts);
+        this.log = new RequestLog(request, route, configuration.version(), attempts);
         this.sizes = SizePlan.of(route, gateway.beliefs().opinions(route.name()), gateway.policy());
         this.arrivedMillis = now();
         final Duration allowed =
