--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -23,7 +23,6 @@
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.serving.TeamAccess;
 import org.fennelstage.serving.WeightedService;
-import org.fennelstage.sizing.SizePlan;
 
 /**
  * One request from its arrival to its one end.
@@ -34,12 +33,6 @@
  */
 final class RequestRun {
 
-    /** What a model thinks of its answer, 0 to 100. */
-    private record Opinion(ModelId model, int value) {}
-
-    /** Refused callers come back over at least this long; milliseconds. */
-    private static final double LEAST_SPREAD_MILLIS = 200;
-
     /** Attempts that fail before anything is sent; more means that the network is at fault. */
     private static final int MOST_NOT_SENT = 4;
 
@@ -50,12 +43,12 @@
     private final Optional<TeamAccess> access;
     private final AttemptLog attempts;
     private final RequestLog log;
-    private final SizePlan sizes;
+    private final ModelChoice models;
+    private final Outlook outlook;
     private final long arrivedMillis;
     private final long deadlineMillis;
     private final CallerAnswer answer;
     private Optional<Attempt> open = Optional.empty();
-    private Optional<Opinion> firstOpinion = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private ServiceName service;
     private OptionalInt confidence = OptionalInt.empty();
@@ -77,7 +70,8 @@
         this.access = access;
         this.attempts = AttemptLog.of(route.repeatable(), route.maxServers());
         this.log = new RequestLog(request, route, configuration.version(), attempts);
-        this.sizes = SizePlan.of(route, gateway.beliefs().opinions(route.name()), gateway.policy());
+        this.models = ModelChoice.of(route, gateway);
+        this.outlook = new Outlook(gateway, request);
         this.arrivedMillis = now();
         final Duration allowed =
                 request.deadline()
@@ -103,7 +97,8 @@
         service = chosen.get().service();
         toNew = canary().toNew(sessionKey());
         gateway.beliefs().budget(service).onRequest();
-        final OptionalDouble hopeless = hopelessWaitMillis();
+        final OptionalDouble hopeless =
+                outlook.hopelessMillis(service, candidates(), models.model(), remaining());
         if (hopeless.isPresent()) {
             refuseHopeless(hopeless.getAsDouble());
         } else {
@@ -111,45 +106,22 @@
         }
     }
 
-    /**
-     * Returns the wait for the first byte if it is longer than the caller will wait. Such a request
-     * would take a worker's time from others and end unanswered.
-     */
-    private OptionalDouble hopelessWaitMillis() {
-        if (!gateway.policy().uses(Mechanism.EARLY_REFUSAL)) {
-            return OptionalDouble.empty();
-        }
-        final OptionalDouble wait = leastWaitMillis(sizes.model());
-        return wait.isPresent() && wait.getAsDouble() > remaining().toMillis()
-                ? wait
-                : OptionalDouble.empty();
-    }
-
-    /** Comes back when the work that is ahead now will have shrunk to what a caller waits for. */
+    /** Says when the work that is ahead now will have shrunk to what a caller waits for. */
     private void refuseHopeless(final double waitMillis) {
-        final Duration drained = Duration.ofMillis(Math.round(waitMillis) - remaining().toMillis());
         log.hopeless(Math.round(waitMillis), remaining().toMillis());
-        gateway.respond(exchange, request.id(), Refusal.NO_ROOM, drained.plus(spread(drained)));
+        final Duration comeBack = outlook.comeBack(waitMillis, remaining());
+        gateway.respond(exchange, request.id(), Refusal.NO_ROOM, comeBack);
         finish(Refusal.NO_ROOM.reason(), Refusal.NO_ROOM.status());
     }
 
-    /** Callers that are refused together must not come back together. */
-    private Duration spread(final Duration drained) {
-        final double widest = Math.max(LEAST_SPREAD_MILLIS, drained.toMillis());
-        return Duration.ofMillis((long) (gateway.random().nextDouble() * widest));
-    }
-
     private boolean canBeInTime(final ModelId model) {
-        final OptionalDouble wait = leastWaitMillis(Optional.of(model));
+        final OptionalDouble wait =
+                outlook.leastWaitMillis(service, candidates(), Optional.of(model));
         return wait.isEmpty() || wait.getAsDouble() < remaining().toMillis();
     }
 
-    private OptionalDouble leastWaitMillis(final Optional<ModelId> model) {
-        if (!gateway.beliefs().pace(service, model).known()) {
-            return OptionalDouble.empty();
-        }
-        return gateway.placement()
-                .leastWaitMillis(gateway.beliefs().candidates(service, toNew), job(model));
+    private List<TrackedServer> candidates() {
+        return gateway.beliefs().candidates(service, toNew);
     }
 
     CallerRequest request() {
@@ -215,8 +187,7 @@
      * @return true if it was dropped
      */
     boolean dropped(final AnswerHead head) {
-        noteOpinion(head.confidence());
-        final Optional<ModelId> better = sizes.better(head.confidence(), this::canBeInTime);
+        final Optional<ModelId> better = models.better(head.confidence(), this::canBeInTime);
         final boolean stays =
                 answer.started()
                         || better.isEmpty()
@@ -227,27 +198,11 @@
         }
         abandonOpen(AttemptEnd.DROPPED);
         log.dropped(modelName(), head.confidence(), better.get(), elapsedMillis());
-        sizes.escalate(better.get());
+        models.escalate(better.get());
         attempt();
         return true;
     }
 
-    /** Learns from a request that was put to two models what the smaller one's opinion tells. */
-    private void noteOpinion(final OptionalInt opinion) {
-        if (opinion.isEmpty() || sizes.model().isEmpty()) {
-            return;
-        }
-        final ModelId model = sizes.model().get();
-        if (firstOpinion.isEmpty()) {
-            firstOpinion = Optional.of(new Opinion(model, opinion.getAsInt()));
-        } else if (!firstOpinion.get().model().equals(model)) {
-            final Opinion first = firstOpinion.get();
-            gateway.beliefs()
-                    .opinions(route.name())
-                    .onBoth(first.model(), first.value(), model, opinion.getAsInt());
-        }
-    }
-
     /**
      * Asks another worker in place of one that has been silent for too long, if the request may be
      * sent again and there is another.
@@ -291,8 +246,8 @@
     }
 
     private void attempt() {
-        final List<TrackedServer> candidates = gateway.beliefs().candidates(service, toNew);
-        final Job job = job(sizes.model());
+        final List<TrackedServer> candidates = candidates();
+        final Job job = outlook.job(service, models.model());
         final Optional<TrackedServer> server =
                 gateway.placement()
                         .choose(candidates, job, mayProbe(), s -> attempts.tried(s.entry().id()));
@@ -312,7 +267,7 @@
                         remaining(),
                         access.map(TeamAccess::team),
                         rank(),
-                        sizes.model(),
+                        models.model(),
                         answer.lastEventId().or(request::lastEventId));
         final long expectedMillis = Math.round(gateway.placement().waitMillis(server, job));
         log.sent(server, candidates, dispatch, expectedMillis);
@@ -330,7 +285,7 @@
     }
 
     private boolean hasOtherServer() {
-        return gateway.beliefs().candidates(service, toNew).stream()
+        return candidates().stream()
                 .filter(s -> !attempts.tried(s.entry().id()))
                 .anyMatch(s -> s.health().tier() != ServerHealth.Tier.UNREACHABLE);
     }
@@ -345,14 +300,7 @@
     }
 
     private Pace pace() {
-        return gateway.beliefs().pace(service, sizes.model());
-    }
-
-    private Job job(final Optional<ModelId> model) {
-        final Pace pace = gateway.beliefs().pace(service, model);
-        final boolean sharing = gateway.policy().uses(Mechanism.MEMORY_AFFINITY);
-        return new Job(
-                request.prompt(), model, sharing, pace.readMillisPerToken(), pace.answerMillis());
+        return gateway.beliefs().pace(service, models.model());
     }
 
     /** A session's requests follow one another; a request without one stands for itself. */
@@ -392,7 +340,7 @@
     }
 
     private String modelName() {
-        return sizes.model().map(ModelId::value).orElse("-");
+        return models.model().map(ModelId::value).orElse("-");
     }
 
     private void cancelOpen() {
--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -15,6 +15,7 @@
 PEER = "fennelstage-peer/src/main/java/org/fennelstage/"
 HTTP = "fennelstage-http/src/main/java/org/fennelstage/"
 GATEWAY = "fennelstage-gateway/src/main/java/org/fennelstage/"
+PLATFORM = "platform/src/main/java/org/fennelstage/"
 ROUTER = "fennelstage-router/src/main/java/org/fennelstage/"
 
 # name, file, text of the guard, text without it, test that must fail
@@ -112,6 +113,30 @@
     ("phases-are-written-in-turn", GATEWAY + "vm/RolloutFeed.java",
      "return waited >= turns * TURN_MILLIS;", "return waited >= -turns * TURN_MILLIS;",
      "RolloutFeedTest"),
+    ("former-life-is-over", CORE + "fleet/ServerTable.java",
+     "if (!births.offer(entry.incarnation())) {", "if (!births.offer(entry.incarnation()) && usable == null) {",
+     "ServerTableTest"),
+    ("restarted-worker-begins-anew", CORE + "fleet/ServerTable.java",
+     "known.entry().incarnation().equals(entry.incarnation())", "known.entry().id().equals(entry.id())",
+     "ServerTableTest"),
+    ("malformed-entry-names-no-worker", GATEWAY + "vm/ServerFeed.java",
+     "id(value.name()).ifPresent(servers::reject);", "id(value.name());",
+     "ServerEntryPathTest"),
+    ("unknown-phase-names-no-worker", PLATFORM + "platform/ObjectDecoder.java",
+     "default -> throw new MalformedObjectException(\"unknown phase '\" + phase + \"'\");", "default -> false;",
+     "PageDecoderTest"),
+    ("answers-that-stop-together", CORE + "attempt/Silence.java",
+     "begunAnswers >= ENOUGH_ANSWERS && stalledMillis", "begunAnswers >= 100 * ENOUGH_ANSWERS && stalledMillis",
+     "SilenceTest"),
+    ("few-workers-are-compared", CORE + "placement/Placement.java",
+     "i < Math.min(DRAWN, servers.size())", "i < servers.size()",
+     "PlayTest"),
+    ("refusal-needs-knowledge", CORE + "attempt/Pace.java",
+     "return answers >= ANSWERS_TO_KNOW;", "return answers >= 0;",
+     "PaceTest,StreamPathTest"),
+    ("middle-model-is-learnt", CORE + "sizing/Opinions.java",
+     "gain(smaller, larger).add(then - opinion);", "gain(smaller, larger).add(FIRST_GAIN);",
+     "OpinionsTest,SizePlanTest"),
 ]
 
 
