Refuse for want of time only where no place is free

VMs with a third of a core took their own slowness after the start for the workers' reading time, and long prompts seemed hopeless.

--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -188,17 +188,29 @@
     }
 
     /**
-     * Returns the shortest time in which any worker can begin to answer.
+     * Returns the shortest time in which any worker can begin to answer, if all places are taken.
+     *
+     * <p>While a place is free nothing is said: how long a prompt takes to read is an estimate, and
+     * a VM that just started, or is slow itself, takes its own delays for the workers'.
      *
      * @param candidates the workers that may get the request
      * @param job the request
-     * @return milliseconds, empty if no worker can be reached
+     * @return milliseconds, empty if a place is free or no worker can be reached
      */
     public OptionalDouble leastWaitMillis(final List<TrackedServer> candidates, final Job job) {
-        return candidates.stream()
-                .filter(s -> s.health().tier() != ServerHealth.Tier.UNREACHABLE)
-                .mapToDouble(s -> waitMillis(s, job) - job.sharedMillis())
-                .min();
+        final List<TrackedServer> reachable =
+                candidates.stream()
+                        .filter(s -> s.health().tier() != ServerHealth.Tier.UNREACHABLE)
+                        .toList();
+        if (reachable.stream().anyMatch(this::hasFreePlace)) {
+            return OptionalDouble.empty();
+        }
+        return reachable.stream().mapToDouble(s -> waitMillis(s, job) - job.sharedMillis()).min();
+    }
+
+    private boolean hasFreePlace(final TrackedServer server) {
+        final Load load = server.load().plus(board.others(server.entry().id()));
+        return load.running() < server.entry().capacity();
     }
 
     private double tieBreak(final TrackedServer server, final Job job) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Outlook.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Outlook.java
@@ -17,7 +17,8 @@
  *
  * <p>Answers the load of a service that has more to do than its callers will wait for: what cannot
  * begin in time any more is refused at once instead of taking a worker's time until its deadline.
- * Law: nothing is refused before {@link Pace#known()}. Confined to the event loop.
+ * Law: nothing is refused before {@link Pace#known()}, nor while a place is free. Confined to the
+ * event loop.
  */
 final class Outlook {
 
@@ -43,7 +44,8 @@
     /**
      * Returns the shortest time in which any worker can begin to answer.
      *
-     * @return milliseconds, empty if too little is known or no worker can be reached
+     * @return milliseconds, empty if a place is free, too little is known or no worker can be
+     *     reached
      */
     OptionalDouble leastWaitMillis(
             final ServiceName service,
