End only silent requests of a worker's former life

Closing all connections to its address would also cut requests that reached the new life before the news of it: one that may run once would end as unknown though its answer was on the way. Now connections that rest are closed, and requests there end after half a second of silence.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -104,6 +104,7 @@
                 dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(clock));
         servers.put(entry.id(), TrackedServer.of(entry, clock, reachability));
         if (known != null) {
+            known.onRestarted();
             restartListener.accept(known);
         }
         return true;
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -15,6 +15,7 @@
     private ServerEntry entry;
     private int running;
     private int begunAnswers;
+    private boolean ended;
     private long stalledFromMillis;
     private long unreadMillis;
 
@@ -122,6 +123,20 @@
                 : Math.min(health.silentMillis(), clock.millis() - stalledFromMillis);
     }
 
+    /**
+     * Tells whether the worker has started again since, so that this is the state of a former life.
+     *
+     * @return true if its requests here will not be answered
+     */
+    public boolean hasEnded() {
+        return ended;
+    }
+
+    /** Notes that a later life of the worker has taken its place. */
+    void onRestarted() {
+        ended = true;
+    }
+
     void update(final ServerEntry newer) {
         entry = newer;
     }
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
@@ -114,6 +114,8 @@
         assertThat(server("a").running()).isZero();
         assertThat(server("a").health().tier()).isEqualTo(ServerHealth.Tier.SOUND);
         assertThat(ended).containsExactly(former);
+        assertThat(former.hasEnded()).isTrue();
+        assertThat(server("a").hasEnded()).isFalse();
     }
 
     @Test
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -42,6 +42,13 @@
     /** The run's own deadline ends an attempt; this only frees a connection that it missed. */
     private static final Duration BEYOND_DEADLINE = Duration.ofMillis(500);
 
+    /**
+     * Silence after which a request is ended whose worker has started again under its id;
+     * milliseconds. The news comes some 250 ms after the start, and a request sent in between is at
+     * the new life: it has its bytes sooner than this, or is sent again.
+     */
+    private static final long FORMER_LIFE_MILLIS = 500;
+
     private static final Duration MAX_IDLE_REPEATABLE = Duration.ofSeconds(4);
 
     private final RequestRun run;
@@ -183,6 +190,10 @@
         if (ended || isPaused()) {
             return;
         }
+        if (server.hasEnded() && now() - lastByteMillis >= FORMER_LIFE_MILLIS) {
+            endWithFormerLife();
+            return;
+        }
         final Silence silence =
                 new Silence(
                         now() - lastByteMillis,
@@ -204,6 +215,12 @@
         run.onSilent(detail);
     }
 
+    /** The request may have run in the former life; its answer will not come. */
+    private void endWithFormerLife() {
+        call.cancel();
+        fail(AttemptEnd.UNKNOWN, "started again");
+    }
+
     private boolean watchesTogether() {
         return run.gateway().policy().uses(Mechanism.STALL_WATCH);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -182,8 +182,9 @@
     }
 
     /**
-     * Ends what was under way at the former life of a worker: its process is gone, and without a
-     * reset (behind a cut) a request there would wait out its caller's time for an answer.
+     * Closes the connections that rest with the former life of a worker: without a reset (behind a
+     * cut) a request sent on one would wait for its caller's time in vain. Requests under way there
+     * are ended by {@link Attempt#checkSilence}.
      */
     private void onRestarted(final TrackedServer former) {
         final ServerEntry entry = former.entry();
@@ -195,7 +196,7 @@
                 entry.incarnation().bornMillis(),
                 "running",
                 former.running());
-        client.closeAll(Sockets.address(entry.address()));
+        client.closeIdle(Sockets.address(entry.address()));
     }
 
     /** Answers for the router itself. */
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -14,10 +14,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -52,7 +48,6 @@
 
     private final EventLoop loop;
     private final ConnectionPool idle = new ConnectionPool();
-    private final Map<InetSocketAddress, Set<Channel>> open = new HashMap<>();
     private long connectionsOpened;
 
     /**
@@ -87,25 +82,6 @@
         idle.closeAll(address);
     }
 
-    /**
-     * Closes all connections to an address; calls on them fail at once. For a server that has ended
-     * without a word, so that nothing waits for its bytes.
-     *
-     * @param address the address
-     */
-    public void closeAll(final InetSocketAddress address) {
-        List.copyOf(open.getOrDefault(address, Set.of())).forEach(Channel::close);
-    }
-
-    private void onClosed(final InetSocketAddress address, final Channel closed) {
-        idle.forget(address, closed);
-        final Set<Channel> others = open.get(address);
-        others.remove(closed);
-        if (others.isEmpty()) {
-            open.remove(address);
-        }
-    }
-
     /**
      * Sends a request.
      *
@@ -173,8 +149,7 @@
                     if (f.isSuccess()) {
                         connectionsOpened++;
                         final Channel opened = connected.channel();
-                        open.computeIfAbsent(address, a -> new HashSet<>()).add(opened);
-                        opened.closeFuture().addListener(c -> onClosed(address, opened));
+                        opened.closeFuture().addListener(c -> idle.forget(address, opened));
                         write(connected.channel(), address, request, options, call, listener);
                         return;
                     }
