Log what decides on a request's version; report sessions that changed theirs

The kept logs could not tell a session that moved from one that began on the new version: a line of a send said which version, not why, and nothing put the lines of two VMs side by side. FS4012 now has service, chosen_by and meant_for_new; fennelctl report lists each session whose version changed with both VMs. No decision changes.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.fennelstage.canary.VersionChoice.Ground;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.member.Rendezvous;
 import org.fennelstage.time.MonotonicClock;
@@ -120,22 +121,32 @@
      * Decides whether a request goes to the version under roll-out.
      *
      * @param session the session, or the request itself if it belongs to none
-     * @return true if so
+     * @return the choice
      */
-    public boolean toNew(final String session) {
+    public VersionChoice choose(final String session) {
         if (!running()) {
-            return false;
+            return new VersionChoice(false, Ground.NO_ROLLOUT);
         }
         final CanaryPlan plan = plan();
         final Duration elapsed = elapsed();
         if (plan.moving(elapsed)) {
-            return true;
+            return new VersionChoice(true, Ground.LAST_PART);
         }
         final Optional<String> kept = sessions.version(session);
         if (kept.isPresent()) {
-            return isTarget(kept.get());
+            return new VersionChoice(isTarget(kept.get()), Ground.KEPT);
         }
-        return draw(session) < plan.share(elapsed);
+        return new VersionChoice(draw(session) < plan.share(elapsed), Ground.DRAWN);
+    }
+
+    /**
+     * Tells whether a request goes to the version under roll-out.
+     *
+     * @param session as for {@link #choose}
+     * @return true if so
+     */
+    public boolean toNew(final String session) {
+        return choose(session).toNew();
     }
 
     /**
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/VersionChoice.java
@@ -0,0 +1,30 @@
+package org.fennelstage.canary;
+
+import java.util.Objects;
+
+/**
+ * Which of a service's versions a request is meant for, and what decided it.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param toNew whether it is the version under roll-out
+ * @param ground what decided it
+ */
+public record VersionChoice(boolean toNew, Ground ground) {
+
+    /** What decides on a version. */
+    public enum Ground {
+        /** No roll-out is running here: none was ordered, or it ended or was halted. */
+        NO_ROLLOUT,
+        /** The last part of the roll-out, in which all traffic moves. */
+        LAST_PART,
+        /** The session ran on this version before. */
+        KEPT,
+        /** The name of the session or request, against the share of the new version. */
+        DRAWN
+    }
+
+    public VersionChoice {
+        Objects.requireNonNull(ground, "ground is null");
+    }
+}
--- a/fennelstage-ctl/src/main/java/org/fennelstage/report/ReportCommand.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/report/ReportCommand.java
@@ -69,7 +69,7 @@
         final ServiceReport report = ServiceReport.of(reader.lines());
         out.print(
                 switch (format) {
-                    case TEXT -> TextReport.text(report, PROMISED) + skipped();
+                    case TEXT -> TextReport.text(report, PROMISED) + sessions() + skipped();
                     case JSON -> TextReport.json(report, PROMISED);
                     case HTML -> HtmlReport.page(report, PROMISED);
                 });
@@ -87,6 +87,11 @@
         return story.isPresent();
     }
 
+    private String sessions() {
+        return String.join(System.lineSeparator(), SessionMoves.of(reader.lines()).tell())
+                + System.lineSeparator();
+    }
+
     private String skipped() {
         return "lines that are no event: " + reader.skipped() + System.lineSeparator();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -3,6 +3,7 @@
 import java.util.OptionalInt;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.AttemptLog;
+import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.TeamId;
@@ -39,6 +40,7 @@
 
     void sent(
             final TrackedServer server,
+            final VersionChoice choice,
             final int candidates,
             final Dispatch dispatch,
             final long expectedMillis) {
@@ -48,6 +50,8 @@
                 request.id(),
                 "route",
                 route,
+                "service",
+                server.entry().service(),
                 "configuration",
                 configurationVersion,
                 "session",
@@ -58,6 +62,10 @@
                 server.entry().id(),
                 "version",
                 server.entry().version(),
+                "chosen_by",
+                choice.ground(),
+                "meant_for_new",
+                choice.toNew(),
                 "entry_revision",
                 server.entry().revision(),
                 "tier",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -11,6 +11,7 @@
 import org.fennelstage.attempt.AttemptLog;
 import org.fennelstage.attempt.Pace;
 import org.fennelstage.canary.Canary;
+import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.ServerExchange;
@@ -52,7 +53,7 @@
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private ServiceName service;
     private OptionalInt confidence = OptionalInt.empty();
-    private boolean toNew;
+    private VersionChoice version;
     private int notSent;
     private boolean ended;
 
@@ -95,7 +96,7 @@
             return;
         }
         service = chosen.get().service();
-        toNew = canary().toNew(sessionKey());
+        version = canary().choose(sessionKey());
         gateway.beliefs().budget(service).onRequest();
         final OptionalDouble hopeless =
                 outlook.hopelessMillis(service, candidates(), models.model(), remaining());
@@ -121,7 +122,7 @@
     }
 
     private List<TrackedServer> candidates() {
-        return gateway.beliefs().candidates(service, toNew);
+        return gateway.beliefs().candidates(service, version.toNew());
     }
 
     CallerRequest request() {
@@ -270,7 +271,7 @@
                         models.model(),
                         answer.lastEventId().or(request::lastEventId));
         final long expectedMillis = Math.round(gateway.placement().waitMillis(server, job));
-        log.sent(server, candidates, dispatch, expectedMillis);
+        log.sent(server, version, candidates, dispatch, expectedMillis);
         final Attempt attempt = new Attempt(this, server, pace(), job.readMillis());
         open = Optional.of(attempt);
         attempt.send(dispatch);
