Tell the canary whether a request belongs to a session

A session's name and a request's own id came as the same string, so that nothing could treat them differently, and single requests took places in the memory of sessions. No choice changes: a request's own id is drawn the same way, and was never asked for twice.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -110,7 +110,7 @@
      * Tells whether a version may get a request of a session.
      *
      * @param version the version of a worker
-     * @param toNew what {@link #toNew} said for this request
+     * @param toNew what {@link #choose} said for this request
      * @return true if so
      */
     public boolean admits(final String version, final boolean toNew) {
@@ -120,10 +120,11 @@
     /**
      * Decides whether a request goes to the version under roll-out.
      *
-     * @param session the session, or the request itself if it belongs to none
+     * @param session the session that the request belongs to, empty if to none
+     * @param request the request's id
      * @return the choice
      */
-    public VersionChoice choose(final String session) {
+    public VersionChoice choose(final Optional<String> session, final String request) {
         if (!running()) {
             return new VersionChoice(false, Ground.NO_ROLLOUT);
         }
@@ -132,21 +133,11 @@
         if (plan.moving(elapsed)) {
             return new VersionChoice(true, Ground.LAST_PART);
         }
-        final Optional<String> kept = sessions.version(session);
+        final Optional<String> kept = session.flatMap(sessions::version);
         if (kept.isPresent()) {
             return new VersionChoice(isTarget(kept.get()), Ground.KEPT);
         }
-        return new VersionChoice(draw(session) < plan.share(elapsed), Ground.DRAWN);
-    }
-
-    /**
-     * Tells whether a request goes to the version under roll-out.
-     *
-     * @param session as for {@link #choose}
-     * @return true if so
-     */
-    public boolean toNew(final String session) {
-        return choose(session).toNew();
+        return new VersionChoice(draw(session.orElse(request)) < plan.share(elapsed), Ground.DRAWN);
     }
 
     /**
@@ -240,8 +231,8 @@
         return Duration.ofMillis(clock.millis() - begunAtMillis);
     }
 
-    private double draw(final String session) {
-        final long bits = Rendezvous.weight(session, order.orElseThrow().target());
+    private double draw(final String name) {
+        final long bits = Rendezvous.weight(name, order.orElseThrow().target());
         return (bits >>> 11) * 0x1.0p-53;
     }
 }
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -26,6 +26,10 @@
         return BackendServerId.of("i-" + number % 5);
     }
 
+    private boolean toNew(final String session) {
+        return canary.choose(Optional.of(session), "r1").toNew();
+    }
+
     private void begin() {
         canary.onUnordered("v1");
         canary.onOrder(order(RolloutPhase.ORDERED, 1), Duration.ZERO);
@@ -45,13 +49,13 @@
     @Test
     void overTheWholeTimeTheNewVersionGetsLessThanTheAllowedShare() {
         begin();
-        int toNew = 0;
+        int moved = 0;
         final int requests = 24_000;
         for (int i = 0; i < requests; i++) {
             now.set(1_000_000 + i * DURATION.toMillis() / requests);
-            toNew += canary.toNew("session-" + i) ? 1 : 0;
+            moved += toNew("session-" + i) ? 1 : 0;
         }
-        assertThat(toNew / (double) requests).isBetween(0.1, SHARE);
+        assertThat(moved / (double) requests).isBetween(0.1, SHARE);
     }
 
     /**
@@ -62,7 +66,7 @@
     void withoutBadAnswersTheVersionIsCompletedBeforeItsTimeIsOver() {
         begin();
         now.addAndGet(DURATION.toMillis() - 300);
-        assertThat(canary.toNew("any")).isTrue();
+        assertThat(toNew("any")).isTrue();
         assertThat(canary.due()).contains(RolloutPhase.COMPLETED);
     }
 
@@ -74,7 +78,7 @@
         }
         assertThat(canary.due()).contains(RolloutPhase.ROLLED_BACK);
         now.addAndGet(DURATION.toMillis());
-        assertThat(canary.toNew("any")).isFalse();
+        assertThat(toNew("any")).isFalse();
     }
 
     /**
@@ -141,7 +145,7 @@
         }
         canary.onOrder(order(RolloutPhase.ORDERED, 1), Duration.ZERO);
         for (int i = 0; i < 100; i++) {
-            assertThat(canary.toNew("session-" + i)).isFalse();
+            assertThat(toNew("session-" + i)).isFalse();
         }
     }
 
@@ -150,8 +154,8 @@
         begin();
         canary.onOrder(order(RolloutPhase.COMPLETED, 2), DURATION);
         canary.onUnordered("v1");
-        assertThat(canary.admits("v2", canary.toNew("any"))).isTrue();
-        assertThat(canary.admits("v1", canary.toNew("any"))).isFalse();
+        assertThat(canary.admits("v2", toNew("any"))).isTrue();
+        assertThat(canary.admits("v1", toNew("any"))).isFalse();
     }
 
     /**
@@ -173,7 +177,7 @@
         canary.onOrder(order(RolloutPhase.ROLLED_BACK, 2), DURATION);
         canary.onUnordered("v2");
         assertThat(canary.admits("v2", false)).isFalse();
-        assertThat(canary.admits("v1", canary.toNew("any"))).isTrue();
+        assertThat(canary.admits("v1", toNew("any"))).isTrue();
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -96,7 +96,7 @@
             return;
         }
         service = chosen.get().service();
-        version = canary().choose(sessionKey());
+        version = canary().choose(request.session(), request.id());
         gateway.beliefs().budget(service).onRequest();
         final OptionalDouble hopeless =
                 outlook.hopelessMillis(service, candidates(), models.model(), remaining());
@@ -261,7 +261,7 @@
 
     private void send(final TrackedServer server, final Job job, final int candidates) {
         attempts.begin(server.entry().id());
-        canary().onSent(sessionKey(), server.entry().version());
+        request.session().ifPresent(s -> canary().onSent(s, server.entry().version()));
         final Dispatch dispatch =
                 new Dispatch(
                         server.entry(),
@@ -304,11 +304,6 @@
         return gateway.beliefs().pace(service, models.model());
     }
 
-    /** A session's requests follow one another; a request without one stands for itself. */
-    private String sessionKey() {
-        return request.session().orElse(request.id());
-    }
-
     private void onFirstByte() {
         log.firstByte(elapsedMillis());
         gateway.metrics().firstByte(route.name(), elapsedMillis());
