VMs that start in the middle of a roll-out take its age from VMs that heard the order

A VM 6 s ahead took 9 s of a roll-out for 15 s (CanaryTest, written with the change). Now each VM that has the age by steady clocks tells it twice a second while a roll-out runs, to the VMs that it tells its loads; the oldest age wins, since steady clocks only lose time. A VM that stood still catches up the same way.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -28,6 +28,12 @@
     private CanaryEvidence evidence = new CanaryEvidence();
     private long begunAtMillis;
 
+    /** Whether the begin is known by steady clocks alone, this VM's or others'. */
+    private boolean steady;
+
+    /** The revision at which this VM first heard of the present order. */
+    private long firstRevision;
+
     private Canary(final MonotonicClock clock, final double allowedShare) {
         this.clock = clock;
         this.allowedShare = allowedShare;
@@ -84,6 +90,8 @@
                         && order.get().phase().ended() == newer.phase().ended();
         if (!same) {
             begunAtMillis = clock.millis() - elapsed.toMillis();
+            steady = newer.begunAt().isEmpty();
+            firstRevision = newer.revision();
             evidence = new CanaryEvidence();
         }
         if (newer.phase() == RolloutPhase.COMPLETED) {
@@ -100,6 +108,46 @@
         order = Optional.of(newer);
     }
 
+    /**
+     * Returns how old the running order is, for VMs that started after it.
+     *
+     * @return the age, empty if none runs or this VM has it from a time of day only
+     */
+    public Optional<RolloutAge> age() {
+        if (!running() || !steady) {
+            return Optional.empty();
+        }
+        final RolloutOrder of = order.get();
+        return Optional.of(
+                new RolloutAge(of.service(), of.target(), of.revision(), elapsed().toMillis()));
+    }
+
+    /**
+     * Takes the age of the order from a VM that heard it being given.
+     *
+     * <p>A VM that starts in the middle reckons the age from a time of day that another VM wrote;
+     * times of day differ and may jump by seconds, and a VM that is 2 s ahead would move sessions
+     * in the first half of a roll-out of 16 s, or end it early. Steady clocks only ever lose time,
+     * while their VM stands still, so the oldest age is the best.
+     *
+     * @param heard the age
+     * @return by how much this VM's view changed; zero if the word is of another order
+     */
+    public Duration onAge(final RolloutAge heard) {
+        final boolean ofThisOrder =
+                running()
+                        && order.get().target().equals(heard.target())
+                        && heard.revision() >= firstRevision;
+        if (!ofThisOrder) {
+            return Duration.ZERO;
+        }
+        final long before = begunAtMillis;
+        final long begun = clock.millis() - heard.millis();
+        begunAtMillis = steady ? Math.min(begunAtMillis, begun) : begun;
+        steady = true;
+        return Duration.ofMillis(before - begunAtMillis);
+    }
+
     /**
      * Tells whether a version may get a request.
      *
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -292,4 +293,56 @@
         canary.onOrder(order(RolloutPhase.IN_PROGRESS, 2), Duration.ofMillis(23_800));
         assertThat(canary.due()).contains(RolloutPhase.COMPLETED);
     }
+
+    private static RolloutOrder begunOrder(final long revision) {
+        return new RolloutOrder(
+                ServiceName.of("models"),
+                "v2",
+                DURATION,
+                RolloutPhase.IN_PROGRESS,
+                Optional.of(Instant.EPOCH),
+                revision);
+    }
+
+    /**
+     * Symptom: sessions change their version in the first half of a roll-out, through one VM.
+     * Events: the VM is stopped and started in the middle; its time of day is 6 s ahead of that of
+     * the VM that wrote when the roll-out began. Cause: each VM that starts reckoned the time since
+     * the order by its own time of day.
+     */
+    @Test
+    void aVmThatStartsWithAWrongTimeOfDayTakesTheAgeOfTheOrderFromOneThatHeardIt() {
+        begin();
+        now.addAndGet(9_000);
+        final Canary started = Canary.of(now::get, SHARE);
+        started.onOrder(begunOrder(2), Duration.ofMillis(15_000));
+        assertThat(started.age()).isEmpty();
+        canary.onOrder(begunOrder(2), Duration.ZERO);
+        assertThat(started.onAge(canary.age().orElseThrow())).hasMillis(-6_000);
+        assertThat(started.elapsed()).hasMillis(9_000);
+        assertThat(started.age()).isPresent();
+    }
+
+    /**
+     * Symptom: a VM sends sessions back to the old version. Events: it stands still for 3 s and
+     * goes on. Cause: its steady clock did not count that time.
+     */
+    @Test
+    void aVmThatStoodStillTakesTheOlderAgeAndNeverTheYounger() {
+        begin();
+        now.addAndGet(9_000);
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", 1, 12_000));
+        assertThat(canary.elapsed()).hasMillis(12_000);
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", 1, 9_000));
+        assertThat(canary.elapsed()).hasMillis(12_000);
+    }
+
+    @Test
+    void theAgeOfAnotherOrderOrOfAnEarlierOneForTheSameVersionChangesNothing() {
+        canary.onUnordered("v1");
+        canary.onOrder(order(RolloutPhase.ORDERED, 10), Duration.ZERO);
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", 9, 12_000));
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v3", 11, 12_000));
+        assertThat(canary.elapsed()).isZero();
+    }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -78,6 +78,7 @@
     private final RolloutFeed rolloutFeed;
     private final LoadBoard loadBoard;
     private final LoadReports loadReports;
+    private final RolloutAges rolloutAges;
     private final HttpServer callers;
     private final Readiness readiness;
     private boolean stopping;
@@ -138,6 +139,7 @@
         if (settings.policy().uses(Mechanism.PEER_NEWS)) {
             gateway.onUnreachable(news::tell);
         }
+        this.rolloutAges = new RolloutAges(beliefs, peers::sharers, news::tell);
         this.loadReports = new LoadReports(settings.vm(), beliefs.servers(), peers, news, clock);
         // On the loop, like all that touches the store's client and the beliefs: started from this
         // thread, the first answers would race with the calls that are still being made.
@@ -154,6 +156,8 @@
             onReported(unreachable.server(), draw);
         } else if (message instanceof PeerMessage.Loads loads) {
             loadBoard.onReport(loads.vm(), loads.loads());
+        } else if (message instanceof PeerMessage.Rollout rollout) {
+            rolloutAges.onAge(rollout.age());
         }
     }
 
@@ -314,6 +318,9 @@
             if (settings.policy().uses(Mechanism.LOAD_REPORTS)) {
                 loadReports.sendDue();
             }
+            if (settings.policy().uses(Mechanism.PEER_NEWS)) {
+                rolloutAges.sendDue();
+            }
             serverFeed.dropLapsed();
             rolloutFeed.writeDue();
             readiness.update();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.fennelstage.canary.RolloutAge;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
 
 /**
@@ -29,6 +31,12 @@
     /** Id, requests, and milliseconds of prompts not yet read. */
     Pattern LOAD = Pattern.compile("([A-Za-z0-9][A-Za-z0-9._-]{0,95}),([0-9]{1,6}),([0-9]{1,9})");
 
+    /** Service, version, revision, and milliseconds since the order. */
+    Pattern ROLLOUT =
+            Pattern.compile(
+                    "rollout ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([^ ]{1,95}) ([0-9]{1,18})"
+                            + " ([0-9]{1,9})");
+
     /**
      * A worker could not be reached.
      *
@@ -74,6 +82,24 @@
         }
     }
 
+    /**
+     * A roll-out runs.
+     *
+     * @param age how long ago it was ordered
+     */
+    record Rollout(RolloutAge age) implements PeerMessage {
+
+        public Rollout {
+            Objects.requireNonNull(age, "age is null");
+        }
+
+        @Override
+        public String text() {
+            return "rollout %s %s %d %d"
+                    .formatted(age.service(), age.target(), age.revision(), age.millis());
+        }
+    }
+
     /** Returns the message as it travels. */
     String text();
 
@@ -92,6 +118,16 @@
                                     BackendServerId.of(unreachable.group(1)),
                                     Long.parseLong(unreachable.group(2)))));
         }
+        final Matcher rollout = ROLLOUT.matcher(text);
+        if (rollout.matches()) {
+            return Optional.of(
+                    new Rollout(
+                            new RolloutAge(
+                                    ServiceName.of(rollout.group(1)),
+                                    rollout.group(2),
+                                    Long.parseLong(rollout.group(3)),
+                                    Long.parseLong(rollout.group(4)))));
+        }
         final Matcher loads = LOADS.matcher(text);
         return loads.matches()
                 ? Optional.of(new Loads(VmId.of(loads.group(1)), loads(loads.group(2))))
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerNews.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerNews.java
@@ -93,16 +93,12 @@
         final long now = clock.millis();
         toldMillis.values().removeIf(told -> now - told >= REPEAT_MILLIS);
         if (toldMillis.putIfAbsent(server, now) == null) {
-            send(new PeerMessage.Unreachable(server), near.get());
+            tell(new PeerMessage.Unreachable(server), near.get());
         }
     }
 
-    /** Tells some VMs what this one has at the workers. */
-    void tell(final PeerMessage.Loads loads, final List<InetSocketAddress> to) {
-        send(loads, to);
-    }
-
-    private void send(final PeerMessage message, final List<InetSocketAddress> to) {
+    /** Tells some VMs something. */
+    void tell(final PeerMessage message, final List<InetSocketAddress> to) {
         final byte[] text = message.text().getBytes(StandardCharsets.UTF_8);
         if (text.length > MAX_BYTES) {
             return;
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutAges.java
@@ -0,0 +1,81 @@
+package org.fennelstage.vm;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.fennelstage.canary.Canary;
+import org.fennelstage.canary.RolloutAge;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+
+/**
+ * Tells VMs that started in the middle of a roll-out how old its order is.
+ *
+ * <p>All VMs choose versions by the time since the order. One that did not hear the order being
+ * given has only a time of day for it, and those of two VMs may lie seconds apart. Confined to the
+ * event loop.
+ */
+final class RolloutAges {
+
+    /**
+     * How often the age is told; milliseconds. A VM that starts waits for its first word this long
+     * at most; a VM among 22 hears some 40 words a second, each of 30 us, while a roll-out runs.
+     */
+    private static final long PERIOD_MILLIS = 500;
+
+    /** From which change on a correction is logged; milliseconds. Less is the messages' delay. */
+    private static final long LOGGED_FROM_MILLIS = 50;
+
+    private final Beliefs beliefs;
+    private final Supplier<List<InetSocketAddress>> others;
+    private final BiConsumer<PeerMessage, List<InetSocketAddress>> tell;
+    private long lastMillis;
+
+    RolloutAges(
+            final Beliefs beliefs,
+            final Supplier<List<InetSocketAddress>> others,
+            final BiConsumer<PeerMessage, List<InetSocketAddress>> tell) {
+        this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
+        this.others = Objects.requireNonNull(others, "others is null");
+        this.tell = Objects.requireNonNull(tell, "tell is null");
+        this.lastMillis = beliefs.clock().millis();
+    }
+
+    /**
+     * Tells the age of each running roll-out if it is time to. To be called a few times a second.
+     */
+    void sendDue() {
+        if (beliefs.clock().millis() - lastMillis < PERIOD_MILLIS) {
+            return;
+        }
+        lastMillis = beliefs.clock().millis();
+        for (final Canary canary : beliefs.canaries().values()) {
+            canary.age().ifPresent(age -> tell.accept(new PeerMessage.Rollout(age), others.get()));
+        }
+    }
+
+    /** Takes what another VM tells. */
+    void onAge(final RolloutAge age) {
+        final Optional<Canary> canary = Optional.ofNullable(beliefs.canaries().get(age.service()));
+        final Duration change = canary.map(c -> c.onAge(age)).orElse(Duration.ZERO);
+        if (Math.abs(change.toMillis()) >= LOGGED_FROM_MILLIS) {
+            EventLog.write(
+                    Event.ROLLOUT_AGE,
+                    "service",
+                    age.service(),
+                    "target",
+                    age.target(),
+                    "revision",
+                    age.revision(),
+                    "elapsed_ms",
+                    age.millis(),
+                    "change_ms",
+                    change.toMillis());
+        }
+    }
+}
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -8,9 +8,11 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.fennelstage.canary.RolloutAge;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.Test;
 
@@ -34,10 +36,19 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
+    @Test
+    void theAgeOfARolloutIsReadAsItWasWritten() {
+        final PeerMessage message =
+                new PeerMessage.Rollout(
+                        new RolloutAge(ServiceName.of("models"), "v2.1+b", 77, 12_345));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
     @Property(tries = 500)
     void anyTextIsReadWithoutAnError(@ForAll final String text) {
         assertThat(PeerMessage.parse(text)).isNotNull();
         assertThat(PeerMessage.parse("loads vm " + text)).isNotNull();
         assertThat(PeerMessage.parse("unreachable " + text)).isNotNull();
+        assertThat(PeerMessage.parse("rollout " + text)).isNotNull();
     }
 }
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutAgesTest.java
@@ -0,0 +1,83 @@
+package org.fennelstage.vm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.canary.RolloutAge;
+import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.gateway.GatewaySettings;
+import org.fennelstage.id.ServiceName;
+import org.junit.jupiter.api.Test;
+
+class RolloutAgesTest {
+
+    private static final ServiceName MODELS = ServiceName.of("models");
+    private static final GatewaySettings BOUNDS =
+            new GatewaySettings(
+                    0.9,
+                    Duration.ofSeconds(10),
+                    50,
+                    0.1,
+                    Duration.ofSeconds(2),
+                    Duration.ofSeconds(2),
+                    Duration.ofSeconds(8));
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final List<PeerMessage> told = new ArrayList<>();
+
+    private final class Vm {
+        private final Beliefs beliefs = new Beliefs(now::get, BOUNDS);
+        private final RolloutAges ages =
+                new RolloutAges(beliefs, List::of, (message, to) -> told.add(message));
+
+        private Vm hears(final Optional<Instant> begunAt, final long elapsedMillis) {
+            final RolloutOrder order =
+                    new RolloutOrder(
+                            MODELS,
+                            "v2",
+                            Duration.ofSeconds(20),
+                            begunAt.isPresent() ? RolloutPhase.IN_PROGRESS : RolloutPhase.ORDERED,
+                            begunAt,
+                            5);
+            beliefs.canary(MODELS).onOrder(order, Duration.ofMillis(elapsedMillis));
+            return this;
+        }
+    }
+
+    @Test
+    void aVmThatHeardTheOrderTellsItsAgeTwiceASecondAndOneThatStartedLaterTakesIt() {
+        final Vm first = new Vm().hears(Optional.empty(), 0);
+        now.addAndGet(499);
+        first.ages.sendDue();
+        assertThat(told).isEmpty();
+        now.addAndGet(3_501);
+        first.ages.sendDue();
+        first.ages.sendDue();
+        assertThat(told).hasSize(1);
+        final Vm started = new Vm().hears(Optional.of(Instant.EPOCH), 9_000);
+        started.ages.onAge(((PeerMessage.Rollout) told.get(0)).age());
+        assertThat(started.beliefs.canary(MODELS).elapsed()).hasMillis(4_000);
+    }
+
+    @Test
+    void aVmThatHasTheAgeFromATimeOfDayTellsNothing() {
+        final Vm started = new Vm().hears(Optional.of(Instant.EPOCH), 9_000);
+        now.addAndGet(1_000);
+        started.ages.sendDue();
+        assertThat(told).isEmpty();
+    }
+
+    @Test
+    void theAgeOfARolloutOfAnUnknownServiceIsPassedOver() {
+        final Vm vm = new Vm();
+        vm.ages.onAge(new RolloutAge(MODELS, "v2", 5, 100));
+        assertThat(vm.beliefs.canaries()).isEmpty();
+    }
+}
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -62,7 +62,8 @@
     ROLLOUT_STEP(7002, Level.INFO, "roll-out reached its next step"),
     ROLLOUT_DONE(7003, Level.INFO, "roll-out is complete"),
     ROLLOUT_STATE(7011, Level.INFO, "state of a roll-out in the store changed"),
-    ROLLOUT_WRITE(7012, Level.INFO, "state of a roll-out is written to the store");
+    ROLLOUT_WRITE(7012, Level.INFO, "state of a roll-out is written to the store"),
+    ROLLOUT_AGE(7013, Level.INFO, "time since the order of a roll-out is corrected by another VM");
 
     private final int number;
     private final Level level;
