--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -22,10 +22,11 @@
  */
 sealed interface PeerMessage {
 
-    /** The text of a message without its kind is made of these; a name has no blank or comma. */
+    /** Id and birth of a worker; a name has no blank or comma. */
     Pattern UNREACHABLE =
             Pattern.compile("unreachable ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
 
+    /** The VM that tells, and any number of loads. */
     Pattern LOADS = Pattern.compile("loads ([A-Za-z0-9][A-Za-z0-9._-]{0,95})((?: [^ ]+)*)");
 
     /** Id, requests, and milliseconds of prompts not yet read. */
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -5,7 +5,6 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -14,8 +13,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.fennelstage.canary.RolloutOrder;
-import org.fennelstage.canary.RolloutPhase;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
@@ -27,7 +24,8 @@
     /** A call to the store, waiting for the test's answer. */
     private record Waiting(String call, Consumer<StoreAnswer<Page<VmEntry>>> answer) {}
 
-    private final class ManualStore implements Store {
+    /** Keeps the calls in words. */
+    private final class RecordingStore extends ManualStore {
 
         @Override
         @SuppressWarnings({"unchecked", "rawtypes"})
@@ -38,12 +36,6 @@
             calls.add(new Waiting("list " + after.orElse("-"), (Consumer) answer));
         }
 
-        @Override
-        public <T> void listStale(
-                final StoreKind<T> kind, final Consumer<StoreAnswer<Page<T>>> answer) {
-            throw new UnsupportedOperationException();
-        }
-
         @Override
         @SuppressWarnings({"unchecked", "rawtypes"})
         public <T> void watch(
@@ -53,20 +45,6 @@
                 final Consumer<StoreAnswer<Page<T>>> answer) {
             calls.add(new Waiting("watch " + since, (Consumer) answer));
         }
-
-        @Override
-        public void writePhase(
-                final RolloutOrder order,
-                final RolloutPhase phase,
-                final Instant begunAt,
-                final Consumer<StoreAnswer<Void>> answer) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void writeVm(final VmEntry entry, final Consumer<StoreAnswer<Void>> answer) {
-            throw new UnsupportedOperationException();
-        }
     }
 
     private final BlockingQueue<Waiting> calls = new LinkedBlockingQueue<>();
@@ -75,7 +53,7 @@
     private final Follower<VmEntry> follower =
             new Follower<>(
                     loop,
-                    new ManualStore(),
+                    new RecordingStore(),
                     StoreKind.VMS,
                     WatchPace.ofMillis(1_000, 1),
                     new Random(1),
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutAgesTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutAgesTest.java
@@ -12,28 +12,18 @@
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
 import org.fennelstage.gateway.Beliefs;
-import org.fennelstage.gateway.GatewaySettings;
 import org.fennelstage.id.ServiceName;
 import org.junit.jupiter.api.Test;
 
 class RolloutAgesTest {
 
     private static final ServiceName MODELS = ServiceName.of("models");
-    private static final GatewaySettings BOUNDS =
-            new GatewaySettings(
-                    0.9,
-                    Duration.ofSeconds(10),
-                    50,
-                    0.1,
-                    Duration.ofSeconds(2),
-                    Duration.ofSeconds(2),
-                    Duration.ofSeconds(8));
 
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final List<PeerMessage> told = new ArrayList<>();
 
     private final class Vm {
-        private final Beliefs beliefs = new Beliefs(now::get, BOUNDS);
+        private final Beliefs beliefs = new Beliefs(now::get, TestBounds.BOUNDS);
         private final RolloutAges ages =
                 new RolloutAges(beliefs, List::of, (message, to) -> told.add(message));
 
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
@@ -11,7 +11,6 @@
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
 import org.fennelstage.gateway.Beliefs;
-import org.fennelstage.gateway.GatewaySettings;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.store.ManualStore;
@@ -22,18 +21,9 @@
 class RolloutFeedTest {
 
     private static final ServiceName MODELS = ServiceName.of("models");
-    private static final GatewaySettings BOUNDS =
-            new GatewaySettings(
-                    0.9,
-                    Duration.ofSeconds(10),
-                    50,
-                    0.1,
-                    Duration.ofSeconds(2),
-                    Duration.ofSeconds(2),
-                    Duration.ofSeconds(8));
 
     private final AtomicLong now = new AtomicLong(1_000_000);
-    private final Beliefs beliefs = new Beliefs(now::get, BOUNDS);
+    private final Beliefs beliefs = new Beliefs(now::get, TestBounds.BOUNDS);
     private final ManualStore store = new ManualStore();
 
     private RolloutFeed feedWithTurn(final int turn) {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
@@ -10,7 +9,6 @@
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.gateway.Beliefs;
-import org.fennelstage.gateway.GatewaySettings;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
@@ -20,18 +18,9 @@
 class ServerFeedTest {
 
     private static final ServiceName MODELS = ServiceName.of("models");
-    private static final GatewaySettings BOUNDS =
-            new GatewaySettings(
-                    0.9,
-                    Duration.ofSeconds(10),
-                    50,
-                    0.1,
-                    Duration.ofSeconds(3),
-                    Duration.ofSeconds(3),
-                    Duration.ofSeconds(8));
 
     private final AtomicLong now = new AtomicLong(1_000_000);
-    private final Beliefs beliefs = new Beliefs(now::get, BOUNDS);
+    private final Beliefs beliefs = new Beliefs(now::get, TestBounds.BOUNDS);
     private final ServerFeed feed = new ServerFeed(beliefs, () -> {});
 
     private static StoredValue<ServerEntry> entry(final String id) {
