--- a/fennelstage-ctl/src/main/java/org/fennelstage/report/LogReader.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/report/LogReader.java
@@ -11,15 +11,36 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
- * Reads structured log lines.
+ * Reads structured log lines and keeps those that speak of a request.
+ *
+ * <p>The log of a large fleet is long: of 64 VMs it grows by some 5,000 lines a second. What no
+ * report reads is not kept: the other events, and of each line the logger's own fields and the
+ * message, which says all fields once more.
  *
  * <p>What collects logs often puts the VM's name before each line; the last word before the line is
  * taken for it. Lines that are no event are counted and passed over. Not thread-safe.
  */
 public final class LogReader {
 
+    /** Refused, sent, failed, finished, dropped: the events of one request. */
+    private static final Pattern REQUEST_EVENT = Pattern.compile("FS401[1-5]");
+
+    /** What the logger adds to each line. */
+    private static final Set<String> NOT_KEPT =
+            Set.of(
+                    "@timestamp",
+                    "@version",
+                    "message",
+                    "logger_name",
+                    "thread_name",
+                    "level",
+                    "level_value",
+                    "event");
+
     private final ObjectMapper json = new ObjectMapper();
     private final List<LogLine> lines = new ArrayList<>();
     private int skipped;
@@ -38,7 +59,7 @@
     }
 
     /**
-     * Returns the events read so far.
+     * Returns the events of requests read so far.
      *
      * @return the events, in the order of reading
      */
@@ -69,6 +90,9 @@
                 return;
             }
             final Instant at = Instant.parse(node.path("@timestamp").asText(""));
+            if (!REQUEST_EVENT.matcher(code).matches()) {
+                return;
+            }
             lines.add(new LogLine(at, vm(text.substring(0, begin), source), code, fields(node)));
         } catch (final JsonProcessingException | DateTimeParseException e) {
             // A line cut off by the end of its process, or of another program: counted, since one
@@ -83,12 +107,16 @@
         return last.isEmpty() ? source : last;
     }
 
+    private static boolean isKept(final String field) {
+        return !NOT_KEPT.contains(field);
+    }
+
     private static Map<String, String> fields(final JsonNode node) {
         final Map<String, String> fields = new HashMap<>();
         node.fields()
                 .forEachRemaining(
                         field -> {
-                            if (field.getValue().isValueNode()) {
+                            if (isKept(field.getKey()) && field.getValue().isValueNode()) {
                                 fields.put(field.getKey(), field.getValue().asText());
                             }
                         });
--- a/fennelstage-ctl/src/main/java/org/fennelstage/report/ServiceReport.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/report/ServiceReport.java
@@ -18,9 +18,6 @@
  */
 public final class ServiceReport {
 
-    /** Events that speak of one request. */
-    private static final String REQUEST_EVENTS = "FS401[1-5]";
-
     /**
      * One row of a table.
      *
@@ -52,14 +49,14 @@
     /**
      * Returns the report on some log lines.
      *
-     * @param lines the lines of any number of VMs
+     * @param lines the lines that speak of requests, of any number of VMs
      * @return the report
      */
     public static ServiceReport of(final List<LogLine> lines) {
         final Map<String, List<LogLine>> byRequest = new HashMap<>();
         for (final LogLine line : lines) {
             final Optional<String> request = line.field("request").filter(id -> !id.isEmpty());
-            if (request.isPresent() && line.code().matches(REQUEST_EVENTS)) {
+            if (request.isPresent()) {
                 byRequest.computeIfAbsent(request.get(), r -> new ArrayList<>()).add(line);
             }
         }
--- a/fennelstage-ctl/src/main/java/org/fennelstage/report/SessionMoves.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/report/SessionMoves.java
@@ -1,5 +1,8 @@
 package org.fennelstage.report;
 
+import static java.util.stream.Collectors.counting;
+import static java.util.stream.Collectors.groupingBy;
+
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -117,11 +120,24 @@
         }
         final long elsewhere = moves.stream().filter(Move::atAnotherVm).count();
         told.add(
-                "sessions that changed their version: %d, %d of them at another VM"
-                        .formatted(moves.size(), elsewhere));
+                "changes of version within a session: %d, %d of them at another VM; sessions that"
+                                .formatted(moves.size(), elsewhere)
+                        + " changed more than once: "
+                        + changedAgain());
         return told;
     }
 
+    /** A roll-out moves a session once; more are moves to and fro. */
+    private long changedAgain() {
+        return moves.stream()
+                .map(Move::session)
+                .collect(groupingBy(s -> s, counting()))
+                .values()
+                .stream()
+                .filter(count -> count > 1)
+                .count();
+    }
+
     private static boolean isOfSession(final LogLine line) {
         return line.code().equals(SENT) && !text(line, "session").equals(NONE);
     }
--- a/fennelstage-ctl/src/test/java/org/fennelstage/report/ServiceReportTest.java
+++ b/fennelstage-ctl/src/test/java/org/fennelstage/report/ServiceReportTest.java
@@ -129,6 +129,23 @@
         assertThat(reader.skipped()).isEqualTo(3);
     }
 
+    /**
+     * Symptom: the report of a day of 64 VMs ends without memory. Cause: each line was kept with a
+     * message that says all its fields again, and so were lines that no report reads.
+     */
+    @Test
+    void whatNoReportReadsIsNotKept() throws Exception {
+        sent("r1");
+        line("FS4016", "r1", "server", "i-1");
+        line("FS2015", "-", "server", "i-1");
+        final LogReader reader = new LogReader();
+        reader.read(new BufferedReader(new StringReader(log.toString())), "file");
+        assertThat(reader.lines()).hasSize(1);
+        assertThat(reader.lines().get(0).fields())
+                .containsOnlyKeys("request", "route", "server", "model");
+        assertThat(reader.skipped()).isZero();
+    }
+
     @Test
     void theStoryOfARequestIsToldInPlainWords() throws Exception {
         sent("r1");
--- a/fennelstage-ctl/src/test/java/org/fennelstage/report/SessionMovesTest.java
+++ b/fennelstage-ctl/src/test/java/org/fennelstage/report/SessionMovesTest.java
@@ -39,7 +39,20 @@
                 .containsExactly(
                         "session s went from v1 to v2 after 200 ms: request r300 at vm-2, "
                                 + "before it vm-1; by DRAWN",
-                        "sessions that changed their version: 1, 1 of them at another VM");
+                        "changes of version within a session: 1, 1 of them at another VM; "
+                                + "sessions that changed more than once: 0");
+    }
+
+    @Test
+    void aSessionThatGoesToAndFroIsCounted() {
+        final SessionMoves moves =
+                SessionMoves.of(
+                        List.of(
+                                sent(100, "vm-1", "s", "v1"),
+                                sent(200, "vm-2", "s", "v2"),
+                                sent(300, "vm-1", "s", "v1")));
+        assertThat(moves.all()).hasSize(2);
+        assertThat(moves.tell()).last().asString().endsWith("changed more than once: 1");
     }
 
     @Test
