--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
@@ -56,10 +56,10 @@
     private static final int MOST_DOUBLINGS = 4;
 
     /**
-     * How long lists are asked of the store itself after a VM kept silent; milliseconds. Most of
-     * the time that news may take is spent then, and the next VM may be as silent: a cut takes many
-     * at once. Asked of it, the list could wait for another 0.8 s, 3.3 s in all where 3 s are
-     * allowed.
+     * How long lists are asked of the store itself after a VM kept silent or could not carry an
+     * answer to all; milliseconds. After a silence most of the time that news may take is spent
+     * then, and the next VM may be as silent: a cut takes many at once. Asked of it, the list could
+     * wait for another 0.8 s, 3.3 s in all where 3 s are allowed.
      */
     static final long DIRECT_MILLIS = 1_000;
 
@@ -67,17 +67,14 @@
     private final class Watch<T> {
         private final Store relay;
         private final long endsAtMillis;
-        private final Runnable askStore;
         private final Consumer<StoreAnswer<Page<T>>> answer;
 
         private Watch(
                 final Store relay,
                 final Duration wait,
-                final Runnable askStore,
                 final Consumer<StoreAnswer<Page<T>>> answer) {
             this.relay = relay;
             this.endsAtMillis = clock.millis() + wait.toMillis();
-            this.askStore = askStore;
             this.answer = answer;
         }
 
@@ -86,13 +83,11 @@
                 return;
             }
             if (result instanceof StoreAnswer.TooLarge<Page<T>>) {
-                failures.remove(relay);
-                askStore.run();
-                return;
+                askStoreForLists();
             }
             if (result instanceof StoreAnswer.Unavailable<Page<T>> unavailable) {
                 if (clock.millis() >= endsAtMillis) {
-                    directUntilMillis = clock.millis() + DIRECT_MILLIS;
+                    askStoreForLists();
                 }
                 onFailed(relay, unavailable.detail());
             } else {
@@ -187,12 +182,7 @@
             return;
         }
         final Duration relayed = kind.equals(StoreKind.CONFIGURATION) ? livenessWatch() : wait;
-        final Watch<T> watch =
-                new Watch<>(
-                        relay.get(),
-                        relayed,
-                        () -> direct.watch(kind, since, wait, answer),
-                        answer);
+        final Watch<T> watch = new Watch<>(relay.get(), relayed, answer);
         watches.add(watch);
         relay.get().watch(kind, since, relayed, watch::onAnswer);
     }
@@ -223,6 +213,10 @@
                 .findFirst();
     }
 
+    private void askStoreForLists() {
+        directUntilMillis = clock.millis() + DIRECT_MILLIS;
+    }
+
     private void onFailed(final Store relay, final String detail) {
         final int before = failures.merge(relay, 1, Integer::sum) - 1;
         final long pause = PAUSE_MILLIS << Math.min(before, MOST_DOUBLINGS);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -129,6 +129,21 @@
                 .containsExactly("all []", "lost", "away", "back", "all [a]", "lost", "away");
     }
 
+    /**
+     * Symptom: a VM with a slow link has a configuration 4 s after the others. Events: a large one
+     * changes several times a second; each watch brings all versions since the last, and takes so
+     * long that the next has more to bring. Cause: what was too large to share was watched on.
+     */
+    @Test
+    void whatIsTooLargeForAWatchIsListedAtOnceAndTheStoreIsNotLost() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.empty(), 5));
+        answer("watch 5", new StoreAnswer.TooLarge<>());
+        answer("list -", page(Optional.empty(), 9, entry("a", 9)));
+        expect("watch 9");
+        assertThat(heard).containsExactly("all []", "all [a]");
+    }
+
     @Test
     void whenTheHistoryIsGoneTheObjectsAreListedAnewAtOnce() throws InterruptedException {
         follower.start();
