--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/Play.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/Play.java
@@ -9,6 +9,7 @@
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
@@ -193,6 +194,6 @@
                 "v1",
                 setup.engine().batch(),
                 false,
-                1);
+                Position.of(0, 1));
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -1,11 +1,14 @@
 package org.fennelstage.canary;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.fennelstage.canary.VersionChoice.Ground;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.member.Rendezvous;
 import org.fennelstage.time.MonotonicClock;
@@ -17,9 +20,20 @@
  * through the object in the store. Invariants: a version that may belong to an order not yet known
  * here gets nothing; a halted version gets nothing, whatever the store says later of the same
  * order. Not thread-safe.
+ *
+ * <p>A store that comes back from an older copy may have lost how an order ended, or the order. How
+ * it ended stays true here, and is due to be written again once the store speaks of the order: a VM
+ * that starts afterwards learns from the store alone, and would send requests to a version that was
+ * found bad. An older order that the copy speaks of instead changes nothing.
  */
 public final class Canary {
 
+    /**
+     * How long a version stays out after a VM told of an order for it; milliseconds. VMs tell twice
+     * a second, and three datagrams in a row may be lost.
+     */
+    static final long TOLD_MILLIS = 2_000;
+
     private final MonotonicClock clock;
     private final double allowedShare;
     private final Set<String> proven = new HashSet<>();
@@ -31,8 +45,23 @@
     /** Whether the begin is known by steady clocks alone, this VM's or others'. */
     private boolean steady;
 
-    /** The revision at which this VM first heard of the present order. */
-    private long firstRevision;
+    /** Where in the store's history this VM first heard of the present order. */
+    private Position firstPosition = Position.NONE;
+
+    /** How the present order ended, also while the store does not say so any more. */
+    private Optional<RolloutPhase> verdict = Optional.empty();
+
+    /** Whether the store has spoken of the present order since it came back from a copy. */
+    private boolean inStore = true;
+
+    /** Whether the store speaks of the time before, since what it lost is not written again yet. */
+    private boolean copyDoubted;
+
+    /** The last state of each order whose end this VM has heard of; by version. */
+    private final Map<String, RolloutOrder> endedOrders = new HashMap<>();
+
+    /** Until when VMs that know an order for a version keep it out here; by version. */
+    private final Map<String, Long> toldUntilMillis = new HashMap<>();
 
     private Canary(final MonotonicClock clock, final double allowedShare) {
         this.clock = clock;
@@ -61,15 +90,24 @@
         return ordered || proven.contains(version) || bad.contains(version);
     }
 
+    /**
+     * Tells whether any version is in use.
+     *
+     * @return true if so
+     */
+    public boolean hasVersionInUse() {
+        return !proven.isEmpty();
+    }
+
     /**
      * Notes a version of which it is certain that no order speaks that is not known here.
      *
      * @param version the version
      */
     public void onUnordered(final String version) {
-        final boolean superseded =
-                order.isPresent() && order.get().phase() == RolloutPhase.COMPLETED;
-        if (!superseded && !isTarget(version) && !bad.contains(version)) {
+        final boolean superseded = order.isPresent() && completed();
+        final boolean ordered = isTarget(version) || isToldOf(version);
+        if (!superseded && !ordered && !bad.contains(version)) {
             proven.add(version);
         }
     }
@@ -81,9 +119,56 @@
      * @param elapsed the time since it was given, as far as known
      */
     public void onOrder(final RolloutOrder newer, final Duration elapsed) {
-        if (order.isPresent() && newer.revision() <= order.get().revision()) {
+        if (order.isPresent() && !newer.position().isAfter(order.get().position())) {
             return;
         }
+        if (order.isPresent() && order.get().position().isOfFormerEra(newer.position())) {
+            onOrderOfLaterEra(newer, elapsed);
+        } else {
+            onNewerOrder(newer, elapsed);
+        }
+    }
+
+    /**
+     * Takes an order from a store that has come back from an older copy. For the version that this
+     * VM knows as ordered it is the same order, and what this VM knows of it stays true. An order
+     * whose end this VM knows is the copy's word of the time before; it is passed over while the
+     * present order may still be written again, and has ended all the same after that.
+     */
+    private void onOrderOfLaterEra(final RolloutOrder newer, final Duration elapsed) {
+        if (order.get().target().equals(newer.target())) {
+            resume(newer);
+            return;
+        }
+        final boolean endKnown = isWordOfTheCopy(newer);
+        final boolean inUseOrEnded =
+                endKnown || newer.phase().ended() || proven.contains(newer.target());
+        if (copyDoubted && inUseOrEnded) {
+            return;
+        }
+        if (endKnown) {
+            verdict = Optional.of(endedOrders.get(newer.target()).phase());
+            resume(newer);
+        } else {
+            onNewerOrder(newer, elapsed);
+        }
+    }
+
+    /** The copy cannot hold a later state of an order than this VM has heard of. */
+    private boolean isWordOfTheCopy(final RolloutOrder newer) {
+        final RolloutOrder known = endedOrders.get(newer.target());
+        return known != null && newer.position().revision() <= known.position().revision();
+    }
+
+    private void resume(final RolloutOrder newer) {
+        order = Optional.of(newer);
+        inStore = true;
+        if (newer.phase().ended()) {
+            note(newer);
+        }
+    }
+
+    private void onNewerOrder(final RolloutOrder newer, final Duration elapsed) {
         final boolean same =
                 order.isPresent()
                         && order.get().target().equals(newer.target())
@@ -91,9 +176,21 @@
         if (!same) {
             begunAtMillis = clock.millis() - elapsed.toMillis();
             steady = newer.begunAt().isEmpty();
-            firstRevision = newer.revision();
+            firstPosition = newer.position();
             evidence = new CanaryEvidence();
+            verdict = Optional.empty();
+            bad.remove(newer.target());
+            if (!newer.phase().ended()) {
+                proven.remove(newer.target());
+            }
         }
+        order = Optional.of(newer);
+        inStore = true;
+        note(newer);
+    }
+
+    /** Notes how an order ended. */
+    private void note(final RolloutOrder newer) {
         if (newer.phase() == RolloutPhase.COMPLETED) {
             proven.clear();
             proven.add(newer.target());
@@ -101,25 +198,45 @@
         } else if (newer.phase() == RolloutPhase.ROLLED_BACK) {
             bad.add(newer.target());
             proven.remove(newer.target());
-        } else if (!same) {
-            bad.remove(newer.target());
-            proven.remove(newer.target());
         }
-        order = Optional.of(newer);
+        if (newer.phase().ended()) {
+            verdict = Optional.of(newer.phase());
+            endedOrders.put(newer.target(), newer);
+        }
+    }
+
+    /** Notes that the store has come back from an older copy. */
+    public void onStoreReplaced() {
+        inStore = false;
+        copyDoubted = true;
+    }
+
+    /** Notes that whoever wants to write again what the store lost has had the time to. */
+    public void onStoreSettled() {
+        copyDoubted = false;
     }
 
     /**
-     * Returns how old the running order is, for VMs that started after it.
+     * Returns how old the order is, for VMs that started after it: one that runs, or was found bad
+     * and the store does not say so at present.
      *
-     * @return the age, empty if none runs or this VM has it from a time of day only
+     * @return the age, empty if there is no such order or this VM has it from a time of day only
      */
     public Optional<RolloutAge> age() {
-        if (!running() || !steady) {
+        final boolean toBeTold = running() || untoldHalt();
+        if (!toBeTold || !steady) {
             return Optional.empty();
         }
         final RolloutOrder of = order.get();
         return Optional.of(
-                new RolloutAge(of.service(), of.target(), of.revision(), elapsed().toMillis()));
+                new RolloutAge(of.service(), of.target(), of.position(), elapsed().toMillis()));
+    }
+
+    /** Whether the present order was halted and the store does not say so. */
+    private boolean untoldHalt() {
+        return order.isPresent()
+                && bad.contains(order.get().target())
+                && !(inStore && order.get().phase().ended());
     }
 
     /**
@@ -130,6 +247,9 @@
      * in the first half of a roll-out of 16 s, or end it early. Steady clocks only ever lose time,
      * while their VM stands still, so the oldest age is the best.
      *
+     * <p>An order that this VM does not know may be one that the store has lost. Its version is not
+     * in use, whatever the store says, for as long as others tell of it.
+     *
      * @param heard the age
      * @return by how much this VM's view changed; zero if the word is of another order
      */
@@ -137,8 +257,9 @@
         final boolean ofThisOrder =
                 running()
                         && order.get().target().equals(heard.target())
-                        && heard.revision() >= firstRevision;
+                        && !firstPosition.isAfter(heard.position());
         if (!ofThisOrder) {
+            toldUntilMillis.put(heard.target(), clock.millis() + TOLD_MILLIS);
             return Duration.ZERO;
         }
         final long before = begunAtMillis;
@@ -151,14 +272,20 @@
     /**
      * Tells whether a version may get a request.
      *
-     * <p>A version may be found bad between two attempts of a request that was meant for it.
+     * <p>A version may be found bad between two attempts of a request that was meant for it. One of
+     * which others tell as under roll-out gets nothing beside the one in use: a VM that starts
+     * while the store has lost the order would take it for one in use as well.
      *
      * @param version the version of a worker
      * @param toNew what {@link #choose} said for this request
      * @return true if so
      */
     public boolean admits(final String version, final boolean toNew) {
-        return toNew ? isTarget(version) && !bad.contains(version) : proven.contains(version);
+        if (toNew) {
+            return isTarget(version) && !bad.contains(version);
+        }
+        final boolean onlyOne = proven.size() == 1;
+        return proven.contains(version) && (onlyOne || !isToldOf(version));
     }
 
     /**
@@ -222,9 +349,12 @@
      * @return the phase to write, empty if nothing is to be written
      */
     public Optional<RolloutPhase> due() {
-        if (order.isEmpty() || order.get().phase().ended()) {
+        if (order.isEmpty() || order.get().phase().ended() || !inStore) {
             return Optional.empty();
         }
+        if (verdict.isPresent()) {
+            return verdict;
+        }
         if (bad.contains(order.get().target())) {
             return Optional.of(RolloutPhase.ROLLED_BACK);
         }
@@ -240,6 +370,16 @@
         return order;
     }
 
+    /**
+     * Tells whether what is due to be written was in the store before it came back from a copy, so
+     * that all VMs find it due at once.
+     *
+     * @return true if so
+     */
+    public boolean repeats() {
+        return verdict.isPresent();
+    }
+
     /**
      * Describes the evidence for the log.
      *
@@ -250,15 +390,19 @@
     }
 
     private boolean running() {
-        return order.isPresent()
-                && !order.get().phase().ended()
-                && !bad.contains(order.get().target());
+        return order.isPresent() && verdict.isEmpty() && !bad.contains(order.get().target());
+    }
+
+    private boolean completed() {
+        return verdict.equals(Optional.of(RolloutPhase.COMPLETED));
+    }
+
+    private boolean isToldOf(final String version) {
+        return toldUntilMillis.getOrDefault(version, Long.MIN_VALUE) > clock.millis();
     }
 
     private boolean isTarget(final String version) {
-        return order.isPresent()
-                && order.get().target().equals(version)
-                && order.get().phase() != RolloutPhase.COMPLETED;
+        return order.isPresent() && order.get().target().equals(version) && !completed();
     }
 
     private CanaryPlan plan() {
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/RolloutOrder.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/RolloutOrder.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Objects;
 import java.util.Optional;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.ServiceName;
 
 /**
@@ -14,7 +15,7 @@
  * @param duration the time after the order by which it is to be decided
  * @param phase how far it has come
  * @param begunAt when a VM first noted it, by that VM's time of day; empty if none has
- * @param revision the revision of the object that says this
+ * @param position where in the store's history this was written
  */
 public record RolloutOrder(
         ServiceName service,
@@ -22,7 +23,7 @@
         Duration duration,
         RolloutPhase phase,
         Optional<Instant> begunAt,
-        long revision) {
+        Position position) {
 
     public RolloutOrder {
         Objects.requireNonNull(service, "service is null");
@@ -30,5 +31,6 @@
         Objects.requireNonNull(duration, "duration is null");
         Objects.requireNonNull(phase, "phase is null");
         Objects.requireNonNull(begunAt, "begunAt is null");
+        Objects.requireNonNull(position, "position is null");
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
@@ -1,6 +1,7 @@
 package org.fennelstage.fleet;
 
 import java.util.Objects;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
@@ -15,7 +16,7 @@
  * @param version the version of its software, which a roll-out changes
  * @param capacity how many requests it works on at once
  * @param leaving whether it is about to stop and takes no new work
- * @param revision the revision of the store at which this was written
+ * @param position where in the store's history this was written
  */
 public record ServerEntry(
         Incarnation incarnation,
@@ -25,7 +26,7 @@
         String version,
         int capacity,
         boolean leaving,
-        long revision) {
+        Position position) {
 
     public ServerEntry {
         Objects.requireNonNull(incarnation, "incarnation is null");
@@ -33,6 +34,7 @@
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(dataCentre, "dataCentre is null");
         Objects.requireNonNull(version, "version is null");
+        Objects.requireNonNull(position, "position is null");
     }
 
     /**
@@ -43,4 +45,14 @@
     public BackendServerId id() {
         return incarnation.server();
     }
+
+    /**
+     * Returns the entry with the word that the worker leaves.
+     *
+     * @return the entry
+     */
+    ServerEntry asLeaving() {
+        return new ServerEntry(
+                incarnation, service, address, dataCentre, version, capacity, true, position);
+    }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -29,6 +29,10 @@
  * entries all the time. Taken for an outage, a lost way let a worker that had left get requests for
  * 3.3 s.
  *
+ * <p>A store that comes back from an older copy says less and other than it did: entries written
+ * since are missing until their workers write again, which is as if they had lapsed, and workers
+ * that have left are back; see {@link Departures}.
+ *
  * <p>Invariant: a worker that is leaving or dropped is in no result of {@link #usable}. Not
  * thread-safe.
  */
@@ -53,6 +57,7 @@
     private final Map<ServiceName, List<TrackedServer>> usable = new HashMap<>();
     private final Map<DataCentreId, Reachability> dataCentres = new HashMap<>();
     private final Births births = Births.empty();
+    private final Departures departures;
     private Consumer<TrackedServer> restartListener = former -> {};
     private boolean doubted;
     private boolean storeAway;
@@ -61,6 +66,7 @@
 
     private ServerTable(final MonotonicClock clock) {
         this.clock = clock;
+        this.departures = Departures.of(clock);
     }
 
     /**
@@ -97,12 +103,17 @@
         if (!births.offer(entry.incarnation())) {
             return false;
         }
+        believe(departures.judge(entry));
+        return true;
+    }
+
+    private void believe(final ServerEntry entry) {
         vanished.remove(entry.id());
         usable.clear();
         final TrackedServer known = servers.get(entry.id());
         if (known != null && known.entry().incarnation().equals(entry.incarnation())) {
             known.update(entry);
-            return true;
+            return;
         }
         final Reachability reachability =
                 dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(clock));
@@ -111,7 +122,6 @@
             known.onRestarted();
             restartListener.accept(known);
         }
-        return true;
     }
 
     /**
@@ -182,11 +192,26 @@
     }
 
     /**
-     * Drops entries whose grace is over. To be called a few times a second.
+     * Notes that the store has come back from an older copy: entries that it lost get the time to
+     * be written again, and what it says of workers that left is doubted for a while.
+     */
+    public void onStoreReplaced() {
+        graceUntilMillis = clock.millis() + LAPSE_GRACE_MILLIS;
+        departures.onStoreReplaced();
+    }
+
+    /**
+     * Drops entries whose grace is over, and believes those that were doubted and are still there.
+     * To be called a few times a second.
      *
      * @return the workers dropped
      */
     public List<BackendServerId> dropLapsed() {
+        Optional<ServerEntry> believed = departures.believed();
+        while (believed.isPresent()) {
+            believe(departures.judge(believed.get()));
+            believed = departures.believed();
+        }
         if (storeAway || vanished.isEmpty() || clock.millis() < graceUntilMillis) {
             return List.of();
         }
@@ -245,7 +270,10 @@
 
     private void drop(final BackendServerId id) {
         vanished.remove(id);
-        servers.remove(id);
+        final TrackedServer dropped = servers.remove(id);
+        if (dropped != null) {
+            departures.onGone(dropped.entry().incarnation());
+        }
         usable.clear();
     }
 }
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
 import org.junit.jupiter.api.Test;
@@ -25,7 +26,12 @@
 
     private static RolloutOrder order(final RolloutPhase phase, final long revision) {
         return new RolloutOrder(
-                ServiceName.of("models"), "v2", DURATION, phase, Optional.empty(), revision);
+                ServiceName.of("models"),
+                "v2",
+                DURATION,
+                phase,
+                Optional.empty(),
+                Position.of(0, revision));
     }
 
     private static BackendServerId worker(final int number) {
@@ -301,7 +307,7 @@
                 DURATION,
                 RolloutPhase.IN_PROGRESS,
                 Optional.of(Instant.EPOCH),
-                revision);
+                Position.of(0, revision));
     }
 
     /**
@@ -331,9 +337,9 @@
     void aVmThatStoodStillTakesTheOlderAgeAndNeverTheYounger() {
         begin();
         now.addAndGet(9_000);
-        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", 1, 12_000));
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", Position.of(0, 1), 12_000));
         assertThat(canary.elapsed()).hasMillis(12_000);
-        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", 1, 9_000));
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", Position.of(0, 1), 9_000));
         assertThat(canary.elapsed()).hasMillis(12_000);
     }
 
@@ -341,8 +347,118 @@
     void theAgeOfAnotherOrderOrOfAnEarlierOneForTheSameVersionChangesNothing() {
         canary.onUnordered("v1");
         canary.onOrder(order(RolloutPhase.ORDERED, 10), Duration.ZERO);
-        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", 9, 12_000));
-        canary.onAge(new RolloutAge(ServiceName.of("models"), "v3", 11, 12_000));
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", Position.of(0, 9), 12_000));
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v3", Position.of(0, 11), 12_000));
         assertThat(canary.elapsed()).isZero();
     }
+
+    private static RolloutOrder order(
+            final String target, final RolloutPhase phase, final long era, final long revision) {
+        return new RolloutOrder(
+                ServiceName.of("models"),
+                target,
+                DURATION,
+                phase,
+                Optional.empty(),
+                Position.of(era, revision));
+    }
+
+    private void hear(final RolloutOrder order) {
+        canary.onOrder(order, Duration.ZERO);
+    }
+
+    /**
+     * Symptom: a roll-out never begins. Events: the store comes back from a copy, and an order is
+     * given at a lower revision than the last. Cause: revisions of two eras were compared.
+     */
+    @Test
+    void anOrderOfALaterEraCountsAtALowerRevision() {
+        canary.onUnordered("v1");
+        hear(order("v2", RolloutPhase.COMPLETED, 1, 100));
+        canary.onStoreReplaced();
+        hear(order("v3", RolloutPhase.ORDERED, 2, 70));
+        assertThat(canary.admits("v3", true)).isTrue();
+        assertThat(canary.due()).contains(RolloutPhase.IN_PROGRESS);
+    }
+
+    /**
+     * Symptom: a version found bad gets requests again. Events: its halt is lost with the store's
+     * last seconds. Cause: the halt stood in the store alone, and nobody wrote it again.
+     */
+    @Test
+    void aHaltThatTheStoreLostStaysAndIsDueOnceTheStoreSpeaksOfTheOrder() {
+        begin();
+        hear(order("v2", RolloutPhase.ROLLED_BACK, 0, 9));
+        canary.onStoreReplaced();
+        assertThat(canary.due()).isEmpty();
+        assertThat(canary.age()).isPresent();
+        hear(order("v2", RolloutPhase.IN_PROGRESS, 1, 5));
+        assertThat(canary.admits("v2", true)).isFalse();
+        assertThat(canary.due()).contains(RolloutPhase.ROLLED_BACK);
+        assertThat(canary.repeats()).isTrue();
+        hear(order("v2", RolloutPhase.ROLLED_BACK, 1, 6));
+        assertThat(canary.due()).isEmpty();
+        assertThat(canary.age()).isEmpty();
+    }
+
+    @Test
+    void aVersionHaltedInAFormerEraRunsOnANewOrderGivenAfterItsHaltIsInTheStoreAgain() {
+        begin();
+        hear(order("v2", RolloutPhase.ROLLED_BACK, 0, 9));
+        canary.onStoreReplaced();
+        hear(order("v2", RolloutPhase.IN_PROGRESS, 1, 5));
+        hear(order("v2", RolloutPhase.ROLLED_BACK, 1, 6));
+        hear(order("v2", RolloutPhase.ORDERED, 1, 7));
+        assertThat(canary.admits("v2", true)).isTrue();
+    }
+
+    /**
+     * Symptom: no worker is left for a service. Events: a completed roll-out runs again in the
+     * copy; the old version's workers have stopped. Cause: the version was no longer in use.
+     */
+    @Test
+    void aCompletionThatTheStoreLostStaysAndIsDue() {
+        begin();
+        hear(order("v2", RolloutPhase.COMPLETED, 0, 9));
+        canary.onStoreReplaced();
+        hear(order("v2", RolloutPhase.IN_PROGRESS, 1, 5));
+        assertThat(canary.admits("v2", false)).isTrue();
+        assertThat(toNew("any")).isFalse();
+        assertThat(canary.due()).contains(RolloutPhase.COMPLETED);
+        canary.onUnordered("v1");
+        assertThat(canary.admits("v1", false)).isFalse();
+    }
+
+    /** The order before the present one, which the copy still holds, ends nothing. */
+    @Test
+    void anOlderOrderThatTheCopySpeaksOfInsteadChangesNothing() {
+        hear(order("v1", RolloutPhase.COMPLETED, 1, 10));
+        hear(order("v2", RolloutPhase.ORDERED, 1, 80));
+        now.addAndGet(5_000);
+        canary.onStoreReplaced();
+        hear(order("v1", RolloutPhase.COMPLETED, 2, 10));
+        hear(order("v1", RolloutPhase.IN_PROGRESS, 2, 11));
+        assertThat(canary.admits("v2", true)).isTrue();
+        assertThat(canary.elapsed()).hasMillis(5_000);
+        assertThat(canary.due()).isEmpty();
+        hear(order("v2", RolloutPhase.ORDERED, 2, 15));
+        assertThat(canary.elapsed()).hasMillis(5_000);
+        assertThat(canary.due()).contains(RolloutPhase.IN_PROGRESS);
+    }
+
+    /**
+     * Symptom: a VM that just started sends all its requests to workers of a version that is being
+     * tried. Events: the store lost the order; both versions' workers are in it. Cause: no order
+     * spoke of the version, so it counted as one in use.
+     */
+    @Test
+    void aVersionOfWhichAnotherVmTellsIsNotTakenForOneInUse() {
+        canary.onUnordered("v1");
+        canary.onUnordered("v2");
+        canary.onAge(new RolloutAge(ServiceName.of("models"), "v2", Position.of(1, 9), 4_000));
+        assertThat(canary.admits("v2", false)).isFalse();
+        assertThat(canary.admits("v1", false)).isTrue();
+        now.addAndGet(Canary.TOLD_MILLIS);
+        assertThat(canary.admits("v2", false)).isTrue();
+    }
 }
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
@@ -26,7 +27,7 @@
                 "v1",
                 8,
                 leaving,
-                1);
+                Position.of(0, 1));
     }
 
     @Test
@@ -80,7 +81,7 @@
         assertThat(ids()).isEmpty();
     }
 
-    private static ServerEntry born(final String id, final long bornMillis) {
+    static ServerEntry born(final String id, final long bornMillis) {
         final ServerEntry plain = entry(id, false);
         return new ServerEntry(
                 new Incarnation(plain.id(), bornMillis),
@@ -90,7 +91,7 @@
                 plain.version(),
                 plain.capacity(),
                 plain.leaving(),
-                plain.revision());
+                plain.position());
     }
 
     private TrackedServer server(final String id) {
@@ -162,4 +163,33 @@
     private List<String> ids() {
         return table.usable(SERVICE).stream().map(s -> s.entry().id().value()).toList();
     }
+
+    /**
+     * Symptom: all requests are refused although all workers are well. Events: the store comes back
+     * from a copy made before the workers registered. Cause: a store that was never seen away had
+     * lost entries.
+     */
+    @Test
+    void whatAStoreLosesByComingBackFromACopyIsKeptUntilItHadTimeToComeAgain() {
+        table.put(entry("a", false));
+        table.onStoreReplaced();
+        table.replaceAll(List.of());
+        assertThat(ids()).containsExactly("a");
+        now.addAndGet(ServerTable.LAPSE_GRACE_MILLIS);
+        table.dropLapsed();
+        assertThat(ids()).isEmpty();
+    }
+
+    @Test
+    void aWorkerThatLeftAndIsInTheCopyIsUsedOnlyIfItIsThereForLong() {
+        table.put(entry("a", false));
+        table.put(entry("a", true));
+        table.remove(entry("a", true).id());
+        table.onStoreReplaced();
+        table.replaceAll(List.of(entry("a", false)));
+        assertThat(ids()).isEmpty();
+        now.addAndGet(Departures.DOUBT_MILLIS);
+        table.dropLapsed();
+        assertThat(ids()).containsExactly("a");
+    }
 }
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -16,6 +16,7 @@
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
@@ -42,7 +43,7 @@
                                     "v1",
                                     64,
                                     false,
-                                    1),
+                                    Position.of(0, 1)),
                             now::get,
                             Reachability.of(now::get)));
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -12,6 +12,7 @@
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
 import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.serving.ServingConfiguration;
@@ -32,6 +33,13 @@
      */
     private static final int LEAST_SLACK_PARTS = 16;
 
+    /**
+     * How long operators and workers may take to write again what a store lost that came back from
+     * an older copy; milliseconds. Workers take about two seconds; as much again for operators, who
+     * see it by their own calls.
+     */
+    static final long REWRITE_MILLIS = 4_000;
+
     private final MonotonicClock clock;
     private GatewaySettings settings;
     private final ServerTable servers;
@@ -42,7 +50,9 @@
     private final Map<String, Opinions> opinions = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private int vmCount;
-    private long ordersKnownTo = -1;
+    private Position ordersKnownTo = Position.NONE;
+    private boolean settling;
+    private long settledAtMillis;
     private Runnable ordersWanted = () -> {};
 
     /**
@@ -156,15 +166,40 @@
     }
 
     /**
-     * Notes up to which revision of the store all orders to roll versions out are known.
+     * Notes up to which position all orders to roll versions out are known.
      *
-     * @param revision the revision
+     * @param position the position
+     */
+    public void onOrdersKnownTo(final Position position) {
+        ordersKnownTo = position.isAfter(ordersKnownTo) ? position : ordersKnownTo;
+        admitVersions();
+    }
+
+    /**
+     * Takes the store at its word again, once operators and workers have had the time to write
+     * again what it lost by coming back from an older copy. To be called a few times a second.
      */
-    public void onOrdersKnownTo(final long revision) {
-        ordersKnownTo = Math.max(ordersKnownTo, revision);
+    public void settle() {
+        if (settling && clock.millis() >= settledAtMillis) {
+            settling = false;
+            canaries.values().forEach(Canary::onStoreSettled);
+            admitVersions();
+            ordersWanted.run();
+        }
+    }
+
+    private void admitVersions() {
         servers.all().forEach(server -> admitVersion(server.entry()));
     }
 
+    /** Notes that the store has come back from an older copy. */
+    public void onStoreReplaced() {
+        servers.onStoreReplaced();
+        canaries.values().forEach(Canary::onStoreReplaced);
+        settling = true;
+        settledAtMillis = clock.millis() + REWRITE_MILLIS;
+    }
+
     /**
      * Takes a worker's entry.
      *
@@ -177,7 +212,7 @@
         }
         admitVersion(entry);
         final boolean waits = !canary(entry.service()).knows(entry.version());
-        if (waits && ordersKnownTo >= 0) {
+        if (waits && !ordersKnownTo.equals(Position.NONE)) {
             ordersWanted.run();
         }
         return true;
@@ -200,10 +235,18 @@
      * of first, since each kind of object has a watch of its own; taken for a version in use, the
      * new one would get traffic that nobody counts against its share. An entry written before the
      * last known state of the orders cannot belong to a later one.
+     *
+     * <p>That holds within one era of the store. After its return from an older copy, workers of a
+     * new version may write again before the operator does, in any order; so where a version is in
+     * use already, no other is admitted for a while, and never by the word of a former era.
      */
     private void admitVersion(final ServerEntry entry) {
-        if (entry.revision() <= ordersKnownTo) {
-            canary(entry.service()).onUnordered(entry.version());
+        if (!ordersKnownTo.reaches(entry.position())) {
+            return;
+        }
+        final Canary canary = canary(entry.service());
+        if (!settling || !canary.hasVersionInUse()) {
+            canary.onUnordered(entry.version());
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -67,7 +67,7 @@
                 "meant_for_new",
                 choice.toNew(),
                 "entry_revision",
-                server.entry().revision(),
+                server.entry().position(),
                 "tier",
                 server.health().tier(),
                 "running",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.history.Position;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.time.MonotonicClock;
@@ -173,7 +174,7 @@
     @Override
     public <T> void watch(
             final StoreKind<T> kind,
-            final long since,
+            final Position since,
             final Duration wait,
             final Consumer<StoreAnswer<Page<T>>> answer) {
         final Optional<Store> relay = relay();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.fennelstage.history.Position;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 
@@ -14,8 +15,11 @@
  * Keeps up with the objects of one kind: a list, then one watch after the other.
  *
  * <p>A watch may die without a word, or be told that its history is gone; either way the next call
- * finds the state of things. Invariant: the listener hears of a revision only after all that came
- * before it, and never of an older state than it has. Confined to its event loop.
+ * finds the state of things. So it is when the store comes back from an older copy: a watch that
+ * goes on then skips what was written at revisions that were given out twice, so the objects are
+ * listed anew, whatever the watch brings. Invariant: the listener hears of a position only after
+ * all that came before it in its era, and never of an older state than it has, but for the first
+ * list of a new era. Confined to its event loop.
  *
  * @param <T> what an object decodes to
  */
@@ -48,11 +52,11 @@
         void onChange(StoredValue<T> value);
 
         /**
-         * Hears up to which revision of the store nothing was missed.
+         * Hears up to which position nothing of this kind was missed.
          *
-         * @param revision the revision
+         * @param position the position
          */
-        default void onRevision(final long revision) {}
+        default void onPosition(final Position position) {}
 
         /**
          * Hears of an object that is there and cannot be understood; after {@link #onAll}, if it
@@ -73,6 +77,12 @@
 
         /** Hears that the store answers again, before the news that it brings. */
         default void onBack() {}
+
+        /**
+         * Hears that the store has come back from an older copy, before the first list of the new
+         * era: what was heard may be lost there, and what is listed may be older than it.
+         */
+        default void onReplaced() {}
     }
 
     private final EventLoop loop;
@@ -81,12 +91,18 @@
     private final Listener<T> listener;
     private final WatchPace pace;
     private final RandomGenerator random;
+    private final EraTracker eras;
     private final List<StoredValue<T>> listed = new ArrayList<>();
     private final MalformedObjects malformed;
-    private long revision = -1;
+    private Position position = Position.NONE;
+
+    /** Counts the rounds of list and watches; what an earlier round asked for is not heard. */
+    private int round;
+
     private int failures;
     private boolean away;
     private boolean refreshing;
+    private boolean started;
     private boolean stopped;
 
     /**
@@ -97,6 +113,7 @@
      * @param kind the kind to follow
      * @param pace how often to call; each call is paid for
      * @param random the source of jitter
+     * @param eras the era that all followers of this VM share
      * @param listener hears of the objects
      */
     public Follower(
@@ -105,19 +122,30 @@
             final StoreKind<T> kind,
             final WatchPace pace,
             final RandomGenerator random,
+            final EraTracker eras,
             final Listener<T> listener) {
         this.loop = Objects.requireNonNull(loop, "loop is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.kind = Objects.requireNonNull(kind, "kind is null");
         this.pace = Objects.requireNonNull(pace, "pace is null");
         this.random = Objects.requireNonNull(random, "random is null");
+        this.eras = Objects.requireNonNull(eras, "eras is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
         this.malformed = MalformedObjects.empty(kind.toString());
+        eras.onRise(this::onReplaced);
     }
 
     /** Begins to follow. */
     public void start() {
-        list(Optional.empty());
+        started = true;
+        listAnew();
+    }
+
+    private void onReplaced() {
+        listener.onReplaced();
+        if (started) {
+            listAnew();
+        }
     }
 
     /**
@@ -136,25 +164,46 @@
         refreshing = false;
         // A failure shows in the watch as well, which lists anew then. A list in parts is left to
         // it too.
-        if (answer instanceof StoreAnswer.Done<Page<T>> done && done.value().next().isEmpty()) {
+        if (answer instanceof StoreAnswer.Done<Page<T>> done
+                && done.value().next().isEmpty()
+                && isPresent(done.value())) {
             hearAll(done.value().values());
-            listener.onRevision(done.value().revision());
+            listener.onPosition(done.value().position());
         }
     }
 
+    /**
+     * Tells whether a page is of the era that this follower has listed. One of a later era makes
+     * all followers list anew, this one too; one of a former era says nothing of the present.
+     */
+    private boolean isPresent(final Page<T> page) {
+        final int before = round;
+        return eras.offer(page.position(), kind) && round == before;
+    }
+
     /** Makes no further call. */
     public void stop() {
         stopped = true;
     }
 
-    private void list(final Optional<String> after) {
-        if (stopped) {
-            return;
-        }
-        if (after.isEmpty()) {
+    private void listAnew() {
+        if (!stopped) {
+            round++;
             listed.clear();
+            list(Optional.empty());
         }
-        store.list(kind, after, this::onListed);
+    }
+
+    private void list(final Optional<String> after) {
+        final int asked = round;
+        store.list(
+                kind,
+                after,
+                answer -> {
+                    if (asked == round) {
+                        onListed(answer);
+                    }
+                });
     }
 
     private void onListed(final StoreAnswer<Page<T>> answer) {
@@ -163,58 +212,99 @@
             onListFailed();
             return;
         }
-        onSuccess();
         final Page<T> page = done.value();
+        if (!isPresent(page)) {
+            listAgainIfOld(page);
+            return;
+        }
+        onSuccess();
         listed.addAll(page.values());
         if (page.next().isPresent()) {
             list(page.next());
             return;
         }
-        revision = page.revision();
+        position = page.position();
         hearAll(List.copyOf(listed));
         listed.clear();
-        listener.onRevision(revision);
+        listener.onPosition(position);
         watch();
     }
 
+    /** A VM that lags passed an answer of a former era on: asked again after a pause. */
+    private void listAgainIfOld(final Page<T> page) {
+        if (eras.isFormer(page.position())) {
+            logStale(page);
+            retry("answer of an era that has ended");
+        }
+    }
+
+    private void logStale(final Page<T> page) {
+        EventLog.write(Event.STALE_ANSWER, "kind", kind, "has", position, "got", page.position());
+    }
+
     private void watch() {
-        if (!stopped) {
-            store.watch(kind, revision, pace.watchTime(), this::onWatched);
+        if (stopped) {
+            return;
         }
+        final int asked = round;
+        store.watch(
+                kind,
+                position,
+                pace.watchTime(),
+                answer -> {
+                    if (asked == round) {
+                        onWatched(answer);
+                    }
+                });
+    }
+
+    private void watchAfterPause() {
+        final int asked = round;
+        loop.schedule(
+                () -> {
+                    if (asked == round) {
+                        watch();
+                    }
+                },
+                pace.pause().toMillis(),
+                TimeUnit.MILLISECONDS);
     }
 
     private void onWatched(final StoreAnswer<Page<T>> answer) {
         if (answer instanceof StoreAnswer.HistoryGone<Page<T>>) {
-            EventLog.write(Event.HISTORY_GONE, "kind", kind, "revision", revision);
-            list(Optional.empty());
+            EventLog.write(Event.HISTORY_GONE, "kind", kind, "revision", position);
+            listAnew();
             return;
         }
         if (answer instanceof StoreAnswer.TooLarge<Page<T>>) {
             // A list holds the present state alone. A watch brings every version in between, so
             // that a VM with a slow link which has fallen behind falls behind further: one of 79
             // VMs got three large versions together, 4.3 s after the first VM had them.
-            list(Optional.empty());
+            listAnew();
             return;
         }
         if (!(answer instanceof StoreAnswer.Done<Page<T>> done)) {
             retry(describe(answer));
             return;
         }
-        onSuccess();
         final Page<T> page = done.value();
-        if (page.revision() < revision) {
-            EventLog.write(
-                    Event.STALE_ANSWER, "kind", kind, "has", revision, "got", page.revision());
-            list(Optional.empty());
+        if (!isPresent(page)) {
+            listAgainIfOld(page);
+            return;
+        }
+        onSuccess();
+        if (position.isAfter(page.position())) {
+            logStale(page);
+            listAnew();
             return;
         }
-        revision = page.revision();
+        position = page.position();
         page.values().forEach(this::hearChange);
-        listener.onRevision(revision);
+        listener.onPosition(position);
         if (page.values().isEmpty()) {
             watch();
         } else {
-            loop.schedule(this::watch, pace.pause().toMillis(), TimeUnit.MILLISECONDS);
+            watchAfterPause();
         }
     }
 
@@ -255,7 +345,7 @@
     private void onListFailed() {
         if (!away) {
             away = true;
-            EventLog.write(Event.STORE_AWAY, "kind", kind, "revision", revision);
+            EventLog.write(Event.STORE_AWAY, "kind", kind, "revision", position);
             listener.onAway();
         }
     }
@@ -263,17 +353,23 @@
     private void retry(final String detail) {
         failures++;
         if (failures == 1) {
-            EventLog.write(Event.STORE_LOST, "kind", kind, "revision", revision, "detail", detail);
+            EventLog.write(Event.STORE_LOST, "kind", kind, "revision", position, "detail", detail);
             listener.onLost();
         }
         final long bound =
                 Math.min(
                         LONGEST_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS << Math.min(failures - 1, 10));
         // Listed anew, not watched on: a store that cut its watches may have dropped the changes
-        // that
-        // they missed, and a watch that comes in between is deaf to them.
+        // that they missed, and a watch that comes in between is deaf to them.
+        final int failed = round;
         loop.schedule(
-                () -> list(Optional.empty()), 1 + random.nextLong(bound), TimeUnit.MILLISECONDS);
+                () -> {
+                    if (failed == round) {
+                        listAnew();
+                    }
+                },
+                1 + random.nextLong(bound),
+                TimeUnit.MILLISECONDS);
     }
 
     private static String describe(final StoreAnswer<?> answer) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/MalformedObjects.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/MalformedObjects.java
@@ -53,7 +53,7 @@
                     "name",
                     value.name(),
                     "revision",
-                    value.revision());
+                    value.position());
         }
     }
 
@@ -70,7 +70,7 @@
                 "name",
                 value.name(),
                 "revision",
-                value.revision(),
+                value.position(),
                 "problem",
                 problem);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Page.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Page.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.fennelstage.history.Position;
 
 /**
  * A part of a list, or the changes since a revision. Immutable and thread-safe.
@@ -10,12 +11,13 @@
  * @param <T> what an object decodes to
  * @param values the objects
  * @param next where the list goes on, empty if this is its end
- * @param revision the revision of the store that the objects reflect
+ * @param position the point of the store's history that the objects reflect
  */
-public record Page<T>(List<StoredValue<T>> values, Optional<String> next, long revision) {
+public record Page<T>(List<StoredValue<T>> values, Optional<String> next, Position position) {
 
     public Page {
         values = List.copyOf(values);
         Objects.requireNonNull(next, "next is null");
+        Objects.requireNonNull(position, "position is null");
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Store.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Store.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.history.Position;
 
 /**
  * The store. Each call ends with exactly one answer, on the caller's event loop; no call throws for
@@ -39,12 +40,15 @@
      *
      * @param <T> what an object decodes to
      * @param kind the kind
-     * @param since the revision after which changes count
+     * @param since the position after which changes count
      * @param wait the longest wait
      * @param answer takes the changes; none if the wait passed without one
      */
     <T> void watch(
-            StoreKind<T> kind, long since, Duration wait, Consumer<StoreAnswer<Page<T>>> answer);
+            StoreKind<T> kind,
+            Position since,
+            Duration wait,
+            Consumer<StoreAnswer<Page<T>>> answer);
 
     /**
      * Writes how far a roll-out has come, if its object is unchanged.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/ConfigurationFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ConfigurationFeed.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.history.Position;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.serving.ServingConfiguration;
@@ -25,17 +26,17 @@
 
     @Override
     public void onChange(final StoredValue<ServingConfiguration> change) {
-        change.value().ifPresent(c -> offer(c, change.revision()));
+        change.value().ifPresent(c -> offer(c, change.position()));
     }
 
-    private void offer(final ServingConfiguration configuration, final long revision) {
+    private void offer(final ServingConfiguration configuration, final Position position) {
         final boolean inForce = beliefs.offer(configuration);
         EventLog.write(
                 Event.CONFIGURATION_CHANGED,
                 "version",
                 configuration.version(),
                 "revision",
-                revision,
+                position,
                 "in_force",
                 inForce);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -35,6 +35,7 @@
 import org.fennelstage.serving.CallerLimits;
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.store.CoalescedStore;
+import org.fennelstage.store.EraTracker;
 import org.fennelstage.store.FallbackStore;
 import org.fennelstage.store.Follower;
 import org.fennelstage.store.Store;
@@ -80,6 +81,7 @@
     private final LoadReports loadReports;
     private final RolloutAges rolloutAges;
     private final HttpServer callers;
+    private final EraTracker eras = EraTracker.empty();
     private final Readiness readiness;
     private boolean stopping;
 
@@ -148,6 +150,7 @@
                     final boolean shared = settings.policy().uses(Mechanism.SHARED_CALLS);
                     follow(shared ? coalesced : store, random);
                     peers.start(loop, store);
+                    eras.onRise(() -> peers.onStoreReplaced(loop, store, random));
                 });
     }
 
@@ -200,11 +203,14 @@
                         StoreKind.CONFIGURATION,
                         CONFIGURATION_PACE,
                         random,
+                        eras,
                         new ConfigurationFeed(beliefs));
         final Follower<RolloutOrder> rollouts =
-                new Follower<>(loop, store, StoreKind.ROLLOUTS, ROLLOUT_PACE, random, rolloutFeed);
+                new Follower<>(
+                        loop, store, StoreKind.ROLLOUTS, ROLLOUT_PACE, random, eras, rolloutFeed);
         final Follower<ServerEntry> servers =
-                new Follower<>(loop, store, StoreKind.SERVERS, SERVER_PACE, random, serverFeed);
+                new Follower<>(
+                        loop, store, StoreKind.SERVERS, SERVER_PACE, random, eras, serverFeed);
         beliefs.onOrdersWanted(rollouts::refresh);
         configurations.start();
         rollouts.start();
@@ -322,6 +328,7 @@
                 rolloutAges.sendDue();
             }
             serverFeed.dropLapsed();
+            beliefs.settle();
             rolloutFeed.writeDue();
             readiness.update();
         } catch (final RuntimeException e) {
@@ -361,6 +368,10 @@
                 "fennelstage_log_lines_dropped",
                 "Log lines dropped because the queue was full",
                 LogSetup::dropped);
+        metrics.gauge(
+                "fennelstage_gateway_store_returns",
+                "How often the store was seen to come back from an older copy",
+                eras::rises);
         HttpServer.start(group, address, ServerLimits.DEFAULT, this::answerMetrics);
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -9,6 +9,7 @@
 import org.fennelstage.canary.RolloutAge;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
@@ -32,11 +33,11 @@
     /** Id, requests, and milliseconds of prompts not yet read. */
     Pattern LOAD = Pattern.compile("([A-Za-z0-9][A-Za-z0-9._-]{0,95}),([0-9]{1,6}),([0-9]{1,9})");
 
-    /** Service, version, revision, and milliseconds since the order. */
+    /** Service, version, era and revision, and milliseconds since the order. */
     Pattern ROLLOUT =
             Pattern.compile(
                     "rollout ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([^ ]{1,95}) ([0-9]{1,18})"
-                            + " ([0-9]{1,9})");
+                            + " ([0-9]{1,18}) ([0-9]{1,9})");
 
     /**
      * A worker could not be reached.
@@ -96,8 +97,13 @@
 
         @Override
         public String text() {
-            return "rollout %s %s %d %d"
-                    .formatted(age.service(), age.target(), age.revision(), age.millis());
+            return "rollout %s %s %d %d %d"
+                    .formatted(
+                            age.service(),
+                            age.target(),
+                            age.position().era(),
+                            age.position().revision(),
+                            age.millis());
         }
     }
 
@@ -126,8 +132,10 @@
                             new RolloutAge(
                                     ServiceName.of(rollout.group(1)),
                                     rollout.group(2),
-                                    Long.parseLong(rollout.group(3)),
-                                    Long.parseLong(rollout.group(4)))));
+                                    Position.of(
+                                            Long.parseLong(rollout.group(3)),
+                                            Long.parseLong(rollout.group(4))),
+                                    Long.parseLong(rollout.group(5)))));
         }
         final Matcher loads = LOADS.matcher(text);
         return loads.matches()
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -9,9 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.IntConsumer;
+import java.util.random.RandomGenerator;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.gateway.Sockets;
 import org.fennelstage.id.VmId;
@@ -28,8 +30,10 @@
 /**
  * The VMs, as they entered themselves into the store, and the store as they reach it.
  *
- * <p>Entries of VMs that are gone stay; a relay that does not answer is passed over. Confined to
- * the event loop.
+ * <p>Entries of VMs that are gone stay; a relay that does not answer is passed over. Invariant: a
+ * VM that was heard of is not forgotten. A store that comes back from an older copy has lost the
+ * entries made since; taken at its word, it would leave VMs without a way around it, and each VM
+ * would take a larger part of what they share. Confined to the event loop.
  */
 final class Peers {
 
@@ -47,6 +51,16 @@
      */
     private static final long SECOND_MILLIS = 3_000;
 
+    /**
+     * When the list is read after the store's return from an older copy; milliseconds. It may be
+     * answered from some seconds ago, when the copy was not in use yet; what is some seconds old
+     * after this time is of the copy.
+     */
+    private static final long RETURN_MILLIS = 3_000;
+
+    /** Over which time the VMs' reads are spread then; milliseconds. Each may bring a write. */
+    private static final long RETURN_SPREAD_MILLIS = 3_000;
+
     /**
      * VMs up to which all tell each other their loads; in a larger fleet those of a data centre do,
      * whose bytes are not paid for.
@@ -90,15 +104,37 @@
         loop.schedule(() -> read(loop, store, PERIOD_MILLIS), againMillis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Reads the list again soon, since the store has come back from an older copy that may lack
+     * this VM.
+     *
+     * @param loop runs it
+     * @param store the store
+     * @param random spreads the VMs' calls
+     */
+    void onStoreReplaced(final EventLoop loop, final Store store, final RandomGenerator random) {
+        loop.schedule(
+                () -> store.listStale(StoreKind.VMS, answer -> onList(store, answer)),
+                RETURN_MILLIS + random.nextLong(RETURN_SPREAD_MILLIS),
+                TimeUnit.MILLISECONDS);
+    }
+
     private void onList(final Store store, final StoreAnswer<Page<VmEntry>> answer) {
         if (answer instanceof StoreAnswer.Done<Page<VmEntry>> done) {
-            take(done.value().values());
-            if (!own.equals(entries.get(own.vm()))) {
+            final List<StoredValue<VmEntry>> values = done.value().values();
+            take(values);
+            if (!lists(values, own)) {
+                EventLog.write(
+                        Event.VM_ENTERED, "vm", own.vm(), "position", done.value().position());
                 store.writeVm(own, Peers::onEntered);
             }
         }
     }
 
+    private static boolean lists(final List<StoredValue<VmEntry>> values, final VmEntry entry) {
+        return values.stream().anyMatch(v -> v.value().equals(Optional.of(entry)));
+    }
+
     /** Returns the store as the others reach it: those of the own data centre first. */
     List<Store> relays() {
         return relays;
@@ -130,7 +166,6 @@
 
     private void take(final List<StoredValue<VmEntry>> values) {
         reads++;
-        entries.clear();
         values.forEach(v -> v.value().ifPresent(e -> entries.put(e.vm(), e)));
         rank();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RelayedCall.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RelayedCall.java
@@ -1,8 +1,10 @@
 package org.fennelstage.vm;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -20,6 +22,9 @@
 
     private static final int TOO_LARGE = 413;
 
+    private static final Set<String> OF_THE_CONNECTION =
+            Set.of("connection", "keep-alive", "content-length", "transfer-encoding", "date");
+
     private final long begunMillis;
     private final Set<ServerExchange> askers = new LinkedHashSet<>();
     private Runnable onAbandoned = () -> {};
@@ -57,14 +62,12 @@
      *     themselves
      */
     void answer(final Responses.Whole whole, final long most) {
+        final Map<String, String> headers = endToEnd(whole.headers());
         long answered = 0;
         for (final ServerExchange asker : List.copyOf(askers)) {
             if (answered < Math.max(1, most)) {
                 answered++;
-                asker.respond(
-                        whole.status(),
-                        Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "application/json"),
-                        whole.body());
+                asker.respond(whole.status(), headers, whole.body());
             } else {
                 asker.respond(TOO_LARGE, "text/plain", "");
             }
@@ -72,6 +75,21 @@
         askers.clear();
     }
 
+    /**
+     * Returns the headers that belong to the answer and not to the connection that it came by. The
+     * store says in one of them how often it has come back from an older copy; without it, VMs that
+     * ask through this one would take answers of two histories for one.
+     */
+    private static Map<String, String> endToEnd(final HttpHeaders headers) {
+        final Map<String, String> kept = new LinkedHashMap<>();
+        for (final Map.Entry<String, String> header : headers) {
+            if (!OF_THE_CONNECTION.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+                kept.put(header.getKey(), header.getValue());
+            }
+        }
+        return kept;
+    }
+
     /**
      * Tells all askers that there is no answer.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutAges.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutAges.java
@@ -71,7 +71,7 @@
                     "target",
                     age.target(),
                     "revision",
-                    age.revision(),
+                    age.position(),
                     "elapsed_ms",
                     age.millis(),
                     "change_ms",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -15,6 +15,7 @@
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
 import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -77,8 +78,8 @@
     }
 
     @Override
-    public void onRevision(final long revision) {
-        beliefs.onOrdersKnownTo(revision);
+    public void onPosition(final Position position) {
+        beliefs.onOrdersKnownTo(position);
     }
 
     private void take(final RolloutOrder order) {
@@ -93,7 +94,7 @@
                 "phase",
                 order.phase(),
                 "revision",
-                order.revision(),
+                order.position(),
                 "elapsed_ms",
                 elapsed.toMillis(),
                 "duration_ms",
@@ -124,19 +125,19 @@
             return;
         }
         final String target = canary.order().orElseThrow().target();
-        if (isOwnTurn(service, new Due(target, phase.get())) && writing.add(service)) {
+        final boolean urgent = phase.get() == RolloutPhase.ROLLED_BACK && !canary.repeats();
+        final boolean ownTurn = urgent || isOwnTurn(service, new Due(target, phase.get()));
+        if (ownTurn && writing.add(service)) {
             write(service, canary, phase.get());
         }
     }
 
     /**
      * Lets one VM after the other write what all of them find due at the same time; each write is
-     * paid for, and all but one would be in vain. A halt is found by few, and is urgent.
+     * paid for, and all but one would be in vain. A halt is found by few, and is urgent; one that
+     * the store lost when it came back from an older copy is known to all.
      */
     private boolean isOwnTurn(final ServiceName service, final Due now) {
-        if (now.phase() == RolloutPhase.ROLLED_BACK) {
-            return true;
-        }
         if (!now.equals(due.put(service, now))) {
             dueSinceMillis.put(service, beliefs.clock().millis());
         }
@@ -158,7 +159,9 @@
                 "phase",
                 phase,
                 "revision",
-                order.revision(),
+                order.position(),
+                "again",
+                canary.repeats(),
                 "reason",
                 canary.evidence());
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
@@ -56,11 +56,11 @@
                     "taken",
                     taken,
                     "revision",
-                    change.revision());
+                    change.position());
         } else {
             id(change.name()).ifPresent(servers::remove);
             EventLog.write(
-                    Event.SERVER_GONE, "server", change.name(), "revision", change.revision());
+                    Event.SERVER_GONE, "server", change.name(), "revision", change.position());
         }
     }
 
@@ -95,6 +95,11 @@
         servers.onStoreBack();
     }
 
+    @Override
+    public void onReplaced() {
+        beliefs.onStoreReplaced();
+    }
+
     /** Drops entries that lapsed while the store was away and did not come back. */
     void dropLapsed() {
         servers.dropLapsed().forEach(id -> EventLog.write(Event.SERVER_LAPSED, "server", id));
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/CoalescedStoreTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/CoalescedStoreTest.java
@@ -8,12 +8,13 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.fennelstage.history.Position;
 import org.junit.jupiter.api.Test;
 
 class CoalescedStoreTest {
 
     private static final StoreAnswer<Page<VmEntry>> PAGE =
-            new StoreAnswer.Done<>(new Page<>(List.of(), Optional.empty(), 7));
+            new StoreAnswer.Done<>(new Page<>(List.of(), Optional.empty(), Position.of(0, 7)));
     private static final StoreAnswer<Page<VmEntry>> AWAY =
             new StoreAnswer.Unavailable<>(false, "503");
 
@@ -31,7 +32,7 @@
     }
 
     private void watch() {
-        store.watch(StoreKind.VMS, 7, Duration.ofSeconds(10), answers::add);
+        store.watch(StoreKind.VMS, Position.of(0, 7), Duration.ofSeconds(10), answers::add);
     }
 
     @Test
@@ -78,7 +79,8 @@
      */
     @Test
     void afterAVmKeptSilentTheListIsAskedOfTheStoreItselfAndWatchesOfTheNextVm() {
-        store.watch(StoreKind.CONFIGURATION, 7, Duration.ofSeconds(10), answer -> {});
+        store.watch(
+                StoreKind.CONFIGURATION, Position.of(0, 7), Duration.ofSeconds(10), answer -> {});
         now.addAndGet(2_500);
         first.answer(AWAY);
         list();
@@ -169,7 +171,7 @@
                     @Override
                     public <T> void watch(
                             final StoreKind<T> kind,
-                            final long since,
+                            final Position since,
                             final Duration wait,
                             final Consumer<StoreAnswer<Page<T>>> answer) {
                         waits.add(wait);
@@ -182,8 +184,9 @@
                             () -> List.of(recording),
                             () -> Duration.ofSeconds(seconds),
                             now::get);
-            bounded.watch(StoreKind.CONFIGURATION, 7, Duration.ofSeconds(10), a -> {});
-            bounded.watch(StoreKind.SERVERS, 7, Duration.ofSeconds(10), a -> {});
+            bounded.watch(
+                    StoreKind.CONFIGURATION, Position.of(0, 7), Duration.ofSeconds(10), a -> {});
+            bounded.watch(StoreKind.SERVERS, Position.of(0, 7), Duration.ofSeconds(10), a -> {});
         }
         assertThat(waits)
                 .containsExactly(
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FallbackStoreTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FallbackStoreTest.java
@@ -6,12 +6,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.history.Position;
 import org.junit.jupiter.api.Test;
 
 class FallbackStoreTest {
 
     private static final StoreAnswer<Page<VmEntry>> PAGE =
-            new StoreAnswer.Done<>(new Page<>(List.of(), Optional.empty(), 7));
+            new StoreAnswer.Done<>(new Page<>(List.of(), Optional.empty(), Position.of(0, 7)));
     private static final StoreAnswer<Page<VmEntry>> AWAY =
             new StoreAnswer.Unavailable<>(false, "503");
 
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.AfterEach;
@@ -40,16 +41,17 @@
         @SuppressWarnings({"unchecked", "rawtypes"})
         public <T> void watch(
                 final StoreKind<T> kind,
-                final long since,
+                final Position since,
                 final Duration wait,
                 final Consumer<StoreAnswer<Page<T>>> answer) {
-            calls.add(new Waiting("watch " + since, (Consumer) answer));
+            calls.add(new Waiting("watch " + since.revision(), (Consumer) answer));
         }
     }
 
     private final BlockingQueue<Waiting> calls = new LinkedBlockingQueue<>();
     private final List<String> heard = new CopyOnWriteArrayList<>();
     private final EventLoop loop = new DefaultEventLoop();
+    private final EraTracker eras = EraTracker.empty();
     private final Follower<VmEntry> follower =
             new Follower<>(
                     loop,
@@ -57,6 +59,7 @@
                     StoreKind.VMS,
                     WatchPace.ofMillis(1_000, 1),
                     new Random(1),
+                    eras,
                     this);
 
     @AfterEach
@@ -89,6 +92,11 @@
         heard.add("back");
     }
 
+    @Override
+    public void onReplaced() {
+        heard.add("replaced");
+    }
+
     @Test
     void aListInPartsIsHeardAsOneAndThenWatchedFromItsRevision() throws InterruptedException {
         follower.start();
@@ -170,7 +178,8 @@
     void anObjectThatCannotBeUnderstoodHidesNoOther() throws InterruptedException {
         follower.start();
         final StoredValue<VmEntry> broken =
-                new StoredValue<>("x", 4, Optional.empty(), Optional.of("no address"));
+                new StoredValue<>(
+                        "x", Position.of(0, 4), Optional.empty(), Optional.of("no address"));
         answer("list -", page(Optional.empty(), 5, broken, entry("a", 3)));
         expect("watch 5");
         assertThat(heard).containsExactly("all [a]");
@@ -194,16 +203,77 @@
             final Optional<String> next,
             final long revision,
             final StoredValue<VmEntry>... values) {
-        return new StoreAnswer.Done<>(new Page<>(List.of(values), next, revision));
+        return new StoreAnswer.Done<>(new Page<>(List.of(values), next, Position.of(0, revision)));
     }
 
     private static StoredValue<VmEntry> entry(final String name, final long revision) {
         final VmEntry vm =
                 new VmEntry(VmId.of(name), DataCentreId.of("dc-a"), new ServerAddress("h", 1));
-        return new StoredValue<>(name, revision, Optional.of(vm), Optional.empty());
+        return new StoredValue<>(name, Position.of(0, revision), Optional.of(vm), Optional.empty());
     }
 
     private static StoredValue<VmEntry> gone(final String name, final long revision) {
-        return new StoredValue<>(name, revision, Optional.empty(), Optional.empty());
+        return new StoredValue<>(
+                name, Position.of(0, revision), Optional.empty(), Optional.empty());
+    }
+
+    /**
+     * Symptom: a worker that left gets requests, a key that was taken away is served. Events: the
+     * store comes back from a copy and gives the watched revision out again before the next watch.
+     * Cause: the watch's answer looked like any other, and what changed before it was missed.
+     */
+    @Test
+    void aWatchThatIsAnsweredInALaterEraIsNotHeardAndAllIsListedAnew() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.empty(), 5));
+        answer("watch 5", laterPage(7, entry("a", 7)));
+        answer("list -", laterPage(7, entry("a", 7), entry("b", 4)));
+        expect("watch 7");
+        assertThat(heard).containsExactly("all []", "replaced", "all [a, b]");
+    }
+
+    /** The first answer of a new era, whoever asked, makes every follower list anew at once. */
+    @Test
+    void aRiseOfTheEraSeenElsewhereEndsTheWatchThatWaits() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.empty(), 5));
+        final Waiting watch = expect("watch 5");
+        loop.submit(() -> eras.offer(Position.of(1, 3), StoreKind.SERVERS)).sync();
+        answer("list -", laterPage(4));
+        loop.submit(() -> watch.answer().accept(page(Optional.empty(), 9, entry("x", 9)))).sync();
+        expect("watch 4");
+        assertThat(heard).containsExactly("all []", "replaced", "all []");
+    }
+
+    /**
+     * Symptom: a VM goes back to the state before the return. Events: it asks through a VM that
+     * hands out an answer from before. Cause: the answer's era was not looked at.
+     */
+    @Test
+    void anAnswerOfAnEraThatHasEndedIsAskedForAgain() throws InterruptedException {
+        follower.start();
+        answer("list -", laterPage(5));
+        answer("watch 5", page(Optional.empty(), 9, entry("a", 9)));
+        answer("list -", page(Optional.empty(), 9, entry("a", 9)));
+        answer("list -", laterPage(6, entry("b", 6)));
+        expect("watch 6");
+        assertThat(heard).containsExactly("all []", "lost", "back", "all [b]");
+    }
+
+    @Test
+    void aListInPartsThatTheReturnDividesIsBegunAnew() throws InterruptedException {
+        follower.start();
+        answer("list -", page(Optional.of("b"), 5, entry("a", 1), entry("b", 2)));
+        answer("list b", laterPage(4, entry("c", 3)));
+        answer("list -", laterPage(4, entry("c", 3)));
+        expect("watch 4");
+        assertThat(heard).containsExactly("replaced", "all [c]");
+    }
+
+    @SafeVarargs
+    private static StoreAnswer<Page<VmEntry>> laterPage(
+            final long revision, final StoredValue<VmEntry>... values) {
+        return new StoreAnswer.Done<>(
+                new Page<>(List.of(values), Optional.empty(), Position.of(1, revision)));
     }
 }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/ManualStore.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/ManualStore.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.history.Position;
 
 /** A store whose answers a test gives. Confined to the thread of its test. */
 public class ManualStore implements Store {
@@ -30,7 +31,7 @@
     @Override
     public <T> void watch(
             final StoreKind<T> kind,
-            final long since,
+            final Position since,
             final Duration wait,
             final Consumer<StoreAnswer<Page<T>>> answer) {
         keep(answer);
--- /dev/null
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/ModelStore.java
@@ -0,0 +1,250 @@
+package org.fennelstage.vm;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.history.Position;
+import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.store.ManualStore;
+import org.fennelstage.store.Page;
+import org.fennelstage.store.StoreAnswer;
+import org.fennelstage.store.StoreKind;
+import org.fennelstage.store.StoredValue;
+
+/**
+ * A store in memory that comes back from older copies of itself and answers when a test says so.
+ *
+ * <p>An answer may be made up before a return and arrive after it. Confined to the thread of its
+ * test.
+ */
+final class ModelStore extends ManualStore {
+
+    /** Makes an object as it is read in an era. */
+    @FunctionalInterface
+    interface Content {
+        Object at(Position position);
+    }
+
+    private record Stored(StoreKind<?> kind, String name, long revision, Content content) {}
+
+    private record Copy(Map<String, Stored> objects, long revision) {}
+
+    /** A call that waits; the answer may be made up already. */
+    private final class Call {
+        private final StoreKind<?> kind;
+        private final Optional<Position> since;
+        private final Consumer<StoreAnswer<?>> answer;
+        private Optional<StoreAnswer<?>> madeUp = Optional.empty();
+
+        private Call(
+                final StoreKind<?> kind,
+                final Optional<Position> since,
+                final Consumer<StoreAnswer<?>> answer) {
+            this.kind = kind;
+            this.since = since;
+            this.answer = answer;
+        }
+
+        private boolean mayBeAnswered() {
+            return madeUp.isPresent()
+                    || since.isEmpty()
+                    || since.get().revision() > revision
+                    || !changes().isEmpty();
+        }
+
+        private List<Stored> changes() {
+            return history.stream()
+                    .filter(s -> s.kind().equals(kind) && s.revision() > since.get().revision())
+                    .toList();
+        }
+
+        private StoreAnswer<?> makeUp() {
+            if (since.isEmpty()) {
+                return page(objects.values().stream().filter(s -> s.kind().equals(kind)).toList());
+            }
+            return since.get().revision() > revision
+                    ? new StoreAnswer.HistoryGone<>()
+                    : page(changes());
+        }
+    }
+
+    private final Map<String, Stored> objects = new TreeMap<>();
+    private final List<Stored> history = new ArrayList<>();
+    private final List<Call> calls = new ArrayList<>();
+    private final List<Runnable> writes = new ArrayList<>();
+    private Copy copy = new Copy(Map.of(), 1);
+    private long era = 1;
+    private long revision = 1;
+
+    /** Writes an object; absent content deletes it. */
+    void put(final StoreKind<?> kind, final String name, final Optional<Content> content) {
+        final String key = kind + "/" + name;
+        revision++;
+        final Stored stored = new Stored(kind, name, revision, content.orElse(null));
+        if (content.isPresent()) {
+            objects.put(key, stored);
+        } else {
+            objects.remove(key);
+        }
+        history.add(stored);
+    }
+
+    boolean has(final StoreKind<?> kind, final String name) {
+        return objects.containsKey(kind + "/" + name);
+    }
+
+    List<String> names(final StoreKind<?> kind) {
+        return objects.values().stream()
+                .filter(s -> s.kind().equals(kind))
+                .map(Stored::name)
+                .toList();
+    }
+
+    Optional<RolloutOrder> order(final String service) {
+        return Optional.ofNullable(objects.get(StoreKind.ROLLOUTS + "/" + service))
+                .map(s -> (RolloutOrder) s.content().at(Position.of(era, s.revision())));
+    }
+
+    /** Copies all objects as they are. */
+    void copy() {
+        copy = new Copy(Map.copyOf(objects), revision);
+    }
+
+    /** Comes back from the last copy. Some answers are under way. */
+    void comeBack(final Random random) {
+        for (final Call call : calls) {
+            if (call.mayBeAnswered() && random.nextBoolean()) {
+                call.madeUp = Optional.of(call.makeUp());
+            }
+        }
+        era++;
+        objects.clear();
+        objects.putAll(copy.objects());
+        revision = copy.revision();
+        history.removeIf(s -> s.revision() > revision);
+    }
+
+    /**
+     * Answers one call or does one write, drawn among those that can be.
+     *
+     * @return false if there was none
+     */
+    boolean deliver(final Random random) {
+        if (!writes.isEmpty() && random.nextBoolean()) {
+            writes.remove(0).run();
+            return true;
+        }
+        final List<Call> ready = calls.stream().filter(Call::mayBeAnswered).toList();
+        if (ready.isEmpty()) {
+            final boolean wrote = !writes.isEmpty();
+            if (wrote) {
+                writes.remove(0).run();
+            }
+            return wrote;
+        }
+        final Call call = ready.get(random.nextInt(ready.size()));
+        calls.remove(call);
+        call.answer.accept(call.madeUp.orElseGet(call::makeUp));
+        return true;
+    }
+
+    private StoreAnswer<?> page(final List<Stored> stored) {
+        final List<StoredValue<Object>> values =
+                stored.stream().map(s -> value(s, Position.of(era, s.revision()))).toList();
+        return new StoreAnswer.Done<>(
+                new Page<>(values, Optional.empty(), Position.of(era, revision)));
+    }
+
+    private static StoredValue<Object> value(final Stored stored, final Position position) {
+        final Optional<Object> content =
+                Optional.ofNullable(stored.content()).map(c -> c.at(position));
+        return new StoredValue<>(stored.name(), position, content, Optional.empty());
+    }
+
+    @Override
+    @SuppressWarnings({"unchecked", "rawtypes"})
+    public <T> void list(
+            final StoreKind<T> kind,
+            final Optional<String> after,
+            final Consumer<StoreAnswer<Page<T>>> answer) {
+        calls.add(new Call(kind, Optional.empty(), (Consumer) answer));
+    }
+
+    @Override
+    @SuppressWarnings({"unchecked", "rawtypes"})
+    public <T> void watch(
+            final StoreKind<T> kind,
+            final Position since,
+            final Duration wait,
+            final Consumer<StoreAnswer<Page<T>>> answer) {
+        calls.add(new Call(kind, Optional.of(since), (Consumer) answer));
+    }
+
+    @Override
+    public void writePhase(
+            final RolloutOrder order,
+            final RolloutPhase phase,
+            final Instant begunAt,
+            final Consumer<StoreAnswer<Void>> answer) {
+        writes.add(() -> answer.accept(write(order, phase, begunAt)));
+    }
+
+    /** Compares the revision alone, as the real store does. */
+    private StoreAnswer<Void> write(
+            final RolloutOrder order, final RolloutPhase phase, final Instant begunAt) {
+        final String service = order.service().value();
+        final Stored stored = objects.get(StoreKind.ROLLOUTS + "/" + service);
+        if (stored == null || stored.revision() != order.position().revision()) {
+            return new StoreAnswer.Conflict<>();
+        }
+        final RolloutOrder now = order(service).orElseThrow();
+        // A status of another target is no status of this order.
+        if (now.target().equals(order.target())) {
+            put(StoreKind.ROLLOUTS, service, Optional.of(order(now, phase, Optional.of(begunAt))));
+        } else {
+            put(
+                    StoreKind.ROLLOUTS,
+                    service,
+                    Optional.of(order(now, RolloutPhase.ORDERED, Optional.empty())));
+        }
+        return new StoreAnswer.Done<>(null);
+    }
+
+    static Content order(
+            final RolloutOrder order, final RolloutPhase phase, final Optional<Instant> begunAt) {
+        return position ->
+                new RolloutOrder(
+                        order.service(),
+                        order.target(),
+                        order.duration(),
+                        phase,
+                        begunAt,
+                        position);
+    }
+
+    static Content server(final ServerEntry entry) {
+        return position ->
+                new ServerEntry(
+                        entry.incarnation(),
+                        entry.service(),
+                        entry.address(),
+                        entry.dataCentre(),
+                        entry.version(),
+                        entry.capacity(),
+                        entry.leaving(),
+                        position);
+    }
+
+    static Content configuration(final ServingConfiguration configuration) {
+        return position -> configuration;
+    }
+}
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -11,6 +11,7 @@
 import org.fennelstage.canary.RolloutAge;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
@@ -40,7 +41,8 @@
     void theAgeOfARolloutIsReadAsItWasWritten() {
         final PeerMessage message =
                 new PeerMessage.Rollout(
-                        new RolloutAge(ServiceName.of("models"), "v2.1+b", 77, 12_345));
+                        new RolloutAge(
+                                ServiceName.of("models"), "v2.1+b", Position.of(3, 77), 12_345));
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.gateway.Sockets;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
 import org.fennelstage.store.ManualStore;
@@ -47,10 +48,14 @@
         final List<StoredValue<VmEntry>> values = new ArrayList<>();
         for (final VmEntry entry : all) {
             values.add(
-                    new StoredValue<>(entry.vm().value(), 1, Optional.of(entry), Optional.empty()));
+                    new StoredValue<>(
+                            entry.vm().value(),
+                            Position.of(0, 1),
+                            Optional.of(entry),
+                            Optional.empty()));
         }
         final StoreAnswer<Page<VmEntry>> list =
-                new StoreAnswer.Done<>(new Page<>(values, Optional.empty(), 1));
+                new StoreAnswer.Done<>(new Page<>(values, Optional.empty(), Position.of(0, 1)));
         store.answer(list);
         assertThat(peers.coalescing()).as("just started").isEmpty();
         peers.start(loop, store);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutAgesTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutAgesTest.java
@@ -12,6 +12,7 @@
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
 import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.ServiceName;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +36,7 @@
                             Duration.ofSeconds(20),
                             begunAt.isPresent() ? RolloutPhase.IN_PROGRESS : RolloutPhase.ORDERED,
                             begunAt,
-                            5);
+                            Position.of(0, 5));
             beliefs.canary(MODELS).onOrder(order, Duration.ofMillis(elapsedMillis));
             return this;
         }
@@ -67,7 +68,7 @@
     @Test
     void theAgeOfARolloutOfAnUnknownServiceIsPassedOver() {
         final Vm vm = new Vm();
-        vm.ages.onAge(new RolloutAge(MODELS, "v2", 5, 100));
+        vm.ages.onAge(new RolloutAge(MODELS, "v2", Position.of(0, 5), 100));
         assertThat(vm.beliefs.canaries()).isEmpty();
     }
 }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
@@ -11,6 +11,7 @@
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
 import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.store.ManualStore;
@@ -35,8 +36,15 @@
             final RolloutPhase phase, final long revision) {
         final RolloutOrder order =
                 new RolloutOrder(
-                        MODELS, "v2", Duration.ofSeconds(20), phase, Optional.empty(), revision);
-        return List.of(new StoredValue<>("models", revision, Optional.of(order), Optional.empty()));
+                        MODELS,
+                        "v2",
+                        Duration.ofSeconds(20),
+                        phase,
+                        Optional.empty(),
+                        Position.of(0, revision));
+        return List.of(
+                new StoredValue<>(
+                        "models", Position.of(0, revision), Optional.of(order), Optional.empty()));
     }
 
     /**
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
@@ -9,6 +9,7 @@
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
@@ -33,8 +34,8 @@
                         "v1",
                         4,
                         false,
-                        1);
-        return new StoredValue<>(id, 1, Optional.of(entry), Optional.empty());
+                        Position.of(0, 1));
+        return new StoredValue<>(id, Position.of(0, 1), Optional.of(entry), Optional.empty());
     }
 
     private List<String> usable() {
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -34,6 +34,8 @@
     OBJECT_UNDERSTOOD(2023, Level.INFO, "object of the store can be understood again"),
     SERVER_RESTARTED(2024, Level.WARNING, "backend server started again under its id"),
     STORE_AWAY(2025, Level.WARNING, "store cannot be reached by any way"),
+    STORE_REPLACED(2026, Level.WARNING, "store came back from an older copy; all is listed anew"),
+    VM_ENTERED(2027, Level.INFO, "own entry is written to the store"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store did not take effect for sure"),
 
     MEMBER_CHANGED(3001, Level.INFO, "another VM changed state"),
