--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
@@ -45,6 +45,15 @@
                 new Peers(own, a -> stores.computeIfAbsent(a, b -> new ManualStore()), count -> {});
         final ManualStore store = new ManualStore();
         peers.start(loop, store);
+        final StoreAnswer<Page<VmEntry>> list = list(all);
+        store.answer(list);
+        assertThat(peers.coalescing()).as("just started").isEmpty();
+        peers.start(loop, store);
+        store.answer(list);
+        return peers;
+    }
+
+    private static StoreAnswer<Page<VmEntry>> list(final List<VmEntry> all) {
         final List<StoredValue<VmEntry>> values = new ArrayList<>();
         for (final VmEntry entry : all) {
             values.add(
@@ -54,13 +63,7 @@
                             Optional.of(entry),
                             Optional.empty()));
         }
-        final StoreAnswer<Page<VmEntry>> list =
-                new StoreAnswer.Done<>(new Page<>(values, Optional.empty(), Position.of(0, 1)));
-        store.answer(list);
-        assertThat(peers.coalescing()).as("just started").isEmpty();
-        peers.start(loop, store);
-        store.answer(list);
-        return peers;
+        return new StoreAnswer.Done<>(new Page<>(values, Optional.empty(), Position.of(0, 1)));
     }
 
     private static List<VmEntry> dataCentre(final String name, final int first, final int count) {
@@ -99,4 +102,21 @@
         all.addAll(dataCentre("dc-b", 20, 8));
         assertThat(knowing(all.get(0), all).coalescing()).isEmpty();
     }
+
+    /**
+     * Symptom: after the store's return from an older copy VMs find no way around it, and take more
+     * than their part of what the fleet shares. Events: the copy was made before most VMs started.
+     * Cause: a VM knew the others by the last list alone.
+     */
+    @Test
+    void aVmThatTheStoreLostIsStillKnownAndOneThatIsLackingEntersItself() {
+        final List<VmEntry> all = dataCentre("dc-a", 1, 8);
+        final Peers peers = knowing(all.get(0), all);
+        final List<Store> before = peers.coalescing();
+        final ManualStore store = new ManualStore();
+        peers.start(loop, store);
+        store.answer(list(all.subList(1, 3)));
+        assertThat(peers.coalescing()).isEqualTo(before);
+        assertThat(store.waiting()).as("own entry").hasSize(1);
+    }
 }
