VMs share the connections that a worker accepts; calls that may run once wait until a new one has settled

Cause: a VM kept up to 16 idle connections at a worker, also ones that had rested too long to be used, and the VMs add up: 64 x 16 = 1,024 against 440.

Change: ConnectionShare (pure): half of what a worker accepts, divided by the VMs, 16 at most; rested ones are closed when a call ends. A new connection stands for 5 ms before a request goes out that must not be repeated; a reset in that time is "not sent", another worker is asked, and the worker is not told of as unreachable. HttpClientTest, ConnectionShareTest (property: the sum stays within half).

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -14,6 +14,7 @@
 import org.fennelstage.http.Call;
 import org.fennelstage.http.CallFailure;
 import org.fennelstage.http.CallOptions;
+import org.fennelstage.http.ConnectionUse;
 import org.fennelstage.http.ResponseListener;
 import org.fennelstage.placement.Prompt;
 import org.fennelstage.policy.Mechanism;
@@ -51,6 +52,14 @@
 
     private static final Duration MAX_IDLE_REPEATABLE = Duration.ofSeconds(4);
 
+    /**
+     * How long a new connection stands before a request goes out on it that must not be repeated.
+     * The reset of a worker that accepts no further connection comes a way there and back after the
+     * connection, 2 ms between data centres of a region, and its own millisecond; a tenth of what
+     * such a request takes at its worker.
+     */
+    private static final Duration SETTLING_AT_MOST_ONCE = Duration.ofMillis(5);
+
     private final RequestRun run;
     private final TrackedServer server;
     private final Pace pace;
@@ -81,12 +90,11 @@
     void send(final Dispatch dispatch) {
         server.begin(readMillis);
         sentMillis = now();
-        final boolean repeatable = run.route().repeatable();
         final CallOptions options =
                 new CallOptions(
                         CONNECT_TIMEOUT,
                         dispatch.remaining().plus(BEYOND_DEADLINE),
-                        repeatable ? MAX_IDLE_REPEATABLE : MAX_IDLE_AT_MOST_ONCE,
+                        connectionUse(),
                         headers -> codec().answers(headers, run.request().id()));
         call =
                 run.gateway()
@@ -100,6 +108,13 @@
         run.gateway().attempts().add(this);
     }
 
+    private ConnectionUse connectionUse() {
+        final int mostIdle = run.gateway().beliefs().connectionShare(run.service()).mostIdle();
+        return run.route().repeatable()
+                ? new ConnectionUse(MAX_IDLE_REPEATABLE, mostIdle, Duration.ZERO)
+                : new ConnectionUse(MAX_IDLE_AT_MOST_ONCE, mostIdle, SETTLING_AT_MOST_ONCE);
+    }
+
     /** Ends the attempt: the worker sees its connection close and drops the request. */
     void cancel() {
         if (release()) {
@@ -165,8 +180,11 @@
 
     @Override
     public void onFailure(final CallFailure failure) {
-        if (failure.phase() == CallFailure.Phase.NOT_SENT) {
-            run.gateway().onUnreachable(server);
+        if (failure.notSent()) {
+            // A worker that turns a connection away has as many as it accepts, and is well.
+            if (failure.phase() == CallFailure.Phase.NOT_SENT) {
+                run.gateway().onUnreachable(server);
+            }
             fail(AttemptEnd.NOT_SENT, failure.detail());
         } else {
             if (!failure.keptConnection()) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -9,12 +9,14 @@
 import org.fennelstage.attempt.RepeatBudget;
 import org.fennelstage.attempt.UsualFailures;
 import org.fennelstage.canary.Canary;
+import org.fennelstage.fleet.ConnectionShare;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
+import org.fennelstage.serving.Service;
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.sizing.Opinions;
 import org.fennelstage.time.MonotonicClock;
@@ -149,6 +151,16 @@
         vmCount = count;
     }
 
+    /** Returns this VM's share of the connections that each worker of a service accepts. */
+    ConnectionShare connectionShare(final ServiceName service) {
+        final int accepted =
+                configuration
+                        .flatMap(c -> c.service(service))
+                        .map(Service::maxConnections)
+                        .orElse(0);
+        return new ConnectionShare(accepted, vmCount);
+    }
+
     /** Returns the share of a route's requests that fail wherever they run. */
     UsualFailures usualFailures(final String route) {
         return usualFailures.computeIfAbsent(route, r -> new UsualFailures());
--- a/fennelstage-http/src/main/java/org/fennelstage/http/CallFailure.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/CallFailure.java
@@ -16,6 +16,11 @@
     public enum Phase {
         /** No byte of the request left this process; it cannot have run. */
         NOT_SENT,
+        /**
+         * The server took the connection and closed it before the request went out; it cannot have
+         * run. So do servers that have as many connections as they accept, and are well.
+         */
+        TURNED_AWAY,
         /** Bytes may have arrived; it may have run. */
         MAYBE_SENT,
         /** The response had begun. */
@@ -26,4 +31,13 @@
         Objects.requireNonNull(phase, "phase is null");
         Objects.requireNonNull(detail, "detail is null");
     }
+
+    /**
+     * Tells whether the request certainly did not leave this process.
+     *
+     * @return true if it cannot have run
+     */
+    public boolean notSent() {
+        return phase == Phase.NOT_SENT || phase == Phase.TURNED_AWAY;
+    }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/CallOptions.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/CallOptions.java
@@ -11,20 +11,16 @@
  * @param connectTimeout the longest wait for a new connection; a call that fails by it was never
  *     sent
  * @param silence the longest wait without any byte of the response
- * @param maxIdle the longest time since its last use for which a kept connection may carry the
- *     call; zero for a connection of its own
+ * @param connection which connections may carry it
  * @param answersThis tells by its headers whether a response answers this call; one that does not
  *     is dropped, and the connection closes after the call
  */
 public record CallOptions(
         Duration connectTimeout,
         Duration silence,
-        Duration maxIdle,
+        ConnectionUse connection,
         Predicate<HttpHeaders> answersThis) {
 
-    /** Longer than servers keep idle connections: any kept connection will do. */
-    private static final Duration ANY_IDLE = Duration.ofHours(1);
-
     /** Suits calls that may be repeated. */
     public static final CallOptions DEFAULT =
             of(Duration.ofSeconds(1), Duration.ofSeconds(30), false);
@@ -32,7 +28,7 @@
     public CallOptions {
         Objects.requireNonNull(connectTimeout, "connectTimeout is null");
         Objects.requireNonNull(silence, "silence is null");
-        Objects.requireNonNull(maxIdle, "maxIdle is null");
+        Objects.requireNonNull(connection, "connection is null");
         Objects.requireNonNull(answersThis, "answersThis is null");
     }
 
@@ -46,7 +42,8 @@
      */
     public static CallOptions of(
             final Duration connectTimeout, final Duration silence, final boolean freshConnection) {
-        final Duration maxIdle = freshConnection ? Duration.ZERO : ANY_IDLE;
-        return new CallOptions(connectTimeout, silence, maxIdle, headers -> true);
+        final ConnectionUse connection =
+                freshConnection ? ConnectionUse.own() : ConnectionUse.shared();
+        return new CallOptions(connectTimeout, silence, connection, headers -> true);
     }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionPool.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionPool.java
@@ -13,13 +13,12 @@
  * Idle connections by address, the last used first.
  *
  * <p>Invariant: a connection handed out is open, was idle no longer than the caller allows, and is
- * not close to the end of the time for which its server promised to keep it. Confined to one event
- * loop.
+ * not close to the end of the time for which its server promised to keep it; after a call no more
+ * are kept than it allows, and none that has rested for longer than it allows: those would count
+ * against what the server accepts and be of no use. Confined to one event loop.
  */
 final class ConnectionPool {
 
-    private static final int MAX_IDLE_PER_ADDRESS = 16;
-
     /**
      * Share of the server's Keep-Alive time after which a connection is no longer used. A request
      * that crosses the server's close is lost without an answer; half leaves more than any delay on
@@ -49,9 +48,11 @@
     void put(
             final InetSocketAddress address,
             final Channel channel,
-            final Optional<Duration> keptFor) {
+            final Optional<Duration> keptFor,
+            final ConnectionUse use) {
         final Deque<Idle> connections = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
-        if (!channel.isActive() || connections.size() >= MAX_IDLE_PER_ADDRESS) {
+        closeRested(connections, use.maxIdle());
+        if (!channel.isActive() || connections.size() >= use.mostIdle()) {
             channel.close();
             return;
         }
@@ -61,6 +62,15 @@
         connections.addLast(new Idle(channel, System.nanoTime(), usable));
     }
 
+    private static void closeRested(final Deque<Idle> connections, final Duration maxIdle) {
+        final long now = System.nanoTime();
+        while (!maxIdle.isZero()
+                && !connections.isEmpty()
+                && now - connections.peekFirst().sinceNanos() >= maxIdle.toNanos()) {
+            connections.pollFirst().channel().close();
+        }
+    }
+
     void closeAll(final InetSocketAddress address) {
         final Deque<Idle> connections = idle.remove(address);
         if (connections != null) {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -14,9 +14,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -106,9 +108,9 @@
         }
         final Call call = new Call();
         final Optional<Channel> kept =
-                options.maxIdle().isZero()
+                options.connection().maxIdle().isZero()
                         ? Optional.empty()
-                        : idle.take(address, options.maxIdle());
+                        : idle.take(address, options.connection().maxIdle());
         kept.ifPresentOrElse(
                 pooled -> write(pooled, address, request, options, call, listener),
                 () -> connect(address, request, options, call, listener));
@@ -150,20 +152,64 @@
                         connectionsOpened++;
                         final Channel opened = connected.channel();
                         opened.closeFuture().addListener(c -> idle.forget(address, opened));
-                        write(connected.channel(), address, request, options, call, listener);
+                        settle(opened, address, request, options, call, listener);
                         return;
                     }
-                    request.release();
-                    if (!call.isCancelled()) {
-                        listener.onFailure(
-                                new CallFailure(
-                                        CallFailure.Phase.NOT_SENT,
-                                        false,
-                                        "cannot connect to " + address));
-                    }
+                    notSent(
+                            CallFailure.Phase.NOT_SENT,
+                            "cannot connect to " + address,
+                            request,
+                            call,
+                            listener);
                 });
     }
 
+    /**
+     * Waits for a moment before the call goes out on a new connection, if the call asks for it. A
+     * server that has as many connections as it accepts takes a further one and resets it at once:
+     * a request that was sent meanwhile is lost, and nobody can tell whether it ran.
+     */
+    private void settle(
+            final Channel opened,
+            final InetSocketAddress address,
+            final FullHttpRequest request,
+            final CallOptions options,
+            final Call call,
+            final ResponseListener listener) {
+        final Duration settling = options.connection().settling();
+        if (settling.isZero()) {
+            write(opened, address, request, options, call, listener);
+            return;
+        }
+        loop.schedule(
+                () -> {
+                    if (opened.isActive()) {
+                        write(opened, address, request, options, call, listener);
+                    } else {
+                        notSent(
+                                CallFailure.Phase.TURNED_AWAY,
+                                "turned away by " + address,
+                                request,
+                                call,
+                                listener);
+                    }
+                },
+                settling.toNanos(),
+                TimeUnit.NANOSECONDS);
+    }
+
+    private static void notSent(
+            final CallFailure.Phase phase,
+            final String detail,
+            final FullHttpRequest request,
+            final Call call,
+            final ResponseListener listener) {
+        request.release();
+        if (!call.isCancelled()) {
+            listener.onFailure(new CallFailure(phase, false, detail));
+        }
+    }
+
     private void write(
             final Channel channel,
             final InetSocketAddress address,
@@ -173,14 +219,18 @@
             final ResponseListener listener) {
         if (call.isCancelled()) {
             request.release();
-            idle.put(address, channel, Optional.empty());
+            idle.put(address, channel, Optional.empty(), options.connection());
             return;
         }
         call.attach(channel);
         final ResponseHandler handler = channel.pipeline().get(ResponseHandler.class);
         final boolean head = HttpMethod.HEAD.equals(request.method());
         channel.pipeline().get(StrictResponseDecoder.class).expect(head);
-        handler.begin(call, listener, options, keptFor -> idle.put(address, channel, keptFor));
+        handler.begin(
+                call,
+                listener,
+                options,
+                keptFor -> idle.put(address, channel, keptFor, options.connection()));
         channel.writeAndFlush(request).addListener(f -> handler.requestWritten());
     }
 }
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
@@ -49,6 +49,14 @@
 
     /** Asks and returns what came: a {@code Responses.Whole} or a {@code CallFailure}. */
     private CompletableFuture<Object> ask(final boolean freshConnection) {
+        return ask(CallOptions.of(PATIENCE, PATIENCE, freshConnection));
+    }
+
+    private CompletableFuture<Object> ask(final ConnectionUse use) {
+        return ask(new CallOptions(PATIENCE, PATIENCE, use, headers -> true));
+    }
+
+    private CompletableFuture<Object> ask(final CallOptions options) {
         final CompletableFuture<Object> end = new CompletableFuture<>();
         client.eventLoop()
                 .execute(
@@ -59,7 +67,7 @@
                                                 server.getLocalPort()),
                                         new DefaultFullHttpRequest(
                                                 HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
-                                        CallOptions.of(PATIENCE, PATIENCE, freshConnection),
+                                        options,
                                         Responses.collecting(end::complete, end::complete)));
         return end;
     }
@@ -135,4 +143,51 @@
         assertThat(next.get(1).get()).isInstanceOf(Responses.Whole.class);
         assertThat(client.connectionsOpened()).isEqualTo(2);
     }
+
+    /**
+     * Symptom: a payment's outcome is unknown though it never ran. Events: its server has as many
+     * connections as it accepts, takes a further one and resets it. Cause: the request was sent as
+     * soon as the connection stood.
+     */
+    @Test
+    void aCallThatWaitsForItsNewConnectionToSettleKnowsThatAServerTurnedItAway() throws Exception {
+        final ConnectionUse settling = new ConnectionUse(Duration.ZERO, 1, Duration.ofMillis(300));
+        final CompletableFuture<Object> call = ask(settling);
+        final Socket full = accept();
+        full.setSoLinger(true, 0);
+        full.close();
+        assertThat(call.get())
+                .isInstanceOfSatisfying(
+                        CallFailure.class,
+                        f -> {
+                            assertThat(f.phase()).isEqualTo(CallFailure.Phase.TURNED_AWAY);
+                            assertThat(f.notSent()).isTrue();
+                        });
+    }
+
+    /** Symptom: see {@code ConnectionShareTest}; what is not kept is closed at the call's end. */
+    @Test
+    void noMoreConnectionsAreKeptThanTheCallAllows() throws Exception {
+        final ConnectionUse one = new ConnectionUse(PATIENCE, 1, Duration.ZERO);
+        final List<CompletableFuture<Object>> calls = List.of(ask(one), ask(one));
+        final List<Socket> sockets = List.of(accept(), accept());
+        for (final Socket socket : sockets) {
+            answer(socket);
+        }
+        for (final CompletableFuture<Object> call : calls) {
+            assertThat(call.get()).isInstanceOf(Responses.Whole.class);
+        }
+        final CompletableFuture<Object> third = ask(one);
+        int closed = 0;
+        for (final Socket socket : sockets) {
+            if (socket.getInputStream().read() < 0) {
+                closed++;
+            } else {
+                socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+            }
+        }
+        assertThat(closed).isEqualTo(1);
+        assertThat(third.get()).isInstanceOf(Responses.Whole.class);
+        assertThat(client.connectionsOpened()).isEqualTo(2);
+    }
 }
