--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/FleetMain.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/FleetMain.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.fennelstage.bench.engine.EngineSpec;
-import org.fennelstage.bench.engine.Loads;
 import org.fennelstage.bench.engine.Play;
 import org.fennelstage.bench.engine.Result;
 import org.fennelstage.policy.Mechanism;
@@ -55,16 +53,8 @@
         for (int seed = 1; seed <= SEEDS; seed++) {
             results.add(
                     Play.of(
-                            new Play.Setup(
-                                    vms,
-                                    workers,
-                                    EngineSpec.LARGE,
-                                    Loads.MODELS,
-                                    Loads.longBesideShort(scale),
-                                    1,
-                                    SECONDS,
-                                    policy,
-                                    seed)));
+                            Play.Setup.longBesideShort(
+                                    vms, workers, scale, SECONDS, policy, seed)));
         }
         final double share = results.stream().mapToDouble(Result::share).average().orElse(0);
         System.out.printf(
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/Play.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/Play.java
@@ -57,7 +57,39 @@
             double hardest,
             int seconds,
             Policy policy,
-            long seed) {}
+            long seed) {
+
+        /**
+         * Returns the load of long prompts beside short ones, on large engines, with requests of
+         * every hardness.
+         *
+         * @param vms how many VMs take requests
+         * @param workers how many engines there are
+         * @param scale the requests a second, as a multiple of what 13 engines are made for
+         * @param seconds how long requests arrive
+         * @param policy the mechanisms in use
+         * @param seed the seed
+         * @return what is played
+         */
+        public static Setup longBesideShort(
+                final int vms,
+                final int workers,
+                final double scale,
+                final int seconds,
+                final Policy policy,
+                final long seed) {
+            return new Setup(
+                    vms,
+                    workers,
+                    EngineSpec.LARGE,
+                    Loads.MODELS,
+                    Loads.longBesideShort(scale),
+                    1,
+                    seconds,
+                    policy,
+                    seed);
+        }
+    }
 
     private final Setup setup;
     private final SplittableRandom random;
--- a/fennelstage-bench/src/test/java/org/fennelstage/bench/engine/PlayTest.java
+++ b/fennelstage-bench/src/test/java/org/fennelstage/bench/engine/PlayTest.java
@@ -17,17 +17,7 @@
 
     private static Result play(
             final int vms, final int workers, final double scale, final Policy policy) {
-        return Play.of(
-                new Play.Setup(
-                        vms,
-                        workers,
-                        EngineSpec.LARGE,
-                        Loads.MODELS,
-                        Loads.longBesideShort(scale),
-                        1,
-                        SECONDS,
-                        policy,
-                        11));
+        return Play.of(Play.Setup.longBesideShort(vms, workers, scale, SECONDS, policy, 11));
     }
 
     private static Policy without(final Mechanism mechanism) {
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -117,16 +117,18 @@
      *
      * @param newer the order
      * @param elapsed the time since it was given, as far as known
+     * @return false if nothing about it is new to this VM
      */
-    public void onOrder(final RolloutOrder newer, final Duration elapsed) {
+    public boolean onOrder(final RolloutOrder newer, final Duration elapsed) {
         if (order.isPresent() && !newer.position().isAfter(order.get().position())) {
-            return;
+            return false;
         }
         if (order.isPresent() && order.get().position().isOfFormerEra(newer.position())) {
             onOrderOfLaterEra(newer, elapsed);
         } else {
             onNewerOrder(newer, elapsed);
         }
+        return true;
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -1,5 +1,6 @@
 package org.fennelstage.gateway;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -222,12 +223,26 @@
         if (!servers.put(entry)) {
             return false;
         }
+        onVersionOf(entry);
+        return true;
+    }
+
+    /**
+     * Takes a complete list of the workers' entries.
+     *
+     * @param entries all of them
+     */
+    public void onAllServers(final Collection<ServerEntry> entries) {
+        servers.replaceAll(entries);
+        entries.forEach(this::onVersionOf);
+    }
+
+    private void onVersionOf(final ServerEntry entry) {
         admitVersion(entry);
         final boolean waits = !canary(entry.service()).knows(entry.version());
         if (waits && !ordersKnownTo.equals(Position.NONE)) {
             ordersWanted.run();
         }
-        return true;
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -84,7 +84,9 @@
 
     private void take(final RolloutOrder order) {
         final Duration elapsed = elapsed(order);
-        beliefs.canary(order.service()).onOrder(order, elapsed);
+        if (!beliefs.canary(order.service()).onOrder(order, elapsed)) {
+            return;
+        }
         EventLog.write(
                 Event.ROLLOUT_STATE,
                 "service",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
@@ -30,8 +30,7 @@
     public void onAll(final List<StoredValue<ServerEntry>> values) {
         final List<ServerEntry> entries =
                 values.stream().map(StoredValue::value).flatMap(Optional::stream).toList();
-        servers.replaceAll(entries);
-        entries.forEach(beliefs::onServer);
+        beliefs.onAllServers(entries);
         EventLog.write(Event.SERVER_ENTRY, "listed", values.size(), "in_table", servers.size());
         afterList.run();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
@@ -56,18 +56,7 @@
      * @return the settings
      */
     public VmSettings withBounds(final GatewaySettings newer) {
-        return new VmSettings(
-                vm,
-                dataCentre,
-                callers,
-                readiness,
-                readinessPath,
-                metrics,
-                peers,
-                store,
-                linkMegabits,
-                newer,
-                policy);
+        return with(newer, policy);
     }
 
     /**
@@ -77,6 +66,10 @@
      * @return the settings
      */
     public VmSettings withPolicy(final Policy newer) {
+        return with(bounds, newer);
+    }
+
+    private VmSettings with(final GatewaySettings newBounds, final Policy newPolicy) {
         return new VmSettings(
                 vm,
                 dataCentre,
@@ -87,7 +80,7 @@
                 peers,
                 store,
                 linkMegabits,
-                bounds,
-                newer);
+                newBounds,
+                newPolicy);
     }
 }
