--- a/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Main.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/ctl/Main.java
@@ -29,24 +29,6 @@
     private static final double CALLS_PER_SECOND = 200;
     private static final double BURST = 200;
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
-    private static final String HELP =
-            String.join(
-                    System.lineSeparator(),
-                    "usage: fennelctl check DIR",
-                    "       fennelctl team-key",
-                    "       fennelctl report [--format text|json|html] [LOG ...]   where and why",
-                    "                        requests were late or lost; standard input without LOG",
-                    "       fennelctl explain REQUEST [LOG ...]   the story of one request",
-                    "       fennelctl --store IP:PORT plan DIR",
-                    "       fennelctl --store IP:PORT apply DIR [--wait-ms 10000]",
-                    "       fennelctl --store IP:PORT status [--json]",
-                    "       fennelctl --store IP:PORT drain MODEL VERSION",
-                    "       fennelctl --store IP:PORT withdraw MODEL VERSION",
-                    "       fennelctl --store IP:PORT serve MODEL VERSION",
-                    "       fennelctl --store IP:PORT rollout start ID PROVEN CANDIDATE",
-                    "       fennelctl --store IP:PORT rollout pause|resume|abort ID",
-                    "       fennelctl --store IP:PORT reconcile FILE   request ids known as complete",
-                    "exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown");
 
     private Main() {}
 
@@ -62,11 +44,15 @@
     static Exit run(final String[] args, final PrintStream out, final PrintStream err) {
         try {
             final CommandLine line = new DefaultParser().parse(options(), args);
-            execute(line, line.getArgList(), out);
+            if (line.hasOption("help")) {
+                out.println(help(line.getArgList()));
+            } else {
+                execute(line, line.getArgList(), out);
+            }
             return Exit.DONE;
         } catch (final ParseException | IllegalArgumentException e) {
             err.println(e.getMessage());
-            err.println(HELP);
+            err.println(SubCommand.overview());
             return Exit.USAGE;
         } catch (final CommandException e) {
             err.println(e.getMessage());
@@ -74,6 +60,15 @@
         }
     }
 
+    private static String help(final List<String> words) throws ParseException {
+        if (words.isEmpty()) {
+            return SubCommand.overview();
+        }
+        return SubCommand.find(words.get(0))
+                .orElseThrow(() -> new ParseException("unknown command '" + words.get(0) + "'"))
+                .help();
+    }
+
     private static void execute(
             final CommandLine line, final List<String> words, final PrintStream out)
             throws ParseException, CommandException {
@@ -190,6 +185,7 @@
                 .addOption(Option.builder().longOpt("store").hasArg().build())
                 .addOption(Option.builder().longOpt("wait-ms").hasArg().build())
                 .addOption(Option.builder().longOpt("format").hasArg().build())
-                .addOption(Option.builder().longOpt("json").build());
+                .addOption(Option.builder().longOpt("json").build())
+                .addOption(Option.builder().longOpt("help").build());
     }
 }
