Births and Departures share one bounded memory of workers

Both kept the same map that forgets the worker heard of longest ago, with the same bound; RecentServers is that map, with a test. Behaviour is unchanged.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Departures.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Departures.java
@@ -1,7 +1,6 @@
 package org.fennelstage.fleet;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -28,20 +27,8 @@
      */
     static final long DOUBT_MILLIS = 6_000;
 
-    /** Workers remembered; see {@link Births}. */
-    private static final int MOST_KEPT = 6_000;
-
     private final MonotonicClock clock;
-    private final Map<BackendServerId, Incarnation> left =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1;
-
-                @Override
-                protected boolean removeEldestEntry(
-                        final Map.Entry<BackendServerId, Incarnation> eldest) {
-                    return size() > MOST_KEPT;
-                }
-            };
+    private final Map<BackendServerId, Incarnation> left = RecentServers.empty();
 
     /** Entries that the store holds for workers that left, by worker. */
     private final Map<BackendServerId, ServerEntry> doubted = new HashMap<>();
