Lines of a request name its content, and how long before its break an answer had begun

The content is a hash of host, path with query, caller and body, the same at every VM. No logic changes.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -70,6 +70,7 @@
     private Call call;
     private long sentMillis;
     private long lastByteMillis;
+    private long headMillis;
     private long firstEventMillis;
     private int eventCount;
     private boolean read;
@@ -149,6 +150,7 @@
         pace.onFirstByte(now() - sentMillis, promptTokens());
         final AnswerHead decoded = codec().decodeAnswer(status, headers);
         head = Optional.of(decoded);
+        headMillis = now();
         setFlowing(true);
         if (decoded.isSuccess() && run.dropped(decoded)) {
             noteHealth(false);
@@ -190,10 +192,16 @@
             if (!failure.keptConnection()) {
                 noteHealth(true);
             }
-            fail(AttemptEnd.UNKNOWN, failure.phase() + ": " + failure.detail());
+            final String begun = head.isEmpty() ? "" : ", began " + begunMillis() + " ms before";
+            fail(AttemptEnd.UNKNOWN, failure.phase() + ": " + failure.detail() + begun);
         }
     }
 
+    /** Time since the worker began to answer. */
+    private long begunMillis() {
+        return now() - headMillis;
+    }
+
     private void onByte() {
         lastByteMillis = now();
         server.health().onSign();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CallerRequest.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CallerRequest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.placement.Prompt;
 
 /**
@@ -44,6 +45,15 @@
         Objects.requireNonNull(body, "body is null");
     }
 
+    /**
+     * Returns what the request asks and for whom, the same for each of its arrivals.
+     *
+     * @return the fingerprint
+     */
+    public Fingerprint fingerprint() {
+        return Fingerprint.of(host, uri, key.orElse(""), body);
+    }
+
     /**
      * Returns the path without its query.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.AttemptLog;
 import org.fennelstage.canary.VersionChoice;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.TeamId;
@@ -20,6 +21,7 @@
     private static final String NONE = "-";
 
     private final CallerRequest request;
+    private final Fingerprint content;
     private final String route;
     private final long objectiveMillis;
     private final long configurationVersion;
@@ -28,10 +30,12 @@
 
     RequestLog(
             final CallerRequest request,
+            final Fingerprint content,
             final Route route,
             final long configurationVersion,
             final AttemptLog attempts) {
         this.request = request;
+        this.content = content;
         this.route = route.name();
         this.objectiveMillis = route.objective().toMillis();
         this.configurationVersion = configurationVersion;
@@ -48,6 +52,8 @@
                 Event.REQUEST_SENT,
                 "request",
                 request.id(),
+                "content",
+                content,
                 "route",
                 route,
                 "service",
@@ -106,6 +112,8 @@
                 Event.ATTEMPT_FAILED,
                 "request",
                 request.id(),
+                "content",
+                content,
                 "end",
                 end,
                 "detail",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -12,6 +12,7 @@
 import org.fennelstage.attempt.Pace;
 import org.fennelstage.canary.Canary;
 import org.fennelstage.canary.VersionChoice;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.ServerExchange;
@@ -43,6 +44,7 @@
     private final Route route;
     private final Optional<TeamAccess> access;
     private final AttemptLog attempts;
+    private final Fingerprint content;
     private final RequestLog log;
     private final ModelChoice models;
     private final Outlook outlook;
@@ -70,7 +72,8 @@
         this.route = route;
         this.access = access;
         this.attempts = AttemptLog.of(route.repeatable(), route.maxServers());
-        this.log = new RequestLog(request, route, configuration.version(), attempts);
+        this.content = request.fingerprint();
+        this.log = new RequestLog(request, content, route, configuration.version(), attempts);
         this.models = ModelChoice.of(route, gateway);
         this.outlook = new Outlook(gateway, request);
         this.arrivedMillis = now();
