A request that ends its workers is recognised by its content and refused by all VMs

Callers saw one in three requests fail in three waves: one request came again and again, each time with another id and at another VM, and each VM sent it on to up to three workers, each of which ended with all that it ran. Cause: ends of workers were held against the workers; nothing connected them with the content that all of them had been running, and no VM knew what another had seen. Class: evidence kept per arrival and per process where it is needed per content and per fleet.

Now a broken run makes the VM look at its worker; where nobody listens, it counts as an end for each content that was under way there, at all VMs (datagrams, three tellings), until the content is answered. From the third end on it is refused as not run, copies that wait are taken back, and the store keeps it for VMs that start. It holds because the count needs neither the arrival's id nor one VM's memory, and because a sound request is cleared by its answer. Turns is taken out of RolloutFeed, which had the same wait for one's turn.

--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/crash/QuarantineTest.java
@@ -0,0 +1,37 @@
+package org.fennelstage.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class QuarantineTest {
+
+    private static final Fingerprint CONTENT = new Fingerprint(7);
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final Quarantine quarantine = Quarantine.of(now::get);
+
+    @Test
+    void aRequestIsRefusedForItsTimeAndNoLonger() {
+        assertThat(quarantine.add(CONTENT)).isTrue();
+        now.addAndGet(1_000);
+        assertThat(quarantine.add(CONTENT)).isFalse();
+        assertThat(quarantine.left(CONTENT))
+                .contains(Quarantine.LIFETIME.minus(Duration.ofSeconds(1)));
+        assertThat(quarantine.takeExpired()).isEmpty();
+        now.addAndGet(Quarantine.LIFETIME.toMillis());
+        assertThat(quarantine.left(CONTENT)).isEmpty();
+        assertThat(quarantine.takeExpired()).containsExactly(CONTENT);
+        assertThat(quarantine.size()).isZero();
+    }
+
+    @Test
+    void aRequestThatIsReleasedIsRefusedNoLonger() {
+        quarantine.add(CONTENT);
+        assertThat(quarantine.release(CONTENT)).isTrue();
+        assertThat(quarantine.release(CONTENT)).isFalse();
+        assertThat(quarantine.left(CONTENT)).isEmpty();
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -116,6 +116,10 @@
                 : new ConnectionUse(MAX_IDLE_AT_MOST_ONCE, mostIdle, SETTLING_AT_MOST_ONCE);
     }
 
+    RequestRun run() {
+        return run;
+    }
+
     /** Ends the attempt: the worker sees its connection close and drops the request. */
     void cancel() {
         if (release()) {
@@ -192,6 +196,9 @@
             if (!failure.keptConnection()) {
                 noteHealth(true);
             }
+            if (head.isEmpty() || begunMillis() < CrashWatch.SUSPECT_MILLIS) {
+                run.gateway().crashes().onBroken(server, run.content());
+            }
             final String begun = head.isEmpty() ? "" : ", began " + begunMillis() + " ms before";
             fail(AttemptEnd.UNKNOWN, failure.phase() + ": " + failure.detail() + begun);
         }
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
@@ -0,0 +1,232 @@
+package org.fennelstage.gateway;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.fennelstage.crash.Acquittal;
+import org.fennelstage.crash.BrokenRuns;
+import org.fennelstage.crash.CrashLedger;
+import org.fennelstage.crash.CrashReport;
+import org.fennelstage.crash.Fingerprint;
+import org.fennelstage.crash.Quarantine;
+import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.http.ConnectionUse;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.http.ProbeResult;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * Finds the requests that end the workers that run them, and has them refused.
+ *
+ * <p>Taken for the worker's fault, the end of a worker is answered by sending the request to the
+ * next one, which ends as well, with all that it runs; its caller asks again, at another VM, and
+ * within a second most workers of a service are gone. One sees it by workers that end one after the
+ * other, and by one content in all those breaks. So the ends under a content are counted over all
+ * its arrivals and all VMs ({@link CrashLedger}), and from the third on it is refused everywhere
+ * ({@link Quarantine}).
+ *
+ * <p>A broken connection alone is no end: workers lose answers and drop connections, and links
+ * break. The worker is looked at, and only one where nobody listens any more has ended. Confined to
+ * the event loop.
+ */
+public final class CrashWatch {
+
+    /**
+     * A worker that answers for longer than this before it ends was not ended by that answer's
+     * request; milliseconds. Those that end their worker do so a moment after it begins to run
+     * them; the rest is for a VM that reads late.
+     */
+    static final long SUSPECT_MILLIS = 2_000;
+
+    /** A machine in the same region answers in milliseconds, also where nobody listens. */
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
+
+    /** The probe's connection may carry the next request. */
+    private static final ConnectionUse KEPT =
+            new ConnectionUse(Duration.ofSeconds(4), 1, Duration.ZERO);
+
+    private final HttpClient client;
+    private final CrashLedger ledger;
+    private final Quarantine quarantine;
+    private final BrokenRuns broken = BrokenRuns.empty();
+    private Consumer<TrackedServer> endListener = server -> {};
+    private Consumer<Fingerprint> quarantineListener = content -> {};
+    private Consumer<CrashReport> reportListener = report -> {};
+    private Consumer<Acquittal> acquittalListener = acquittal -> {};
+    private Runnable storeListener = () -> {};
+
+    /**
+     * Creates a watch that knows of no ends.
+     *
+     * @param clock the clock
+     * @param client calls workers
+     */
+    public CrashWatch(final MonotonicClock clock, final HttpClient client) {
+        this.client = Objects.requireNonNull(client, "client is null");
+        this.ledger = CrashLedger.of(clock);
+        this.quarantine = Quarantine.of(clock);
+    }
+
+    /**
+     * Returns the requests that are refused.
+     *
+     * @return the quarantine
+     */
+    public Quarantine quarantine() {
+        return quarantine;
+    }
+
+    /**
+     * Sets who tells the other VMs what this one finds.
+     *
+     * @param reports takes the ends of workers
+     * @param acquittals takes the requests that were answered after all
+     */
+    public void onFound(final Consumer<CrashReport> reports, final Consumer<Acquittal> acquittals) {
+        reportListener = Objects.requireNonNull(reports, "reports is null");
+        acquittalListener = Objects.requireNonNull(acquittals, "acquittals is null");
+    }
+
+    /**
+     * Sets what notes a request for VMs that start later. It runs at once when one is refused: a VM
+     * that starts within the next tenth of a second would not know it.
+     *
+     * @param listener notes what {@link #quarantine()} holds
+     */
+    public void onQuarantined(final Runnable listener) {
+        storeListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
+    /** Sets what runs when a worker has ended, and when a request is refused from now on. */
+    void onDecided(final Consumer<TrackedServer> ends, final Consumer<Fingerprint> quarantined) {
+        endListener = Objects.requireNonNull(ends, "ends is null");
+        quarantineListener = Objects.requireNonNull(quarantined, "quarantined is null");
+    }
+
+    /**
+     * Tells for how long a request is to be refused.
+     *
+     * @param content the request
+     * @return the time, empty if it may be sent
+     */
+    Optional<Duration> refusal(final Fingerprint content) {
+        final Optional<Duration> left = quarantine.left(content);
+        if (left.isPresent()) {
+            return left;
+        }
+        final int ends = ledger.crashes(content) + broken.count(content);
+        return ends >= CrashLedger.MOST_CRASHES
+                ? Optional.of(Quarantine.LIFETIME)
+                : Optional.empty();
+    }
+
+    /** Notes that the connection of a request broke before its answer, or a moment after. */
+    void onBroken(final TrackedServer server, final Fingerprint content) {
+        if (broken.add(server.entry().incarnation(), content)) {
+            client.probe(
+                    Sockets.address(server.entry().address()),
+                    PROBE_TIMEOUT,
+                    KEPT,
+                    result -> onProbed(server, result));
+        }
+    }
+
+    private void onProbed(final TrackedServer server, final ProbeResult result) {
+        final Incarnation incarnation = server.entry().incarnation();
+        final Set<Fingerprint> contents = broken.take(incarnation);
+        EventLog.write(
+                Event.SERVER_PROBED,
+                "server",
+                incarnation,
+                "result",
+                result,
+                "requests",
+                contents.size());
+        if (result != ProbeResult.REFUSED) {
+            return;
+        }
+        endListener.accept(server);
+        final CrashReport report = new CrashReport(incarnation, contents);
+        onReport(report);
+        reportListener.accept(report);
+    }
+
+    /**
+     * Takes the end of a worker, as this VM or another saw it.
+     *
+     * @param report the end
+     */
+    public void onReport(final CrashReport report) {
+        for (final Fingerprint content : report.contents()) {
+            final int ends = ledger.onCrash(content, report.server());
+            if (ends > 1) {
+                EventLog.write(
+                        Event.REQUEST_SUSPECTED,
+                        "content",
+                        content,
+                        "server",
+                        report.server(),
+                        "ends",
+                        ends);
+            }
+            if (ends >= CrashLedger.MOST_CRASHES) {
+                quarantine(content, "ends of servers");
+            }
+        }
+    }
+
+    /** Notes that a request was answered, which no request does that ends its workers. */
+    void onAnswered(final Fingerprint content) {
+        final Set<Incarnation> cleared = ledger.onAnswered(content);
+        if (!cleared.isEmpty()) {
+            acquittalListener.accept(new Acquittal(content, cleared));
+        }
+    }
+
+    /**
+     * Takes the word of another VM that a request was answered.
+     *
+     * @param acquittal the request, and the ends that count no longer against it
+     */
+    public void onAcquittal(final Acquittal acquittal) {
+        ledger.clear(acquittal);
+    }
+
+    /**
+     * Refuses a request from now on.
+     *
+     * @param content the request
+     * @param source who found it, for the log
+     */
+    public void quarantine(final Fingerprint content, final String source) {
+        if (quarantine.add(content)) {
+            EventLog.write(
+                    Event.REQUEST_QUARANTINED,
+                    "content",
+                    content,
+                    "source",
+                    source,
+                    "for_s",
+                    Quarantine.LIFETIME.toSeconds());
+            quarantineListener.accept(content);
+            storeListener.run();
+        }
+    }
+
+    /**
+     * Refuses a request no longer; the ends known so far count against it no more.
+     *
+     * @param content the request
+     */
+    public void release(final Fingerprint content) {
+        ledger.onAnswered(content);
+        if (quarantine.release(content)) {
+            EventLog.write(Event.QUARANTINE_OVER, "content", content);
+        }
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerHealth;
@@ -37,6 +38,7 @@
     private final RandomGenerator random;
     private final GatewayMetrics metrics;
     private final Policy policy;
+    private final CrashWatch crashes;
     private Consumer<Incarnation> unreachableListener = id -> {};
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private int inFlight;
@@ -67,6 +69,8 @@
         this.random = Objects.requireNonNull(random, "random is null");
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.policy = Objects.requireNonNull(policy, "policy is null");
+        this.crashes = new CrashWatch(beliefs.clock(), client);
+        crashes.onDecided(this::onUnreachable, this::onQuarantined);
         beliefs.servers().onRestart(this::onRestarted);
     }
 
@@ -121,6 +125,22 @@
         List.copyOf(attempts).forEach(Attempt::checkSilence);
     }
 
+    /**
+     * Returns what finds the requests that end their workers.
+     *
+     * @return the watch
+     */
+    public CrashWatch crashes() {
+        return crashes;
+    }
+
+    /** Takes a request back from the workers where it waits: each would end when it begins. */
+    private void onQuarantined(final Fingerprint content) {
+        for (final Attempt attempt : List.copyOf(attempts)) {
+            attempt.run().withdraw(content);
+        }
+    }
+
     Set<Attempt> attempts() {
         return attempts;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -1,5 +1,6 @@
 package org.fennelstage.gateway;
 
+import java.time.Duration;
 import java.util.OptionalInt;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.AttemptLog;
@@ -107,6 +108,23 @@
                 remainingMillis);
     }
 
+    void quarantined(final Duration left) {
+        EventLog.write(
+                Event.REQUEST_REFUSED,
+                "request",
+                request.id(),
+                "content",
+                content,
+                "route",
+                route,
+                "reason",
+                Refusal.QUARANTINED.reason(),
+                "status",
+                Refusal.QUARANTINED.status(),
+                "left_ms",
+                left.toMillis());
+    }
+
     void attemptFailed(final AttemptEnd end, final String detail, final long elapsedMillis) {
         EventLog.write(
                 Event.ATTEMPT_FAILED,
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -92,6 +92,11 @@
             return;
         }
         exchange.onWritable(() -> open.ifPresent(a -> a.pause(false)));
+        final Optional<Duration> quarantine = gateway.crashes().refusal(content);
+        if (quarantine.isPresent()) {
+            refuseQuarantined(quarantine.get());
+            return;
+        }
         timer = Optional.of(schedule(this::onDeadline, remaining().toMillis()));
         final Optional<WeightedService> chosen = route.service(gateway.random().nextDouble());
         if (chosen.isEmpty()) {
@@ -118,6 +123,30 @@
         finish(Refusal.NO_ROOM.reason(), Refusal.NO_ROOM.status());
     }
 
+    /** Says when it may be asked again; a worker that had it before may have run it. */
+    private void refuseQuarantined(final Duration left) {
+        if (answer.started() || attempts.mayHaveRun()) {
+            giveUp();
+            return;
+        }
+        log.quarantined(left);
+        gateway.respond(exchange, request.id(), Refusal.QUARANTINED, left);
+        finish(Refusal.QUARANTINED.reason(), Refusal.QUARANTINED.status());
+    }
+
+    /**
+     * Takes the request back from its worker, if it is the one that is refused from now on and its
+     * caller has nothing of an answer yet.
+     */
+    void withdraw(final Fingerprint refused) {
+        if (ended || answer.started() || !content.equals(refused)) {
+            return;
+        }
+        abandonOpen(AttemptEnd.UNKNOWN);
+        log.attemptFailed(AttemptEnd.UNKNOWN, "withdrawn", elapsedMillis());
+        giveUp();
+    }
+
     private boolean canBeInTime(final ModelId model) {
         final OptionalDouble wait =
                 outlook.leastWaitMillis(service, candidates(), Optional.of(model));
@@ -132,6 +161,10 @@
         return request;
     }
 
+    Fingerprint content() {
+        return content;
+    }
+
     Route route() {
         return route;
     }
@@ -159,6 +192,9 @@
     /** The attempt brought a whole answer that the caller has. */
     void onDelivered(final AnswerHead head) {
         open = Optional.empty();
+        if (head.isSuccess()) {
+            gateway.crashes().onAnswered(content);
+        }
         confidence = head.confidence();
         finish("answered", head.status());
     }
@@ -250,6 +286,11 @@
     }
 
     private void attempt() {
+        final Optional<Duration> quarantine = gateway.crashes().refusal(content);
+        if (quarantine.isPresent()) {
+            refuseQuarantined(quarantine.get());
+            return;
+        }
         final List<TrackedServer> candidates = candidates();
         final Job job = outlook.job(service, models.model());
         final Optional<TrackedServer> server =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.history.Position;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -202,6 +203,18 @@
         direct.writeVm(entry, answer);
     }
 
+    @Override
+    public void writeQuarantine(
+            final Fingerprint content, final Consumer<StoreAnswer<Void>> answer) {
+        direct.writeQuarantine(content, answer);
+    }
+
+    @Override
+    public void deleteQuarantine(
+            final Fingerprint content, final Consumer<StoreAnswer<Void>> answer) {
+        direct.deleteQuarantine(content, answer);
+    }
+
     private Duration livenessWatch() {
         final Duration longest = newsDelay.get().minus(RESERVE);
         return longest.compareTo(SHORTEST_WATCH) < 0 ? SHORTEST_WATCH : longest;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.history.Position;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -131,6 +132,18 @@
         call((s, a) -> s.writeVm(entry, a), answer);
     }
 
+    @Override
+    public void writeQuarantine(
+            final Fingerprint content, final Consumer<StoreAnswer<Void>> answer) {
+        call((s, a) -> s.writeQuarantine(content, a), answer);
+    }
+
+    @Override
+    public void deleteQuarantine(
+            final Fingerprint content, final Consumer<StoreAnswer<Void>> answer) {
+        call((s, a) -> s.deleteQuarantine(content, a), answer);
+    }
+
     /**
      * Tells whether a call of another VM may be passed on to the store. While the store does not
      * answer this VM, one call after each pause finds out whether it does again.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Store.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Store.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.history.Position;
 
 /**
@@ -71,4 +72,20 @@
      * @param answer takes the end
      */
     void writeVm(VmEntry entry, Consumer<StoreAnswer<Void>> answer);
+
+    /**
+     * Notes that a request is refused, for VMs that start later.
+     *
+     * @param content the request
+     * @param answer takes the end; a conflict if it is noted already
+     */
+    void writeQuarantine(Fingerprint content, Consumer<StoreAnswer<Void>> answer);
+
+    /**
+     * Notes that a request is refused no longer.
+     *
+     * @param content the request
+     * @param answer takes the end; a conflict if that is noted already
+     */
+    void deleteQuarantine(Fingerprint content, Consumer<StoreAnswer<Void>> answer);
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/StoreKind.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/StoreKind.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.serving.ServingConfiguration;
 
@@ -25,6 +26,9 @@
     /** The VMs of this system. */
     public static final StoreKind<VmEntry> VMS = new StoreKind<>("vms");
 
+    /** Requests that are refused since they end their workers, under their fingerprints. */
+    public static final StoreKind<Fingerprint> QUARANTINE = new StoreKind<>("quarantine");
+
     private final String name;
 
     private StoreKind(final String name) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -13,6 +13,7 @@
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.ServerAddress;
@@ -75,6 +76,12 @@
     /** Pace of the watch on roll-outs: a halt must be known at once, and is rare. */
     private static final WatchPace ROLLOUT_PACE = WatchPace.ofMillis(10_000, 0);
 
+    /**
+     * Pace of the watch on requests that are refused for ending workers: the VMs tell each other at
+     * once, and the store is for those that missed it or start later.
+     */
+    private static final WatchPace QUARANTINE_PACE = WatchPace.ofMillis(30_000, 0);
+
     private static final int OK = 200;
 
     private VmSettings settings;
@@ -85,6 +92,8 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final ServerFeed serverFeed;
     private final RolloutFeed rolloutFeed;
+    private final QuarantineFeed quarantineFeed;
+    private final CrashNews crashNews;
     private final LoadBoard loadBoard;
     private final LoadReports loadReports;
     private final RolloutAges rolloutAges;
@@ -136,6 +145,14 @@
                         InstantSource.system(),
                         peers::turn,
                         readiness::onRolloutsListed);
+        this.quarantineFeed =
+                new QuarantineFeed(
+                        gateway.crashes(),
+                        store,
+                        peers::turn,
+                        clock,
+                        readiness::onQuarantineListed);
+        gateway.crashes().onQuarantined(quarantineFeed::writeDue);
         this.callers =
                 HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
         startSideServers(storeClient, store, workers);
@@ -149,6 +166,8 @@
         if (settings.policy().uses(Mechanism.PEER_NEWS)) {
             gateway.onUnreachable(news::tell);
         }
+        this.crashNews = new CrashNews(peers::allOthers, news::tell, clock);
+        gateway.crashes().onFound(crashNews::onReport, crashNews::onAcquittal);
         this.rolloutAges = new RolloutAges(beliefs, peers::sharers, news::tell);
         this.loadReports = new LoadReports(settings.vm(), beliefs.servers(), peers, news, clock);
         // On the loop, like all that touches the store's client and the beliefs: started from this
@@ -169,6 +188,10 @@
             loadBoard.onReport(loads.vm(), loads.loads());
         } else if (message instanceof PeerMessage.Rollout rollout) {
             rolloutAges.onAge(rollout.age());
+        } else if (message instanceof PeerMessage.Crash crash) {
+            gateway.crashes().onReport(crash.report());
+        } else if (message instanceof PeerMessage.Answered answered) {
+            gateway.crashes().onAcquittal(answered.acquittal());
         }
     }
 
@@ -231,10 +254,20 @@
                         random,
                         eras,
                         serverFeed);
+        final Follower<Fingerprint> quarantine =
+                new Follower<>(
+                        loop,
+                        store,
+                        StoreKind.QUARANTINE,
+                        () -> QUARANTINE_PACE,
+                        random,
+                        eras,
+                        quarantineFeed);
         beliefs.onOrdersWanted(rollouts::refresh);
         configurations.start();
         rollouts.start();
         servers.start();
+        quarantine.start();
         loop.scheduleWithFixedDelay(
                 this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -350,6 +383,8 @@
             serverFeed.dropLapsed();
             beliefs.settle();
             rolloutFeed.writeDue();
+            crashNews.sendDue();
+            quarantineFeed.writeDue();
             readiness.update();
         } catch (final RuntimeException e) {
             // Netty cancels a periodic task that throws: without this, one fault would silently
@@ -388,6 +423,10 @@
                 "fennelstage_log_lines_dropped",
                 "Log lines dropped because the queue was full",
                 LogSetup::dropped);
+        metrics.gauge(
+                "fennelstage_gateway_quarantined_requests",
+                "Requests that are refused since they end the workers that run them",
+                () -> gateway.crashes().quarantine().size());
         metrics.gauge(
                 "fennelstage_gateway_store_returns",
                 "How often the store was seen to come back from an older copy",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -1,12 +1,17 @@
 package org.fennelstage.vm;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.fennelstage.canary.RolloutAge;
+import org.fennelstage.crash.Acquittal;
+import org.fennelstage.crash.CrashReport;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.history.Position;
@@ -39,6 +44,17 @@
                     "rollout ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([^ ]{1,95}) ([0-9]{1,18})"
                             + " ([0-9]{1,18}) ([0-9]{1,9})");
 
+    /** Id and birth of a worker, and 16 digits of each request. */
+    Pattern CRASH =
+            Pattern.compile(
+                    "crash ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})((?: [0-9a-f]{16})+)");
+
+    /** 16 digits of the request, and ids and births of workers. */
+    Pattern ANSWERED =
+            Pattern.compile(
+                    "answered ([0-9a-f]{16})"
+                            + "((?: [A-Za-z0-9][A-Za-z0-9._-]{0,95},[0-9]{1,18})+)");
+
     /**
      * A worker could not be reached.
      *
@@ -107,6 +123,54 @@
         }
     }
 
+    /**
+     * A worker ended.
+     *
+     * @param report which, and which requests it had
+     */
+    record Crash(CrashReport report) implements PeerMessage {
+
+        public Crash {
+            Objects.requireNonNull(report, "report is null");
+        }
+
+        @Override
+        public String text() {
+            final StringBuilder text = new StringBuilder("crash ");
+            text.append(report.server().server().value());
+            text.append(' ').append(report.server().bornMillis());
+            report.contents().forEach(content -> text.append(' ').append(content));
+            return text.toString();
+        }
+    }
+
+    /**
+     * A request was answered under which workers had ended.
+     *
+     * @param acquittal the request and the workers
+     */
+    record Answered(Acquittal acquittal) implements PeerMessage {
+
+        public Answered {
+            Objects.requireNonNull(acquittal, "acquittal is null");
+        }
+
+        @Override
+        public String text() {
+            final StringBuilder text = new StringBuilder("answered ");
+            text.append(acquittal.content());
+            acquittal
+                    .servers()
+                    .forEach(
+                            server ->
+                                    text.append(' ')
+                                            .append(server.server().value())
+                                            .append(',')
+                                            .append(server.bornMillis()));
+            return text.toString();
+        }
+    }
+
     /** Returns the message as it travels. */
     String text();
 
@@ -120,10 +184,7 @@
         final Matcher unreachable = UNREACHABLE.matcher(text);
         if (unreachable.matches()) {
             return Optional.of(
-                    new Unreachable(
-                            new Incarnation(
-                                    BackendServerId.of(unreachable.group(1)),
-                                    Long.parseLong(unreachable.group(2)))));
+                    new Unreachable(incarnation(unreachable.group(1), unreachable.group(2))));
         }
         final Matcher rollout = ROLLOUT.matcher(text);
         if (rollout.matches()) {
@@ -137,12 +198,44 @@
                                             Long.parseLong(rollout.group(4))),
                                     Long.parseLong(rollout.group(5)))));
         }
+        final Matcher crash = CRASH.matcher(text);
+        if (crash.matches()) {
+            final Incarnation server = incarnation(crash.group(1), crash.group(2));
+            return Optional.of(new Crash(new CrashReport(server, contents(crash.group(3)))));
+        }
+        final Matcher answered = ANSWERED.matcher(text);
+        if (answered.matches()) {
+            final Fingerprint content = Fingerprint.parse(answered.group(1));
+            return Optional.of(
+                    new Answered(new Acquittal(content, incarnations(answered.group(2)))));
+        }
         final Matcher loads = LOADS.matcher(text);
         return loads.matches()
                 ? Optional.of(new Loads(VmId.of(loads.group(1)), loads(loads.group(2))))
                 : Optional.empty();
     }
 
+    private static Incarnation incarnation(final String id, final String bornMillis) {
+        return new Incarnation(BackendServerId.of(id), Long.parseLong(bornMillis));
+    }
+
+    private static Set<Fingerprint> contents(final String words) {
+        final Set<Fingerprint> contents = new HashSet<>();
+        for (final String word : words.strip().split(" ")) {
+            contents.add(Fingerprint.parse(word));
+        }
+        return contents;
+    }
+
+    private static Set<Incarnation> incarnations(final String words) {
+        final Set<Incarnation> incarnations = new HashSet<>();
+        for (final String word : words.strip().split(" ")) {
+            final int comma = word.indexOf(',');
+            incarnations.add(incarnation(word.substring(0, comma), word.substring(comma + 1)));
+        }
+        return incarnations;
+    }
+
     private static Map<BackendServerId, Load> loads(final String entries) {
         final Map<BackendServerId, Load> loads = new HashMap<>();
         final Matcher entry = LOAD.matcher(entries);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -158,6 +158,11 @@
         return nearOthers;
     }
 
+    /** Returns where all other VMs listen. */
+    List<InetSocketAddress> allOthers() {
+        return allOthers;
+    }
+
     /** Returns where the VMs listen that tell this one their loads, and hear its own. */
     List<InetSocketAddress> sharers() {
         return allOthers.size() < MOST_TO_TELL_ALL ? allOthers : nearOthers;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
@@ -10,8 +10,9 @@
 /**
  * Whether the balancer may send callers to this VM, and the answer to its question.
  *
- * <p>Laws: a VM is ready once it knows a configuration, the workers and the roll-outs, stays so
- * while the store is away, and is never ready again once it stops. Confined to the event loop.
+ * <p>Laws: a VM is ready once it knows a configuration, the workers, the roll-outs and the requests
+ * that are refused for ending workers, stays so while the store is away, and is never ready again
+ * once it stops. Confined to the event loop.
  */
 final class Readiness implements RequestHandler {
 
@@ -23,6 +24,7 @@
     private final Beliefs beliefs;
     private boolean serversListed;
     private boolean rolloutsListed;
+    private boolean quarantineListed;
     private boolean ready;
     private boolean stopping;
 
@@ -41,6 +43,11 @@
         update();
     }
 
+    void onQuarantineListed() {
+        quarantineListed = true;
+        update();
+    }
+
     void onStopping() {
         stopping = true;
         ready = false;
@@ -49,7 +56,10 @@
     /** Becomes ready if nothing is missing any more. */
     void update() {
         final boolean knowsAll =
-                serversListed && rolloutsListed && beliefs.configuration().isPresent();
+                serversListed
+                        && rolloutsListed
+                        && quarantineListed
+                        && beliefs.configuration().isPresent();
         if (knowsAll && !ready && !stopping) {
             ready = true;
             EventLog.write(
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -32,12 +32,6 @@
  */
 final class RolloutFeed implements Follower.Listener<RolloutOrder> {
 
-    /**
-     * How long a VM waits for each VM before it in turn to write; milliseconds. A write and the
-     * news of it take some ten milliseconds.
-     */
-    private static final long TURN_MILLIS = 100;
-
     /** Turns waited for at most: a roll-out's last part may be half a second long. */
     private static final int MOST_TURNS = 4;
 
@@ -46,12 +40,11 @@
 
     private final Beliefs beliefs;
     private final Store store;
-    private final ToIntFunction<String> turnAt;
+    private final Turns<ServiceName> turns;
     private final InstantSource wallClock;
     private final Runnable afterList;
     private final Set<ServiceName> writing = new HashSet<>();
     private final Map<ServiceName, Due> due = new HashMap<>();
-    private final Map<ServiceName, Long> dueSinceMillis = new HashMap<>();
 
     RolloutFeed(
             final Beliefs beliefs,
@@ -62,7 +55,7 @@
         this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.wallClock = Objects.requireNonNull(wallClock, "wallClock is null");
-        this.turnAt = Objects.requireNonNull(turnAt, "turnAt is null");
+        this.turns = new Turns<>(turnAt, MOST_TURNS, beliefs.clock());
         this.afterList = Objects.requireNonNull(afterList, "afterList is null");
     }
 
@@ -124,6 +117,7 @@
         final Optional<RolloutPhase> phase = canary.due();
         if (phase.isEmpty()) {
             due.remove(service);
+            turns.forget(service);
             return;
         }
         final String target = canary.order().orElseThrow().target();
@@ -141,11 +135,9 @@
      */
     private boolean isOwnTurn(final ServiceName service, final Due now) {
         if (!now.equals(due.put(service, now))) {
-            dueSinceMillis.put(service, beliefs.clock().millis());
+            turns.forget(service);
         }
-        final int turns = Math.min(MOST_TURNS, turnAt.applyAsInt(now.target()));
-        final long waited = beliefs.clock().millis() - dueSinceMillis.get(service);
-        return waited >= turns * TURN_MILLIS;
+        return turns.isOwn(service, now.target());
     }
 
     private void write(final ServiceName service, final Canary canary, final RolloutPhase phase) {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/ManualStore.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/ManualStore.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.history.Position;
 
 /** A store whose answers a test gives. Confined to the thread of its test. */
@@ -51,6 +52,18 @@
         keep(answer);
     }
 
+    @Override
+    public void writeQuarantine(
+            final Fingerprint content, final Consumer<StoreAnswer<Void>> answer) {
+        keep(answer);
+    }
+
+    @Override
+    public void deleteQuarantine(
+            final Fingerprint content, final Consumer<StoreAnswer<Void>> answer) {
+        keep(answer);
+    }
+
     @SuppressWarnings({"unchecked", "rawtypes"})
     private void keep(final Consumer answer) {
         waiting.add((Consumer<StoreAnswer<?>>) answer);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -3,12 +3,18 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.NotEmpty;
 import org.fennelstage.canary.RolloutAge;
+import org.fennelstage.crash.Acquittal;
+import org.fennelstage.crash.CrashReport;
+import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.history.Position;
@@ -46,11 +52,35 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
+    @Property(tries = 200)
+    void theEndOfAWorkerIsReadWithTheRequestsThatItHad(@ForAll @NotEmpty final Set<Long> bits) {
+        final Set<Fingerprint> contents = new HashSet<>();
+        bits.forEach(b -> contents.add(new Fingerprint(b)));
+        final PeerMessage message =
+                new PeerMessage.Crash(
+                        new CrashReport(new Incarnation(BackendServerId.of("i-7"), 12), contents));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
+    @Test
+    void anAnsweredRequestIsReadWithTheEndsThatCountNoLonger() {
+        final PeerMessage message =
+                new PeerMessage.Answered(
+                        new Acquittal(
+                                new Fingerprint(-1),
+                                Set.of(
+                                        new Incarnation(BackendServerId.of("i-7"), 12),
+                                        new Incarnation(BackendServerId.of("i.8"), 0))));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
     @Property(tries = 500)
     void anyTextIsReadWithoutAnError(@ForAll final String text) {
         assertThat(PeerMessage.parse(text)).isNotNull();
         assertThat(PeerMessage.parse("loads vm " + text)).isNotNull();
         assertThat(PeerMessage.parse("unreachable " + text)).isNotNull();
         assertThat(PeerMessage.parse("rollout " + text)).isNotNull();
+        assertThat(PeerMessage.parse("crash " + text)).isNotNull();
+        assertThat(PeerMessage.parse("answered " + text)).isNotNull();
     }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -13,12 +14,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -117,12 +120,37 @@
         return call;
     }
 
-    private void connect(
+    /**
+     * Finds out whether anybody listens at an address. A connection that is accepted is kept for
+     * the next call.
+     *
+     * @param address the address
+     * @param timeout the longest wait
+     * @param use what becomes of the connection
+     * @param result takes the end
+     */
+    public void probe(
             final InetSocketAddress address,
-            final FullHttpRequest request,
-            final CallOptions options,
-            final Call call,
-            final ResponseListener listener) {
+            final Duration timeout,
+            final ConnectionUse use,
+            final Consumer<ProbeResult> result) {
+        final ChannelFuture connected = open(address, timeout);
+        connected.addListener(
+                f -> {
+                    if (f.isSuccess()) {
+                        idle.put(address, connected.channel(), Optional.empty(), use);
+                        result.accept(ProbeResult.ACCEPTED);
+                        return;
+                    }
+                    result.accept(isRefusal(f.cause()) ? ProbeResult.REFUSED : ProbeResult.SILENT);
+                });
+    }
+
+    private static boolean isRefusal(final Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
+    private ChannelFuture open(final InetSocketAddress address, final Duration timeout) {
         final ChannelFuture connected =
                 new Bootstrap()
                         .group(loop)
@@ -132,9 +160,7 @@
                         .option(KEEP_ALIVE_IDLE, KEEP_ALIVE_SECONDS)
                         .option(KEEP_ALIVE_INTERVAL, KEEP_ALIVE_SECONDS)
                         .option(KEEP_ALIVE_COUNT, KEEP_ALIVE_PROBES)
-                        .option(
-                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                                (int) options.connectTimeout().toMillis())
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
@@ -152,7 +178,22 @@
                         connectionsOpened++;
                         final Channel opened = connected.channel();
                         opened.closeFuture().addListener(c -> idle.forget(address, opened));
-                        settle(opened, address, request, options, call, listener);
+                    }
+                });
+        return connected;
+    }
+
+    private void connect(
+            final InetSocketAddress address,
+            final FullHttpRequest request,
+            final CallOptions options,
+            final Call call,
+            final ResponseListener listener) {
+        final ChannelFuture connected = open(address, options.connectTimeout());
+        connected.addListener(
+                f -> {
+                    if (f.isSuccess()) {
+                        settle(connected.channel(), address, request, options, call, listener);
                         return;
                     }
                     notSent(
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
@@ -190,4 +190,32 @@
         assertThat(third.get()).isInstanceOf(Responses.Whole.class);
         assertThat(client.connectionsOpened()).isEqualTo(2);
     }
+
+    private ProbeResult probe(final InetSocketAddress address) throws Exception {
+        final CompletableFuture<ProbeResult> result = new CompletableFuture<>();
+        final ConnectionUse use = ConnectionUse.shared();
+        client.eventLoop().execute(() -> client.probe(address, PATIENCE, use, result::complete));
+        return result.get(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void aServerThatListensIsFoundAndItsConnectionCarriesTheNextCall() throws Exception {
+        assertThat(probe(new InetSocketAddress(server.getInetAddress(), server.getLocalPort())))
+                .isEqualTo(ProbeResult.ACCEPTED);
+        final CompletableFuture<Object> end = ask(false);
+        final Socket socket = accept();
+        readHead(socket);
+        socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+        assertThat(end.get(PATIENCE.toMillis(), TimeUnit.MILLISECONDS))
+                .isInstanceOf(Responses.Whole.class);
+        assertThat(client.connectionsOpened()).isEqualTo(1);
+    }
+
+    @Test
+    void anAddressWhereNobodyListensRefuses() throws Exception {
+        final InetSocketAddress address =
+                new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        server.close();
+        assertThat(probe(address)).isEqualTo(ProbeResult.REFUSED);
+    }
 }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -51,6 +51,11 @@
     ATTEMPT_FAILED(4013, Level.INFO, "attempt ended without a whole answer"),
     ANSWER_DROPPED(4015, Level.INFO, "answer is dropped; a larger model is asked"),
     SERVER_REPORTED(4016, Level.INFO, "backend server could not be reached by another VM"),
+    SERVER_PROBED(4017, Level.INFO, "backend server was looked at after a connection broke"),
+    REQUEST_SUSPECTED(
+            4018, Level.WARNING, "backend servers ended one after the other under a request"),
+    REQUEST_QUARANTINED(4019, Level.WARNING, "request ends its backend servers and is refused now"),
+    QUARANTINE_OVER(4020, Level.INFO, "request is refused no longer"),
     REQUEST_FINISHED(4014, Level.INFO, "request reached its end"),
 
     CLAIM_UNAVAILABLE(5001, Level.WARNING, "claim could not be made; request refused"),
