A worker that says in an answer that it leaves gets no further request, at any VM

Cause: a worker's leaving was learnt from the store alone; while the store is away its entry cannot change, and the header of its answers went on to callers unread. Class: a dependency taken for the only source of a fact that its subject tells by itself.

The word of the worker now goes before every entry of the same incarnation, for good: lists, a store that comes back from a copy and the end of the doubt after it cannot overrule it, and a later life under the same id is another incarnation. Other VMs are told once by datagram.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Departures.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Departures.java
@@ -16,7 +16,13 @@
  * a worker leaves goes before the store's. The while ends: an entry that nobody renews lapses, so
  * what is still there then belongs to a worker that lives.
  *
- * <p>Law: outside that while, what the store says is taken as it is. Not thread-safe.
+ * <p>A worker that leaves also says so in its answers, at once and to whom it answers, while its
+ * entry may say it late: while the store is away it cannot be written for many seconds. Nobody
+ * knows it better, and no worker stays after it has said so; its own word therefore goes before any
+ * entry of the same incarnation, for good.
+ *
+ * <p>Law: but for a worker's own word and that while, what the store says is taken as it is. Not
+ * thread-safe.
  */
 final class Departures {
 
@@ -29,6 +35,7 @@
 
     private final MonotonicClock clock;
     private final Map<BackendServerId, Incarnation> left = RecentServers.empty();
+    private final Map<BackendServerId, Incarnation> leavingByOwnWord = RecentServers.empty();
 
     /** Entries that the store holds for workers that left, by worker. */
     private final Map<BackendServerId, ServerEntry> doubted = new HashMap<>();
@@ -49,6 +56,15 @@
         doubted.remove(incarnation.server());
     }
 
+    /**
+     * Notes that a worker said in an answer that it leaves.
+     *
+     * @return false if that is known already
+     */
+    boolean onOwnWord(final Incarnation incarnation) {
+        return !incarnation.equals(leavingByOwnWord.put(incarnation.server(), incarnation));
+    }
+
     /** Notes that the store has come back from an older copy. */
     void onStoreReplaced() {
         doubtUntilMillis = clock.millis() + DOUBT_MILLIS;
@@ -62,6 +78,9 @@
      */
     ServerEntry judge(final ServerEntry entry) {
         doubted.remove(entry.id());
+        if (entry.incarnation().equals(leavingByOwnWord.get(entry.id()))) {
+            return entry.asLeaving();
+        }
         if (entry.leaving()) {
             left.put(entry.id(), entry.incarnation());
             return entry;
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -124,6 +124,23 @@
         }
     }
 
+    /**
+     * Notes that a worker said in an answer that it leaves, to this VM or to another.
+     *
+     * @param incarnation the worker and which of its lives
+     * @return false if that was known already
+     */
+    public boolean onLeaving(final Incarnation incarnation) {
+        if (!departures.onOwnWord(incarnation)) {
+            return false;
+        }
+        find(incarnation.server())
+                .map(TrackedServer::entry)
+                .filter(entry -> entry.incarnation().equals(incarnation))
+                .ifPresent(entry -> believe(departures.judge(entry)));
+        return true;
+    }
+
     /**
      * Drops a worker whose entry cannot be understood any more, at once: whoever wrote that, the
      * entry names no worker to use, also while entries that merely vanished are kept.
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/DeparturesTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/DeparturesTest.java
@@ -42,6 +42,21 @@
         assertThat(departures.believed()).isEmpty();
     }
 
+    /**
+     * Symptom: requests reach a worker 3.3 s after it said in an answer that it leaves. Events: the
+     * store is away, and the worker's entry still calls it ready. Cause: only the store was asked.
+     */
+    @Test
+    void aWorkersOwnWordThatItLeavesGoesBeforeItsEntryForGood() {
+        assertThat(departures.onOwnWord(entry(false).incarnation())).isTrue();
+        assertThat(departures.onOwnWord(entry(false).incarnation())).isFalse();
+        assertThat(departures.judge(entry(false)).leaving()).isTrue();
+        departures.onStoreReplaced();
+        now.addAndGet(Departures.DOUBT_MILLIS);
+        assertThat(departures.judge(entry(false)).leaving()).isTrue();
+        assertThat(departures.judge(ServerTableTest.born("a", 7)).leaving()).isFalse();
+    }
+
     @Test
     void withoutAReturnTheStoresWordIsTakenAsItIs() {
         departures.judge(entry(true));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/AnswerHead.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/AnswerHead.java
@@ -11,8 +11,10 @@
  * @param trust what the worker says of the run
  * @param headers the headers that go on to the caller
  * @param confidence the model's own opinion of the answer, from 0 to 100; empty if not given
+ * @param leaving whether the worker says that it is about to stop and takes no new work
  */
-public record AnswerHead(int status, Trust trust, HttpHeaders headers, OptionalInt confidence) {
+public record AnswerHead(
+        int status, Trust trust, HttpHeaders headers, OptionalInt confidence, boolean leaving) {
 
     /** What an answer proves. */
     public enum Trust {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -154,6 +154,9 @@
         pace.onFirstByte(now() - sentMillis, promptTokens());
         final AnswerHead decoded = codec().decodeAnswer(status, headers);
         head = Optional.of(decoded);
+        if (decoded.leaving()) {
+            run.gateway().onLeaving(server);
+        }
         headMillis = now();
         setFlowing(true);
         if (decoded.isSuccess() && run.dropped(decoded)) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -40,6 +40,7 @@
     private final Policy policy;
     private final CrashWatch crashes;
     private Consumer<Incarnation> unreachableListener = id -> {};
+    private Consumer<Incarnation> leavingListener = id -> {};
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private int inFlight;
 
@@ -111,6 +112,15 @@
         unreachableListener = Objects.requireNonNull(listener, "listener is null");
     }
 
+    /**
+     * Sets who hears of workers that said in an answer that they leave.
+     *
+     * @param listener takes the worker
+     */
+    public void onLeaving(final Consumer<Incarnation> listener) {
+        leavingListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
     /**
      * Returns how many requests have no whole answer yet.
      *
@@ -193,6 +203,18 @@
         }
     }
 
+    /**
+     * Notes that a worker said that it leaves, and tells the other VMs: its entry may say so only
+     * many seconds later, and requests that are there when it stops are cut off.
+     */
+    void onLeaving(final TrackedServer server) {
+        final Incarnation incarnation = server.entry().incarnation();
+        if (beliefs.servers().onLeaving(incarnation)) {
+            EventLog.write(Event.SERVER_LEAVES, "server", incarnation, "source", "own answer");
+            leavingListener.accept(incarnation);
+        }
+    }
+
     /** Notes that a worker could not be reached, and tells the other VMs if it is at fault. */
     void onUnreachable(final TrackedServer server) {
         client.closeIdle(Sockets.address(server.entry().address()));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -167,6 +167,7 @@
             gateway.onUnreachable(news::tell);
         }
         this.crashNews = new CrashNews(peers::allOthers, news::tell, clock);
+        gateway.onLeaving(server -> news.tell(new PeerMessage.Leaving(server), peers.allOthers()));
         gateway.crashes().onFound(crashNews::onReport, crashNews::onAcquittal);
         this.rolloutAges = new RolloutAges(beliefs, peers::sharers, news::tell);
         this.loadReports = new LoadReports(settings.vm(), beliefs.servers(), peers, news, clock);
@@ -188,6 +189,8 @@
             loadBoard.onReport(loads.vm(), loads.loads());
         } else if (message instanceof PeerMessage.Rollout rollout) {
             rolloutAges.onAge(rollout.age());
+        } else if (message instanceof PeerMessage.Leaving leaving) {
+            onSaidToLeave(leaving.server());
         } else if (message instanceof PeerMessage.Crash crash) {
             gateway.crashes().onReport(crash.report());
         } else if (message instanceof PeerMessage.Answered answered) {
@@ -195,6 +198,12 @@
         }
     }
 
+    private void onSaidToLeave(final Incarnation server) {
+        if (beliefs.servers().onLeaving(server)) {
+            EventLog.write(Event.SERVER_LEAVES, "server", server, "source", "another VM");
+        }
+    }
+
     private void onReported(final Incarnation about, final double draw) {
         // What was said of a former life says nothing of the worker that started again.
         final Optional<TrackedServer> server =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -32,6 +32,9 @@
     Pattern UNREACHABLE =
             Pattern.compile("unreachable ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
 
+    /** Id and birth of a worker. */
+    Pattern LEAVING = Pattern.compile("leaving ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
+
     /** The VM that tells, and any number of loads. */
     Pattern LOADS = Pattern.compile("loads ([A-Za-z0-9][A-Za-z0-9._-]{0,95})((?: [^ ]+)*)");
 
@@ -72,6 +75,23 @@
         }
     }
 
+    /**
+     * A worker said in an answer that it leaves.
+     *
+     * @param server the worker and which of its lives
+     */
+    record Leaving(Incarnation server) implements PeerMessage {
+
+        public Leaving {
+            Objects.requireNonNull(server, "server is null");
+        }
+
+        @Override
+        public String text() {
+            return "leaving " + server.server().value() + " " + server.bornMillis();
+        }
+    }
+
     /**
      * What a VM has at the workers.
      *
@@ -198,6 +218,10 @@
                                             Long.parseLong(rollout.group(4))),
                                     Long.parseLong(rollout.group(5)))));
         }
+        final Matcher leaving = LEAVING.matcher(text);
+        if (leaving.matches()) {
+            return Optional.of(new Leaving(incarnation(leaving.group(1), leaving.group(2))));
+        }
         final Matcher crash = CRASH.matcher(text);
         if (crash.matches()) {
             final Incarnation server = incarnation(crash.group(1), crash.group(2));
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -43,6 +43,13 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
+    @Test
+    void aWorkerThatLeavesIsReadWithItsBirth() {
+        final PeerMessage message =
+                new PeerMessage.Leaving(new Incarnation(BackendServerId.of("i-7"), 12));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
     @Test
     void theAgeOfARolloutIsReadAsItWasWritten() {
         final PeerMessage message =
@@ -81,6 +88,7 @@
         assertThat(PeerMessage.parse("unreachable " + text)).isNotNull();
         assertThat(PeerMessage.parse("rollout " + text)).isNotNull();
         assertThat(PeerMessage.parse("crash " + text)).isNotNull();
+        assertThat(PeerMessage.parse("leaving " + text)).isNotNull();
         assertThat(PeerMessage.parse("answered " + text)).isNotNull();
     }
 }
