A worker that turns a request away and says for how long gets nothing from this VM for that time

Workers that are full answer 503 with the seconds after which they take requests again; a VM that had few requests there went on choosing them. Cause: the answer was taken for the end of one attempt, not for the state of its worker. An entry that lapses and comes back finds its worker as it was (LapsedServers), so the time holds through that.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -56,6 +56,7 @@
     private final Set<BackendServerId> vanished = new HashSet<>();
     private final Map<ServiceName, List<TrackedServer>> usable = new HashMap<>();
     private final Map<DataCentreId, Reachability> dataCentres = new HashMap<>();
+    private final LapsedServers lapsed = LapsedServers.empty();
     private final Births births = Births.empty();
     private final Departures departures;
     private Consumer<TrackedServer> restartListener = former -> {};
@@ -117,7 +118,10 @@
         }
         final Reachability reachability =
                 dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(clock));
-        servers.put(entry.id(), TrackedServer.of(entry, clock, reachability));
+        final Optional<TrackedServer> before = lapsed.take(entry.incarnation());
+        before.ifPresent(server -> server.update(entry));
+        servers.put(
+                entry.id(), before.orElseGet(() -> TrackedServer.of(entry, clock, reachability)));
         if (known != null) {
             known.onRestarted();
             restartListener.accept(known);
@@ -290,6 +294,7 @@
         final TrackedServer dropped = servers.remove(id);
         if (dropped != null) {
             departures.onGone(dropped.entry().incarnation());
+            lapsed.keep(dropped);
         }
         usable.clear();
     }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -1,5 +1,6 @@
 package org.fennelstage.fleet;
 
+import java.time.Duration;
 import java.util.Objects;
 import org.fennelstage.time.MonotonicClock;
 
@@ -18,12 +19,14 @@
     private boolean ended;
     private long stalledFromMillis;
     private long unreadMillis;
+    private long wantsNothingUntilMillis;
 
     private TrackedServer(
             final ServerEntry entry, final ServerHealth health, final MonotonicClock clock) {
         this.entry = entry;
         this.health = health;
         this.clock = clock;
+        this.wantsNothingUntilMillis = clock.millis();
     }
 
     /**
@@ -123,6 +126,25 @@
                 : Math.min(health.silentMillis(), clock.millis() - stalledFromMillis);
     }
 
+    /**
+     * Notes that the worker turned a request away and wants none from this VM for a time.
+     *
+     * @param time the time
+     */
+    public void onTurnedAway(final Duration time) {
+        final long until = clock.millis() + time.toMillis();
+        wantsNothingUntilMillis = Math.max(wantsNothingUntilMillis, until);
+    }
+
+    /**
+     * Returns for how long the worker wants no request from this VM.
+     *
+     * @return the time, zero if it takes requests
+     */
+    public Duration wantsNothingFor() {
+        return Duration.ofMillis(Math.max(0, wantsNothingUntilMillis - clock.millis()));
+    }
+
     /**
      * Tells whether the worker has started again since, so that this is the state of a former life.
      *
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -46,6 +47,34 @@
         assertThat(ids()).isEmpty();
     }
 
+    /**
+     * Symptom: a worker that wants nothing for some seconds gets requests meanwhile. Events: its
+     * entry lapses and is written again. Cause: the worker was begun anew with its entry.
+     */
+    @Test
+    void aWorkerWhoseEntryComesBackStillWantsNothingForTheTimeThatItSaid() {
+        table.put(entry("a", false));
+        table.usable(SERVICE).get(0).onTurnedAway(Duration.ofSeconds(5));
+        table.remove(BackendServerId.of("a"));
+        now.addAndGet(2_000);
+        table.put(entry("a", false));
+        final TrackedServer again = table.usable(SERVICE).get(0);
+        assertThat(again.wantsNothingFor()).hasSeconds(3);
+        again.onTurnedAway(Duration.ofSeconds(1));
+        assertThat(again.wantsNothingFor()).hasSeconds(3);
+        now.addAndGet(3_000);
+        assertThat(again.wantsNothingFor()).isZero();
+    }
+
+    @Test
+    void aLaterLifeOfAWorkerIsBegunAnew() {
+        table.put(entry("a", false));
+        table.usable(SERVICE).get(0).onTurnedAway(Duration.ofSeconds(5));
+        table.remove(BackendServerId.of("a"));
+        table.put(born("a", 7));
+        assertThat(table.usable(SERVICE).get(0).wantsNothingFor()).isZero();
+    }
+
     /**
      * Symptom: after a short outage of the store every request is rejected for seconds. Events: the
      * store is away, workers cannot renew, the store returns and drops their entries, the workers
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/AnswerHead.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/AnswerHead.java
@@ -1,7 +1,9 @@
 package org.fennelstage.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
@@ -12,9 +14,15 @@
  * @param headers the headers that go on to the caller
  * @param confidence the model's own opinion of the answer, from 0 to 100; empty if not given
  * @param leaving whether the worker says that it is about to stop and takes no new work
+ * @param wantsNothingFor for how long the worker wants no request from this VM, if it says so
  */
 public record AnswerHead(
-        int status, Trust trust, HttpHeaders headers, OptionalInt confidence, boolean leaving) {
+        int status,
+        Trust trust,
+        HttpHeaders headers,
+        OptionalInt confidence,
+        boolean leaving,
+        Optional<Duration> wantsNothingFor) {
 
     /** What an answer proves. */
     public enum Trust {
@@ -30,6 +38,7 @@
         Objects.requireNonNull(trust, "trust is null");
         Objects.requireNonNull(headers, "headers is null");
         Objects.requireNonNull(confidence, "confidence is null");
+        Objects.requireNonNull(wantsNothingFor, "wantsNothingFor is null");
     }
 
     boolean isSuccess() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -154,9 +154,7 @@
         pace.onFirstByte(now() - sentMillis, promptTokens());
         final AnswerHead decoded = codec().decodeAnswer(status, headers);
         head = Optional.of(decoded);
-        if (decoded.leaving()) {
-            run.gateway().onLeaving(server);
-        }
+        noteOwnWord(decoded);
         headMillis = now();
         setFlowing(true);
         if (decoded.isSuccess() && run.dropped(decoded)) {
@@ -164,6 +162,14 @@
         }
     }
 
+    /** Takes what the worker says of itself beside its answer. */
+    private void noteOwnWord(final AnswerHead decoded) {
+        if (decoded.leaving()) {
+            run.gateway().onLeaving(server);
+        }
+        decoded.wantsNothingFor().ifPresent(time -> run.gateway().onTurnedAway(server, time));
+    }
+
     @Override
     public void onContent(final ByteBuf content) {
         if (ended) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -1,6 +1,8 @@
 package org.fennelstage.gateway;
 
+import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -278,7 +280,9 @@
     }
 
     /**
-     * Returns the workers that may get a request.
+     * Returns the workers that may get a request now. One that wants nothing for a time is not
+     * among them even if it is the last: it would turn the request away, and loses by doing so the
+     * time that those lack that it has.
      *
      * @param service the service
      * @param toNew whether the request goes to the version under roll-out
@@ -288,10 +292,26 @@
         final Canary canary = canary(service);
         final List<TrackedServer> usable = servers.usable(service);
         final List<TrackedServer> admitted =
-                usable.stream().filter(s -> canary.admits(s.entry().version(), toNew)).toList();
+                usable.stream()
+                        .filter(s -> canary.admits(s.entry().version(), toNew))
+                        .filter(s -> s.wantsNothingFor().isZero())
+                        .toList();
         if (admitted.isEmpty() && toNew) {
             return candidates(service, false);
         }
         return admitted;
     }
+
+    /**
+     * Returns when the first worker takes requests again, if those of a service want none now.
+     *
+     * @param service the service
+     * @return the time until then, empty if one takes requests or there is none
+     */
+    Optional<Duration> soonestWanted(final ServiceName service) {
+        return servers.usable(service).stream()
+                .map(TrackedServer::wantsNothingFor)
+                .min(Comparator.naturalOrder())
+                .filter(wait -> !wait.isZero());
+    }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -215,6 +215,17 @@
         }
     }
 
+    /** Notes that a worker wants nothing from this VM for a time. */
+    void onTurnedAway(final TrackedServer server, final Duration time) {
+        server.onTurnedAway(time);
+        EventLog.write(
+                Event.SERVER_TURNS_AWAY,
+                "server",
+                server.entry().incarnation(),
+                "for_ms",
+                time.toMillis());
+    }
+
     /** Notes that a worker could not be reached, and tells the other VMs if it is at fault. */
     void onUnreachable(final TrackedServer server) {
         client.closeIdle(Sockets.address(server.entry().address()));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Outlook.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Outlook.java
@@ -72,6 +72,14 @@
                 : OptionalDouble.empty();
     }
 
+    /**
+     * Returns a time with up to {@link #LEAST_SPREAD_MILLIS} more, for callers refused together.
+     */
+    Duration spread(final Duration time) {
+        final double more = gateway.random().nextDouble() * LEAST_SPREAD_MILLIS;
+        return time.plusMillis(Math.round(more));
+    }
+
     /**
      * Returns when a refused caller should come back: when the work ahead will have shrunk to what
      * it waits for, and up to as long after that, since callers that are refused together must not
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -388,7 +388,15 @@
     }
 
     private void refuse(final Refusal refusal) {
-        gateway.respond(exchange, request.id(), refusal);
+        final Optional<Duration> wanted =
+                refusal.comeBack().isPresent() && service != null
+                        ? gateway.beliefs().soonestWanted(service)
+                        : Optional.empty();
+        if (wanted.isPresent()) {
+            gateway.respond(exchange, request.id(), refusal, outlook.spread(wanted.get()));
+        } else {
+            gateway.respond(exchange, request.id(), refusal);
+        }
         finish(refusal.reason(), refusal.status());
     }
 
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -52,6 +52,7 @@
     ATTEMPT_FAILED(4013, Level.INFO, "attempt ended without a whole answer"),
     ANSWER_DROPPED(4015, Level.INFO, "answer is dropped; a larger model is asked"),
     SERVER_REPORTED(4016, Level.INFO, "backend server could not be reached by another VM"),
+    SERVER_TURNS_AWAY(4021, Level.INFO, "backend server wants no request from this VM for a time"),
     SERVER_PROBED(4017, Level.INFO, "backend server was looked at after a connection broke"),
     REQUEST_SUSPECTED(
             4018, Level.WARNING, "backend servers ended one after the other under a request"),
