Workers of a new version that want nothing for a moment send nobody back to the old one

Found by reading: with all workers of the new version paused, a request meant for it went to the proven one, as if the new one had no workers; sessions would have run on both. The version is settled first, then the pause.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -292,14 +292,13 @@
         final Canary canary = canary(service);
         final List<TrackedServer> usable = servers.usable(service);
         final List<TrackedServer> admitted =
-                usable.stream()
-                        .filter(s -> canary.admits(s.entry().version(), toNew))
-                        .filter(s -> s.wantsNothingFor().isZero())
-                        .toList();
+                usable.stream().filter(s -> canary.admits(s.entry().version(), toNew)).toList();
         if (admitted.isEmpty() && toNew) {
             return candidates(service, false);
         }
-        return admitted;
+        // Only after the version is settled: workers of a new version that want nothing for a
+        // moment must not send sessions back to the old one.
+        return admitted.stream().filter(s -> s.wantsNothingFor().isZero()).toList();
     }
 
     /**
