A worker that falls silent and alone does not take connections has ended under its requests too

A crash may leave connections open without a word; the attempt was given up after its patience and nothing was held against the request. The same look at the worker decides; silence counts only where other workers of its data centre are heard, so that a cut data centre is no wave of crashes.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -168,6 +168,16 @@
         excessAtMillis = clock.millis();
     }
 
+    /**
+     * Tells whether this VM's way to the worker's data centre works, so that a worker there that
+     * does not answer is itself at fault.
+     *
+     * @return true if another worker of the data centre sent a byte a moment ago
+     */
+    public boolean isDataCentreHeard() {
+        return dataCentre.heardLately();
+    }
+
     /**
      * Returns the time since the worker last sent a byte.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -205,14 +205,19 @@
             if (!failure.keptConnection()) {
                 noteHealth(true);
             }
-            if (head.isEmpty() || begunMillis() < CrashWatch.SUSPECT_MILLIS) {
-                run.gateway().crashes().onBroken(server, run.content());
-            }
+            noteBroken();
             final String begun = head.isEmpty() ? "" : ", began " + begunMillis() + " ms before";
             fail(AttemptEnd.UNKNOWN, failure.phase() + ": " + failure.detail() + begun);
         }
     }
 
+    /** The worker may have ended, and if its answer had just begun, by this request. */
+    private void noteBroken() {
+        if (head.isEmpty() || lastByteMillis - headMillis < CrashWatch.SUSPECT_MILLIS) {
+            run.gateway().crashes().onBroken(server, run.content());
+        }
+    }
+
     /** Time since the worker began to answer. */
     private long begunMillis() {
         return now() - headMillis;
@@ -253,6 +258,7 @@
                         + silence.ownMillis()
                         + " ms, answers "
                         + silence.begunAnswers();
+        noteBroken();
         run.gateway().onSilent(server);
         run.onSilent(detail);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
@@ -30,9 +30,9 @@
  * its arrivals and all VMs ({@link CrashLedger}), and from the third on it is refused everywhere
  * ({@link Quarantine}).
  *
- * <p>A broken connection alone is no end: workers lose answers and drop connections, and links
- * break. The worker is looked at, and only one where nobody listens any more has ended. Confined to
- * the event loop.
+ * <p>A broken connection or silence alone is no end: workers lose answers and drop connections, and
+ * links break. The worker is looked at; it has ended if nobody listens there any more, or if it
+ * alone of its data centre does not answer. Confined to the event loop.
  */
 public final class CrashWatch {
 
@@ -125,7 +125,9 @@
                 : Optional.empty();
     }
 
-    /** Notes that the connection of a request broke before its answer, or a moment after. */
+    /**
+     * Notes that a request's answer broke off or fell silent before it began, or a moment after.
+     */
     void onBroken(final TrackedServer server, final Fingerprint content) {
         if (broken.add(server.entry().incarnation(), content)) {
             client.probe(
@@ -147,7 +149,9 @@
                 result,
                 "requests",
                 contents.size());
-        if (result != ProbeResult.REFUSED) {
+        final boolean aloneSilent =
+                result == ProbeResult.SILENT && server.health().isDataCentreHeard();
+        if (result != ProbeResult.REFUSED && !aloneSilent) {
             return;
         }
         endListener.accept(server);
