The watch on refused requests calls a store that is away every few seconds only

With the usual bound of 0.8 s a fourth follower would add a third to the calls of an outage, all in vain; the first list, for which a VM that starts waits, keeps that bound.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -26,11 +26,9 @@
  */
 public final class Follower<T> {
 
-    /** Bounds of the wait after a failure; full jitter, so that VMs do not return together. */
+    /** Bound of the first wait after a failure; full jitter, so that VMs do not return together. */
     private static final long FIRST_BACKOFF_MILLIS = 50;
 
-    private static final long LONGEST_BACKOFF_MILLIS = 800;
-
     /**
      * Hears of the objects.
      *
@@ -359,7 +357,8 @@
         }
         final long bound =
                 Math.min(
-                        LONGEST_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS << Math.min(failures - 1, 10));
+                        pace.get().longestBackoff().toMillis(),
+                        FIRST_BACKOFF_MILLIS << Math.min(failures - 1, 10));
         // Listed anew, not watched on: a store that cut its watches may have dropped the changes
         // that they missed, and a watch that comes in between is deaf to them.
         final int failed = round;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/WatchPace.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/WatchPace.java
@@ -10,12 +10,18 @@
  *     it
  * @param pause the pause after a watch that brought changes; changes that come together are then
  *     one call, where each would end a watch of every VM
+ * @param longestBackoff the longest wait after calls that failed; those made while the store is
+ *     away are in vain
  */
-public record WatchPace(Duration watchTime, Duration pause) {
+public record WatchPace(Duration watchTime, Duration pause, Duration longestBackoff) {
+
+    /** Suits what must be known a moment after the store's return. */
+    private static final Duration SOON = Duration.ofMillis(800);
 
     public WatchPace {
         Objects.requireNonNull(watchTime, "watchTime is null");
         Objects.requireNonNull(pause, "pause is null");
+        Objects.requireNonNull(longestBackoff, "longestBackoff is null");
     }
 
     /**
@@ -26,6 +32,16 @@
      * @return the pace
      */
     public static WatchPace ofMillis(final long waitMillis, final long pauseMillis) {
-        return new WatchPace(Duration.ofMillis(waitMillis), Duration.ofMillis(pauseMillis));
+        return new WatchPace(Duration.ofMillis(waitMillis), Duration.ofMillis(pauseMillis), SOON);
+    }
+
+    /**
+     * Returns this pace with another bound of the wait after failures.
+     *
+     * @param backoff the longest wait
+     * @return the pace
+     */
+    public WatchPace withLongestBackoff(final Duration backoff) {
+        return new WatchPace(watchTime, pause, backoff);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Objects;
@@ -78,9 +79,14 @@
 
     /**
      * Pace of the watch on requests that are refused for ending workers: the VMs tell each other at
-     * once, and the store is for those that missed it or start later.
+     * once, and the store is for those that missed it or start later. While it is away a call every
+     * few seconds finds its return.
      */
-    private static final WatchPace QUARANTINE_PACE = WatchPace.ofMillis(30_000, 0);
+    private static final WatchPace QUARANTINE_PACE =
+            WatchPace.ofMillis(30_000, 0).withLongestBackoff(Duration.ofSeconds(4));
+
+    /** Pace of that watch until its first list, for which a VM that starts waits. */
+    private static final WatchPace FIRST_QUARANTINE_PACE = WatchPace.ofMillis(30_000, 0);
 
     private static final int OK = 200;
 
@@ -268,7 +274,7 @@
                         loop,
                         store,
                         StoreKind.QUARANTINE,
-                        () -> QUARANTINE_PACE,
+                        () -> readiness.knowsQuarantine() ? QUARANTINE_PACE : FIRST_QUARANTINE_PACE,
                         random,
                         eras,
                         quarantineFeed);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
@@ -48,6 +48,10 @@
         update();
     }
 
+    boolean knowsQuarantine() {
+        return quarantineListed;
+    }
+
     void onStopping() {
         stopping = true;
         ready = false;
