--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Objects;
@@ -14,12 +13,8 @@
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 import org.fennelstage.canary.RolloutOrder;
-import org.fennelstage.crash.Fingerprint;
-import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.ServerAddress;
-import org.fennelstage.fleet.ServerEntry;
-import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.gateway.Beliefs;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
@@ -43,7 +38,6 @@
 import org.fennelstage.store.Store;
 import org.fennelstage.store.StoreKind;
 import org.fennelstage.store.VmEntry;
-import org.fennelstage.store.WatchPace;
 import org.fennelstage.time.MonotonicClock;
 
 /**
@@ -57,37 +51,6 @@
     /** How often silent workers, lapsed workers and due writes are looked for; milliseconds. */
     private static final long DUTY_MILLIS = 100;
 
-    /**
-     * Pace of the watch on the configuration. It is the one that notices a store that keeps silent,
-     * and keys that were taken away must be refused a few seconds later.
-     */
-    private static final WatchPace CONFIGURATION_PACE = WatchPace.ofMillis(2_500, 100);
-
-    /** Pace of the watch on workers: those that leave may get requests for two seconds or more. */
-    static final WatchPace SERVER_PACE = WatchPace.ofMillis(10_000, 250);
-
-    /**
-     * Pace of the watch on workers while this VM has just started. All VMs of a fleet that starts
-     * ask by themselves then, and workers register one after the other: with the usual pause 580
-     * watches of 64 VMs brought news of workers in the first three seconds, where a whole day has
-     * 2,300 to 5,300 calls. A worker that leaves in this time is still heard of within a second.
-     */
-    static final WatchPace STARTING_SERVER_PACE = WatchPace.ofMillis(10_000, 1_000);
-
-    /** Pace of the watch on roll-outs: a halt must be known at once, and is rare. */
-    private static final WatchPace ROLLOUT_PACE = WatchPace.ofMillis(10_000, 0);
-
-    /**
-     * Pace of the watch on requests that are refused for ending workers: the VMs tell each other at
-     * once, and the store is for those that missed it or start later. While it is away a call every
-     * few seconds finds its return.
-     */
-    private static final WatchPace QUARANTINE_PACE =
-            WatchPace.ofMillis(30_000, 0).withLongestBackoff(Duration.ofSeconds(4));
-
-    /** Pace of that watch until its first list, for which a VM that starts waits. */
-    private static final WatchPace FIRST_QUARANTINE_PACE = WatchPace.ofMillis(30_000, 0);
-
     private static final int OK = 200;
 
     private VmSettings settings;
@@ -100,9 +63,9 @@
     private final RolloutFeed rolloutFeed;
     private final QuarantineFeed quarantineFeed;
     private final CrashNews crashNews;
-    private final LoadBoard loadBoard;
     private final LoadReports loadReports;
     private final RolloutAges rolloutAges;
+    private final PeerInbox inbox;
     private final HttpServer callers;
     private final EraTracker eras = EraTracker.empty();
     private final Readiness readiness;
@@ -126,7 +89,7 @@
                         ownEntry(settings),
                         address -> storeAt.apply(storeClient, Sockets.address(address)),
                         beliefs::onVmCount);
-        this.loadBoard = LoadBoard.of(clock, peers::othersPerSharer);
+        final LoadBoard loadBoard = LoadBoard.of(clock, peers::othersPerSharer);
         this.gateway =
                 new Gateway(
                         beliefs,
@@ -176,50 +139,23 @@
         gateway.onLeaving(server -> news.tell(new PeerMessage.Leaving(server), peers.allOthers()));
         gateway.crashes().onFound(crashNews::onReport, crashNews::onAcquittal);
         this.rolloutAges = new RolloutAges(beliefs, peers::sharers, news::tell);
+        this.inbox = new PeerInbox(beliefs, gateway.crashes(), loadBoard, rolloutAges);
         this.loadReports = new LoadReports(settings.vm(), beliefs.servers(), peers, news, clock);
         // On the loop, like all that touches the store's client and the beliefs: started from this
         // thread, the first answers would race with the calls that are still being made.
         loop.execute(
                 () -> {
                     final boolean shared = settings.policy().uses(Mechanism.SHARED_CALLS);
-                    follow(shared ? coalesced : store, peers, random);
+                    follow(new StoreWatches(loop, shared ? coalesced : store, random, eras), peers);
+                    loop.scheduleWithFixedDelay(
+                            this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
                     peers.start(loop, store);
                     eras.onRise(() -> peers.onStoreReplaced(loop, store, random));
                 });
     }
 
     private void onMessage(final PeerMessage message, final double draw) {
-        if (message instanceof PeerMessage.Unreachable unreachable) {
-            onReported(unreachable.server(), draw);
-        } else if (message instanceof PeerMessage.Loads loads) {
-            loadBoard.onReport(loads.vm(), loads.loads());
-        } else if (message instanceof PeerMessage.Rollout rollout) {
-            rolloutAges.onAge(rollout.age());
-        } else if (message instanceof PeerMessage.Leaving leaving) {
-            onSaidToLeave(leaving.server());
-        } else if (message instanceof PeerMessage.Crash crash) {
-            gateway.crashes().onReport(crash.report());
-        } else if (message instanceof PeerMessage.Answered answered) {
-            gateway.crashes().onAcquittal(answered.acquittal());
-        }
-    }
-
-    private void onSaidToLeave(final Incarnation server) {
-        if (beliefs.servers().onLeaving(server)) {
-            EventLog.write(Event.SERVER_LEAVES, "server", server, "source", "another VM");
-        }
-    }
-
-    private void onReported(final Incarnation about, final double draw) {
-        // What was said of a former life says nothing of the worker that started again.
-        final Optional<TrackedServer> server =
-                beliefs.servers()
-                        .find(about.server())
-                        .filter(s -> s.entry().incarnation().equals(about));
-        if (server.isPresent()) {
-            final boolean believed = server.get().health().onHearsay(draw);
-            EventLog.write(Event.SERVER_REPORTED, "server", about, "believed", believed);
-        }
+        inbox.take(message, draw);
     }
 
     private void startSideServers(
@@ -241,50 +177,32 @@
         }
     }
 
-    private void follow(final Store store, final Peers peers, final RandomGenerator random) {
-        final Follower<ServingConfiguration> configurations =
-                new Follower<>(
-                        loop,
-                        store,
-                        StoreKind.CONFIGURATION,
-                        () -> CONFIGURATION_PACE,
-                        random,
-                        eras,
-                        new ConfigurationFeed(beliefs));
+    private void follow(final StoreWatches watches, final Peers peers) {
         final Follower<RolloutOrder> rollouts =
-                new Follower<>(
-                        loop,
-                        store,
-                        StoreKind.ROLLOUTS,
-                        () -> ROLLOUT_PACE,
-                        random,
-                        eras,
-                        rolloutFeed);
-        final Follower<ServerEntry> servers =
-                new Follower<>(
-                        loop,
-                        store,
-                        StoreKind.SERVERS,
-                        () -> peers.hasJustStarted() ? STARTING_SERVER_PACE : SERVER_PACE,
-                        random,
-                        eras,
-                        serverFeed);
-        final Follower<Fingerprint> quarantine =
-                new Follower<>(
-                        loop,
-                        store,
-                        StoreKind.QUARANTINE,
-                        () -> readiness.knowsQuarantine() ? QUARANTINE_PACE : FIRST_QUARANTINE_PACE,
-                        random,
-                        eras,
-                        quarantineFeed);
+                watches.of(StoreKind.ROLLOUTS, () -> StoreWatches.ROLLOUT_PACE, rolloutFeed);
         beliefs.onOrdersWanted(rollouts::refresh);
-        configurations.start();
+        watches.of(
+                        StoreKind.CONFIGURATION,
+                        () -> StoreWatches.CONFIGURATION_PACE,
+                        new ConfigurationFeed(beliefs))
+                .start();
         rollouts.start();
-        servers.start();
-        quarantine.start();
-        loop.scheduleWithFixedDelay(
-                this::performDuties, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
+        watches.of(
+                        StoreKind.SERVERS,
+                        () ->
+                                peers.hasJustStarted()
+                                        ? StoreWatches.STARTING_SERVER_PACE
+                                        : StoreWatches.SERVER_PACE,
+                        serverFeed)
+                .start();
+        watches.of(
+                        StoreKind.QUARANTINE,
+                        () ->
+                                readiness.knowsQuarantine()
+                                        ? StoreWatches.QUARANTINE_PACE
+                                        : StoreWatches.FIRST_QUARANTINE_PACE,
+                        quarantineFeed)
+                .start();
     }
 
     /**
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/StartingFleetTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/StartingFleetTest.java
@@ -122,11 +122,11 @@
      */
     @Test
     void aVmThatStartsWatchesWorkersLessOften() {
-        assertThat(callsWhileStarting(GatewayVm.STARTING_SERVER_PACE)).isLessThanOrEqualTo(5);
+        assertThat(callsWhileStarting(StoreWatches.STARTING_SERVER_PACE)).isLessThanOrEqualTo(5);
     }
 
     @Test
     void withTheUsualPaceItMakesMoreThanTwiceAsMany() {
-        assertThat(callsWhileStarting(GatewayVm.SERVER_PACE)).isGreaterThan(12);
+        assertThat(callsWhileStarting(StoreWatches.SERVER_PACE)).isGreaterThan(12);
     }
 }
