--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
@@ -41,8 +41,8 @@
 
     /**
      * When sessions join, as a part of the roll-out's time: half of it, and as much after it as VMs
-     * may differ in their view of the time passed (0.8 s of 16 s). Before, 4 to 11 sessions changed
-     * their version in the first half on a day with 64 VMs; it can be none now.
+     * may differ in their view of the time passed, so that none joins in the first half by
+     * anybody's clock.
      */
     private static final double SESSIONS_FROM = 0.55;
 
@@ -52,8 +52,7 @@
     /**
      * How long before the end of the time the completion is written; milliseconds. Whoever gave the
      * order has to read it in time, VMs write it one after the other, and hear of the order some
-     * time after it was given. With two fifths of the move left, 0.5 to 0.7 s, good versions
-     * counted as late on five of sixteen days with one.
+     * time after it was given. Written later, good versions count as late.
      */
     private static final long TO_SPARE_MILLIS = 750;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
@@ -26,7 +26,7 @@
 
     /**
      * Workers that may end under a request before it is refused. Two may be bad luck: in a wave of
-     * crashes one request in ten is sent from one worker that ends to another.
+     * crashes some requests are sent from one worker that ends to another.
      */
     public static final int MOST_CRASHES = 3;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ConnectionShare.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ConnectionShare.java
@@ -5,9 +5,8 @@
  *
  * <p>A worker accepts a number of connections from all VMs together and resets what goes beyond it.
  * What VMs keep adds up over the fleet while calls under way do not: those are bounded by what the
- * worker works on. With 16 kept by each, 64 VMs kept up to 1,024 at a worker that takes 440; in 20
- * s of a day 417 connections were reset, and 413 of 2,121 calls that may run once ended with their
- * outcome unknown.
+ * worker works on. Kept without regard to the other VMs, they fill a worker by themselves; it
+ * resets new ones, and calls that may run once end with their outcome unknown.
  *
  * <p>Law: what all VMs keep stays within {@link #KEPT_PART} of what the worker accepts, as long as
  * each knows of all others. Immutable and thread-safe.
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -26,8 +26,8 @@
  * around an outage stays until {@link #LAPSE_GRACE_MILLIS} after the store's return, and is dropped
  * then unless it came back. At any other time a vanished entry is dropped at once; also after a
  * call that failed on the way while the store itself was well, since its workers could renew their
- * entries all the time. Taken for an outage, a lost way let a worker that had left get requests for
- * 3.3 s.
+ * entries all the time. Taken for an outage, a lost way lets a worker that has left get requests
+ * for as long as the grace.
  *
  * <p>A store that comes back from an older copy says less and other than it did: entries written
  * since are missing until their workers write again, which is as if they had lapsed, and workers
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -27,8 +27,8 @@
  * random weight of the part. So a part that everybody asks for spreads over as many workers as its
  * load needs, and no further.
  *
- * <p>Answers the load of long prompts beside short ones: a caption of 800 tokens waited for 5 s
- * behind prompts of 12,000 and more that other VMs had sent to the same worker.
+ * <p>Answers the load of long prompts beside short ones, which would wait behind those that other
+ * VMs had sent to the same worker.
  *
  * <p>Few workers are compared for each request: those that likely hold the shared part, and some
  * drawn at random.
@@ -41,18 +41,14 @@
     /**
      * How often the saved time counts at the worker of the highest weight, and at the second, which
      * gets what is too much for the first. More than once, since others gain as well: while a
-     * prompt is read all that run there wait, and what is read again is paid for. In a model of 13
-     * engines with 85 requests a second, counted 1, 2, 4 and 8 times: 13.3, 13.0, 12.8 and 12.4
-     * million tokens read in 30 s; 99 of 100 captions began within 1.15, 0.98, 0.79 and 0.80 s.
+     * prompt is read all that run there wait, and what is read again is paid for.
      */
     private static final double[] MEMORY_WORTH = {6, 3};
 
     /**
      * Workers that are compared beside those that likely hold the shared part, drawn anew for each
      * request. What other VMs have is known with a delay: if all compared all workers, the one that
-     * was idle a moment ago would get the next request of each VM. In a model of 64 VMs and 130
-     * engines 99 of 100 long prompts began within 2.8 s with all compared, 2.6 s without news of
-     * other VMs, and 1.95 s with three; two and four differ by less than the seeds do.
+     * was idle a moment ago would get the next request of each VM.
      */
     private static final int DRAWN = 3;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/sizing/SizePlan.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/sizing/SizePlan.java
@@ -19,10 +19,8 @@
  * will likely do is asked, as far as the opinion tells ({@link Opinions}); the largest if none
  * will.
  *
- * <p>On a calm day at 80 model requests a second asking the smallest first took the price of models
- * from 13.6 to 7.3 parts in 100 of what callers are served, with the small model first on two of
- * three routes, and the worth of their answers from 0.980 to 0.979 and 0.996 to 0.981; the time to
- * the first event at the median fell from 174 to 129 ms.
+ * <p>It gains the price of the large models where a small one will do, and their time for requests
+ * that need them, at a little worth of the answers that a small model takes for good.
  *
  * <p>Not thread-safe.
  */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
@@ -26,18 +26,15 @@
  *
  * <p>Each call to the store is paid for, and each change ends a watch of every VM that watches by
  * itself. All VMs of a data centre therefore ask the same VM, which makes calls that are alike only
- * once. The answers are the store's own, so nothing has to be reconciled. On a day with many
- * troubles a fleet of 16 VMs made 1,671 calls in a minute with every VM asking by itself, and 931
- * with this.
+ * once. The answers are the store's own, so nothing has to be reconciled.
  *
  * <p>A VM that stands still or is cut off answers nothing and breaks no connection; those that
  * depend on it would miss what the store tells everybody else. The watch on the configuration is
  * therefore kept short through another VM: when it is not answered in time, that VM is left out and
  * all other calls that wait for it fail at once. A VM that only cannot carry an answer to all who
- * asked is well: taken for one that fails, each change of a large configuration made all VMs leave
- * it and list anew at the next, 525 times on a day of 79 VMs, and the configuration was up to 4.4 s
- * old where 3 s are allowed. Invariant: every call gets exactly one answer. Confined to one event
- * loop.
+ * asked is well: taken for one that fails, each change of a large configuration would make all VMs
+ * leave it and list anew at the next, and the configuration would be old for longer than it may be.
+ * Invariant: every call gets exactly one answer. Confined to one event loop.
  */
 public final class CoalescedStore implements Store {
 
@@ -61,7 +58,7 @@
      * How long lists are asked of the store itself after a VM kept silent or could not carry an
      * answer to all; milliseconds. After a silence most of the time that news may take is spent
      * then, and the next VM may be as silent: a cut takes many at once. Asked of it, the list could
-     * wait for another 0.8 s, 3.3 s in all where 3 s are allowed.
+     * wait for another time-out, longer in all than news may take.
      */
     static final long DIRECT_MILLIS = 1_000;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -277,8 +277,7 @@
         }
         if (answer instanceof StoreAnswer.TooLarge<Page<T>>) {
             // A list holds the present state alone. A watch brings every version in between, so
-            // that a VM with a slow link which has fallen behind falls behind further: one of 79
-            // VMs got three large versions together, 4.3 s after the first VM had them.
+            // that a VM with a slow link which has fallen behind falls behind further.
             listAnew();
             return;
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
@@ -23,8 +23,8 @@
 final class LoadReports {
 
     /**
-     * Reports that a VM hears in a second; each takes it some 30 us and 400 bytes, so 1 to 2 parts
-     * in 1,000 of its processor.
+     * Reports that a VM hears in a second: they take it a part or two in a thousand of its
+     * processor.
      */
     private static final int HEARD_PER_SECOND = 40;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -68,9 +68,9 @@
     private static final int MOST_TO_TELL_ALL = 16;
 
     /**
-     * VMs in a data centre from which on one of them asks the store for all. Through one VM that is
-     * 0.8 to 1.7 calls a second, most of them for the liveness watch, and one for each change; a VM
-     * that asks by itself makes 0.6 a second and one for each change.
+     * VMs in a data centre from which on one of them asks the store for all. The short watch by
+     * which that VM's silence is noticed costs as many calls as the watches of two or three VMs
+     * that ask by themselves.
      */
     private static final int LEAST_TO_COALESCE = 4;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutAges.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutAges.java
@@ -24,7 +24,7 @@
 
     /**
      * How often the age is told; milliseconds. A VM that starts waits for its first word this long
-     * at most; a VM among 22 hears some 40 words a second, each of 30 us, while a roll-out runs.
+     * at most; what all VMs hear of it meanwhile takes them a part in a thousand of their time.
      */
     private static final long PERIOD_MILLIS = 500;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
@@ -29,9 +29,9 @@
 
     /**
      * Pace of the watch on workers while this VM has just started. All VMs of a fleet that starts
-     * ask by themselves then, and workers register one after the other: with the usual pause 580
-     * watches of 64 VMs brought news of workers in the first three seconds, where a whole day has
-     * 2,300 to 5,300 calls. A worker that leaves in this time is still heard of within a second.
+     * ask by themselves then, and workers register one after the other: with the usual pause each
+     * VM would call for nearly each of them. A worker that leaves in this time is still heard of
+     * within a second.
      */
     static final WatchPace STARTING_SERVER_PACE = WatchPace.ofMillis(10_000, 1_000);
 
