A broken attempt has its worker looked at once; undecided requests come back soon; refusals have a class of their own

Found on reading the change: an attempt that stays at a silent worker had it looked at each tenth of a second; a request refused while its workers were still being looked at was told to come back in ten minutes. The hex text of a content needs no formatter.

--- a/fennelstage-core/src/main/java/org/fennelstage/crash/Fingerprint.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/Fingerprint.java
@@ -2,6 +2,7 @@
 
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.HexFormat;
 import java.util.Objects;
 import java.util.regex.Pattern;
 
@@ -55,6 +56,6 @@
 
     @Override
     public String toString() {
-        return String.format("%016x", bits);
+        return HexFormat.of().toHexDigits(bits);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -75,6 +75,7 @@
     private int eventCount;
     private boolean read;
     private boolean flowing;
+    private boolean brokenNoted;
     private boolean ended;
 
     Attempt(
@@ -211,8 +212,15 @@
         }
     }
 
-    /** The worker may have ended, and if its answer had just begun, by this request. */
+    /**
+     * The worker may have ended, and if its answer had just begun, by this request. Noted once: an
+     * attempt that stays at a silent worker would have it looked at several times a second.
+     */
     private void noteBroken() {
+        if (brokenNoted) {
+            return;
+        }
+        brokenNoted = true;
         if (head.isEmpty() || lastByteMillis - headMillis < CrashWatch.SUSPECT_MILLIS) {
             run.gateway().crashes().onBroken(server, run.content());
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
@@ -46,6 +46,9 @@
     /** A machine in the same region answers in milliseconds, also where nobody listens. */
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
 
+    /** When a request may come back while it is not known yet whether its workers have ended. */
+    private static final Duration UNTIL_DECIDED = PROBE_TIMEOUT.multipliedBy(2);
+
     /** The probe's connection may carry the next request. */
     private static final ConnectionUse KEPT =
             new ConnectionUse(Duration.ofSeconds(4), 1, Duration.ZERO);
@@ -120,9 +123,7 @@
             return left;
         }
         final int ends = ledger.crashes(content) + broken.count(content);
-        return ends >= CrashLedger.MOST_CRASHES
-                ? Optional.of(Quarantine.LIFETIME)
-                : Optional.empty();
+        return ends >= CrashLedger.MOST_CRASHES ? Optional.of(UNTIL_DECIDED) : Optional.empty();
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -48,6 +48,7 @@
     private final RequestLog log;
     private final ModelChoice models;
     private final Outlook outlook;
+    private final RefusedAnswer refused;
     private final long arrivedMillis;
     private final long deadlineMillis;
     private final CallerAnswer answer;
@@ -76,6 +77,7 @@
         this.log = new RequestLog(request, content, route, configuration.version(), attempts);
         this.models = ModelChoice.of(route, gateway);
         this.outlook = new Outlook(gateway, request);
+        this.refused = new RefusedAnswer(gateway, exchange, request.id(), outlook, log);
         this.arrivedMillis = now();
         final Duration allowed =
                 request.deadline()
@@ -115,23 +117,19 @@
         }
     }
 
-    /** Says when the work that is ahead now will have shrunk to what a caller waits for. */
     private void refuseHopeless(final double waitMillis) {
-        log.hopeless(Math.round(waitMillis), remaining().toMillis());
-        final Duration comeBack = outlook.comeBack(waitMillis, remaining());
-        gateway.respond(exchange, request.id(), Refusal.NO_ROOM, comeBack);
-        finish(Refusal.NO_ROOM.reason(), Refusal.NO_ROOM.status());
+        refused.hopeless(waitMillis, remaining());
+        finish(Refusal.NO_ROOM);
     }
 
-    /** Says when it may be asked again; a worker that had it before may have run it. */
+    /** A worker that had the request before may have run it. */
     private void refuseQuarantined(final Duration left) {
         if (answer.started() || attempts.mayHaveRun()) {
             giveUp();
             return;
         }
-        log.quarantined(left);
-        gateway.respond(exchange, request.id(), Refusal.QUARANTINED, left);
-        finish(Refusal.QUARANTINED.reason(), Refusal.QUARANTINED.status());
+        refused.quarantined(left);
+        finish(Refusal.QUARANTINED);
     }
 
     /**
@@ -388,15 +386,11 @@
     }
 
     private void refuse(final Refusal refusal) {
-        final Optional<Duration> wanted =
-                refusal.comeBack().isPresent() && service != null
-                        ? gateway.beliefs().soonestWanted(service)
-                        : Optional.empty();
-        if (wanted.isPresent()) {
-            gateway.respond(exchange, request.id(), refusal, outlook.spread(wanted.get()));
-        } else {
-            gateway.respond(exchange, request.id(), refusal);
-        }
+        refused.plain(refusal, Optional.ofNullable(service));
+        finish(refusal);
+    }
+
+    private void finish(final Refusal refusal) {
         finish(refusal.reason(), refusal.status());
     }
 
