A worker that takes a last connection while it ends has ended all the same

Traced by its log: the look at the fourth worker was answered ACCEPTED one millisecond after the connection broke, since the process still listened while it closed its connections, and that end was not counted. The probe's connection now has to stand for 50 ms, and one that is closed at once is looked at again; a worker with as many connections as it accepts stays one that goes on.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
@@ -49,9 +49,12 @@
     /** When a request may come back while it is not known yet whether its workers have ended. */
     private static final Duration UNTIL_DECIDED = PROBE_TIMEOUT.multipliedBy(2);
 
-    /** The probe's connection may carry the next request. */
+    /**
+     * The probe's connection may carry the next request. It must stand for a moment: a process that
+     * ends may close its connections before it stops to listen, and takes a last one meanwhile.
+     */
     private static final ConnectionUse KEPT =
-            new ConnectionUse(Duration.ofSeconds(4), 1, Duration.ZERO);
+            new ConnectionUse(Duration.ofSeconds(4), 1, Duration.ofMillis(50));
 
     private final HttpClient client;
     private final CrashLedger ledger;
@@ -131,11 +134,20 @@
      */
     void onBroken(final TrackedServer server, final Fingerprint content) {
         if (broken.add(server.entry().incarnation(), content)) {
-            client.probe(
-                    Sockets.address(server.entry().address()),
-                    PROBE_TIMEOUT,
-                    KEPT,
-                    result -> onProbed(server, result));
+            probe(server, result -> onFirstProbe(server, result));
+        }
+    }
+
+    private void probe(final TrackedServer server, final Consumer<ProbeResult> result) {
+        client.probe(Sockets.address(server.entry().address()), PROBE_TIMEOUT, KEPT, result);
+    }
+
+    /** One that turned the connection away is full or about to end; a second look tells. */
+    private void onFirstProbe(final TrackedServer server, final ProbeResult result) {
+        if (result == ProbeResult.TURNED_AWAY) {
+            probe(server, second -> onProbed(server, second));
+        } else {
+            onProbed(server, result);
         }
     }
 
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -138,14 +138,27 @@
         connected.addListener(
                 f -> {
                     if (f.isSuccess()) {
-                        idle.put(address, connected.channel(), Optional.empty(), use);
-                        result.accept(ProbeResult.ACCEPTED);
+                        final Channel opened = connected.channel();
+                        loop.schedule(
+                                () -> onSettled(opened, address, use, result),
+                                use.settling().toNanos(),
+                                TimeUnit.NANOSECONDS);
                         return;
                     }
                     result.accept(isRefusal(f.cause()) ? ProbeResult.REFUSED : ProbeResult.SILENT);
                 });
     }
 
+    private void onSettled(
+            final Channel opened,
+            final InetSocketAddress address,
+            final ConnectionUse use,
+            final Consumer<ProbeResult> result) {
+        final boolean stands = opened.isActive();
+        idle.put(address, opened, Optional.empty(), use);
+        result.accept(stands ? ProbeResult.ACCEPTED : ProbeResult.TURNED_AWAY);
+    }
+
     private static boolean isRefusal(final Throwable cause) {
         return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
@@ -211,6 +211,24 @@
         assertThat(client.connectionsOpened()).isEqualTo(1);
     }
 
+    @Test
+    void aServerThatClosesAProbesConnectionAtOnceTurnsItAway() throws Exception {
+        final CompletableFuture<ProbeResult> result = new CompletableFuture<>();
+        final ConnectionUse settling = new ConnectionUse(PATIENCE, 1, Duration.ofMillis(300));
+        client.eventLoop()
+                .execute(
+                        () ->
+                                client.probe(
+                                        new InetSocketAddress(
+                                                server.getInetAddress(), server.getLocalPort()),
+                                        PATIENCE,
+                                        settling,
+                                        result::complete));
+        accept().close();
+        assertThat(result.get(PATIENCE.toMillis(), TimeUnit.MILLISECONDS))
+                .isEqualTo(ProbeResult.TURNED_AWAY);
+    }
+
     @Test
     void anAddressWhereNobodyListensRefuses() throws Exception {
         final InetSocketAddress address =
