A connection that is reset before it is noticed was turned away, not out of reach

The reset had come before the event loop looked at the connection; connecting then fails with a reset instead of a refusal. Such a worker has as many connections as it accepts and is well; taken for out of reach it gets nothing for a while, and the look at a worker after a broken run could take it for ended. The test is unchanged.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
@@ -145,7 +147,7 @@
                                 TimeUnit.NANOSECONDS);
                         return;
                     }
-                    result.accept(isRefusal(f.cause()) ? ProbeResult.REFUSED : ProbeResult.SILENT);
+                    result.accept(resultOf(f.cause()));
                 });
     }
 
@@ -159,8 +161,24 @@
         result.accept(stands ? ProbeResult.ACCEPTED : ProbeResult.TURNED_AWAY);
     }
 
-    private static boolean isRefusal(final Throwable cause) {
-        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    private static ProbeResult resultOf(final Throwable cause) {
+        if (wasReset(cause)) {
+            return ProbeResult.TURNED_AWAY;
+        }
+        final boolean refused =
+                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        return refused ? ProbeResult.REFUSED : ProbeResult.SILENT;
+    }
+
+    /**
+     * Tells whether the server took the connection and reset it before this process had noticed
+     * that it stands. Such a server is as well as one that resets it a moment later; taken for one
+     * out of reach, it would get no request for a while.
+     */
+    private static boolean wasReset(final Throwable cause) {
+        return cause instanceof SocketException
+                && !(cause instanceof ConnectException)
+                && !(cause instanceof NoRouteToHostException);
     }
 
     private ChannelFuture open(final InetSocketAddress address, final Duration timeout) {
@@ -210,7 +228,9 @@
                         return;
                     }
                     notSent(
-                            CallFailure.Phase.NOT_SENT,
+                            wasReset(f.cause())
+                                    ? CallFailure.Phase.TURNED_AWAY
+                                    : CallFailure.Phase.NOT_SENT,
                             "cannot connect to " + address,
                             request,
                             call,
