One check for a request in quarantine; an answer to a request without ends allocates nothing

RequestRun held the same five lines twice, before the first attempt and before each one; CrashLedger made a set for every answer though nearly no request has lost a worker.

--- a/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
@@ -85,14 +85,17 @@
      * @return the ends that are cleared by it, for the other VMs; none if none counted
      */
     public Set<Incarnation> onAnswered(final Fingerprint content) {
+        final Map<Incarnation, Mark> known = marks.get(content);
+        if (known == null) {
+            return Set.of();
+        }
         final Set<Incarnation> cleared = new HashSet<>();
-        marks.getOrDefault(content, Map.of())
-                .forEach(
-                        (server, mark) -> {
-                            if (!mark.cleared()) {
-                                cleared.add(server);
-                            }
-                        });
+        known.forEach(
+                (server, mark) -> {
+                    if (!mark.cleared()) {
+                        cleared.add(server);
+                    }
+                });
         clear(new Acquittal(content, cleared));
         return cleared;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -94,9 +94,7 @@
             return;
         }
         exchange.onWritable(() -> open.ifPresent(a -> a.pause(false)));
-        final Optional<Duration> quarantine = gateway.crashes().refusal(content);
-        if (quarantine.isPresent()) {
-            refuseQuarantined(quarantine.get());
+        if (refusedAsQuarantined()) {
             return;
         }
         timer = Optional.of(schedule(this::onDeadline, remaining().toMillis()));
@@ -122,6 +120,13 @@
         finish(Refusal.NO_ROOM);
     }
 
+    /** Tells whether the request ends its workers and is refused for that. */
+    private boolean refusedAsQuarantined() {
+        final Optional<Duration> left = gateway.crashes().refusal(content);
+        left.ifPresent(this::refuseQuarantined);
+        return left.isPresent();
+    }
+
     /** A worker that had the request before may have run it. */
     private void refuseQuarantined(final Duration left) {
         if (answer.started() || attempts.mayHaveRun()) {
@@ -284,9 +289,7 @@
     }
 
     private void attempt() {
-        final Optional<Duration> quarantine = gateway.crashes().refusal(content);
-        if (quarantine.isPresent()) {
-            refuseQuarantined(quarantine.get());
+        if (refusedAsQuarantined()) {
             return;
         }
         final List<TrackedServer> candidates = candidates();
