Decision code for evacuations and cold workers, not in use yet

WarmUpShares: the requests a cold worker stands in a second, divided by the VMs without a message (what the division leaves over goes to the VMs of the highest random weight). Sums: 6 VMs, 17 a second: 5 with 3 and 1 with 2; 90 and 300 VMs: 17 with 1 each. Eligibility: one place that says whether a worker may get a request now, and when it may again.

Ways weighed for cold workers: a share of the rate by VMs in sight (chosen, since its sum holds for any arrival and without a message); loads told between VMs (half a second old, and a VM cut off hears none: 90 VMs see the same empty worker); one VM that warms a worker for all (its failure leaves the worker cold, and it has too few requests of its own: 4 a second of 17). Property tests: shares add up; any arrival stays within the second's bound; VMs that miss a third of the fleet stay within 1.5 times plus 5.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerEntry.java
@@ -1,5 +1,6 @@
 package org.fennelstage.fleet;
 
+import java.time.Duration;
 import java.util.Objects;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
@@ -16,6 +17,8 @@
  * @param version the version of its software, which a roll-out changes
  * @param capacity how many requests it works on at once
  * @param leaving whether it is about to stop and takes no new work
+ * @param warmUpLeft how long the worker stays cold, counted from when it wrote this; zero if it is
+ *     warm
  * @param position where in the store's history this was written
  */
 public record ServerEntry(
@@ -26,6 +29,7 @@
         String version,
         int capacity,
         boolean leaving,
+        Duration warmUpLeft,
         Position position) {
 
     public ServerEntry {
@@ -34,9 +38,43 @@
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(dataCentre, "dataCentre is null");
         Objects.requireNonNull(version, "version is null");
+        Objects.requireNonNull(warmUpLeft, "warmUpLeft is null");
         Objects.requireNonNull(position, "position is null");
     }
 
+    /**
+     * Creates the entry of a warm worker.
+     *
+     * @param incarnation the worker and which of its lives this is
+     * @param service what it serves
+     * @param address where it listens
+     * @param dataCentre where it stands
+     * @param version the version of its software
+     * @param capacity how many requests it works on at once
+     * @param leaving whether it is about to stop
+     * @param position where in the store's history this was written
+     */
+    public ServerEntry(
+            final Incarnation incarnation,
+            final ServiceName service,
+            final ServerAddress address,
+            final DataCentreId dataCentre,
+            final String version,
+            final int capacity,
+            final boolean leaving,
+            final Position position) {
+        this(
+                incarnation,
+                service,
+                address,
+                dataCentre,
+                version,
+                capacity,
+                leaving,
+                Duration.ZERO,
+                position);
+    }
+
     /**
      * Returns the worker's id, which outlives its incarnations.
      *
@@ -53,6 +91,14 @@
      */
     ServerEntry asLeaving() {
         return new ServerEntry(
-                incarnation, service, address, dataCentre, version, capacity, true, position);
+                incarnation,
+                service,
+                address,
+                dataCentre,
+                version,
+                capacity,
+                true,
+                warmUpLeft,
+                position);
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -59,6 +59,7 @@
     private long pausedUntilMillis;
     private long lastSignMillis;
     private long hearsayUntilMillis = Long.MIN_VALUE;
+    private long outOfReachMillis = Long.MIN_VALUE / 2;
 
     private ServerHealth(final MonotonicClock clock, final Reachability dataCentre) {
         this.clock = clock;
@@ -123,6 +124,7 @@
         final boolean ofThisWorkerAlone = dataCentre.heardLately();
         final long pause = FIRST_PAUSE_MILLIS << Math.min(unreachable, 2);
         unreachable++;
+        outOfReachMillis = clock.millis();
         dataCentre.onUnreachable();
         pausedUntilMillis = clock.millis() + Math.min(pause, LONGEST_PAUSE_MILLIS);
         return ofThisWorkerAlone;
@@ -150,6 +152,9 @@
 
     /** Notes that a byte came from the worker. */
     public void onSign() {
+        if (unreachable > 0) {
+            outOfReachMillis = clock.millis();
+        }
         unreachable = 0;
         hearsayUntilMillis = Long.MIN_VALUE;
         dataCentre.onSign();
@@ -187,6 +192,15 @@
         return clock.millis() - lastSignMillis;
     }
 
+    /**
+     * Returns the time since the worker was out of reach. It may have started again meanwhile.
+     *
+     * @return milliseconds since the last failure, or since the first byte after it
+     */
+    public long backMillis() {
+        return clock.millis() - outOfReachMillis;
+    }
+
     /** It, or its data centre, could not be reached, and no byte has come since. */
     private boolean doubtful() {
         return unreachable > 0 || dataCentre.doubtful();
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -202,6 +202,15 @@
         storeAway = true;
     }
 
+    /**
+     * Tells whether the store cannot be reached, so that nothing is heard of workers.
+     *
+     * @return true from the first list that failed to the first answer
+     */
+    public boolean isStoreAway() {
+        return storeAway;
+    }
+
     /** Notes that the store answers again. */
     public void onStoreBack() {
         final long awayMillis = clock.millis() - awaySinceMillis;
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -11,6 +11,13 @@
  */
 public final class TrackedServer {
 
+    /**
+     * Longer than the second in which a cold worker counts its requests, by the longest time that a
+     * request may take to get a connection: two that this VM sends as far apart as that never
+     * arrive within one second of each other.
+     */
+    static final long WARM_UP_WINDOW_MILLIS = 1_200;
+
     private final ServerHealth health;
     private final MonotonicClock clock;
     private ServerEntry entry;
@@ -20,6 +27,8 @@
     private long stalledFromMillis;
     private long unreadMillis;
     private long wantsNothingUntilMillis;
+    private long coldUntilMillis;
+    private long lastBeginMillis;
 
     private TrackedServer(
             final ServerEntry entry, final ServerHealth health, final MonotonicClock clock) {
@@ -27,6 +36,8 @@
         this.health = health;
         this.clock = clock;
         this.wantsNothingUntilMillis = clock.millis();
+        this.coldUntilMillis = clock.millis() + entry.warmUpLeft().toMillis();
+        this.lastBeginMillis = clock.millis() - WARM_UP_WINDOW_MILLIS;
     }
 
     /**
@@ -75,6 +86,7 @@
      * @param readMillis how long the worker takes to read its prompt; milliseconds
      */
     public void begin(final long readMillis) {
+        lastBeginMillis = clock.millis();
         running++;
         unreadMillis += readMillis;
     }
@@ -145,6 +157,41 @@
         return Duration.ofMillis(Math.max(0, wantsNothingUntilMillis - clock.millis()));
     }
 
+    /**
+     * Notes that the worker may have become cold without a word of it in its entry yet.
+     *
+     * @param time how long it may stay cold
+     */
+    public void onMaybeCold(final Duration time) {
+        coldUntilMillis = Math.max(coldUntilMillis, clock.millis() + time.toMillis());
+    }
+
+    /**
+     * Returns how long the worker may stay cold.
+     *
+     * @return the time, zero if it is warm
+     */
+    public Duration warmUpLeft() {
+        return Duration.ofMillis(Math.max(0, coldUntilMillis - clock.millis()));
+    }
+
+    /**
+     * Returns when the worker may get its next request while it is cold.
+     *
+     * <p>Law: of the requests that are sent when this is zero, no more than the share lie within
+     * {@link #WARM_UP_WINDOW_MILLIS}.
+     *
+     * @param share how many requests this VM may send it in a second
+     * @return the time until then; until it is warm, if the share is 0
+     */
+    public Duration nextWhileCold(final int share) {
+        if (share == 0) {
+            return warmUpLeft();
+        }
+        final long spacing = (WARM_UP_WINDOW_MILLIS + share - 1) / share;
+        return Duration.ofMillis(Math.max(0, lastBeginMillis + spacing - clock.millis()));
+    }
+
     /**
      * Tells whether the worker has started again since, so that this is the state of a former life.
      *
@@ -161,6 +208,9 @@
 
     void update(final ServerEntry newer) {
         entry = newer;
+        if (!newer.warmUpLeft().isZero()) {
+            onMaybeCold(newer.warmUpLeft());
+        }
     }
 
     @Override
--- a/fennelstage-core/src/main/java/org/fennelstage/serving/Service.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/serving/Service.java
@@ -10,11 +10,14 @@
  * @param name its name
  * @param maxConnections how many connections one worker accepts from all VMs together
  * @param engine what its workers can do, empty for a plain service
+ * @param warmUp what its workers stand while they are cold, empty if they have no need to warm up
  */
-public record Service(ServiceName name, int maxConnections, Optional<Engine> engine) {
+public record Service(
+        ServiceName name, int maxConnections, Optional<Engine> engine, Optional<WarmUp> warmUp) {
 
     public Service {
         Objects.requireNonNull(name, "name is null");
         Objects.requireNonNull(engine, "engine is null");
+        Objects.requireNonNull(warmUp, "warmUp is null");
     }
 }
--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/EligibilityTest.java
@@ -0,0 +1,112 @@
+package org.fennelstage.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.history.Position;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.ServiceName;
+import org.fennelstage.id.VmId;
+import org.fennelstage.serving.WarmUp;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class EligibilityTest {
+
+    private static final DataCentreId DC = DataCentreId.of("dc-a");
+    private static final WarmUp WARM_UP = new WarmUp(Duration.ofSeconds(3), 2);
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private final AtomicBoolean storeAway = new AtomicBoolean();
+    private final Evacuations evacuations = Evacuations.empty(now::get);
+    private final WarmUpShares shares = WarmUpShares.empty();
+    private final Eligibility eligibility =
+            new Eligibility(evacuations, shares, s -> Optional.of(WARM_UP), storeAway::get);
+
+    @BeforeEach
+    void knowTheFleet() {
+        shares.onVms(VmId.of("vm-1"), Set.of());
+    }
+
+    private TrackedServer server(final Duration warmUpLeft) {
+        final ServerEntry entry =
+                new ServerEntry(
+                        Incarnation.of(BackendServerId.of("i-1")),
+                        ServiceName.of("models"),
+                        new ServerAddress("10.0.0.1", 80),
+                        DC,
+                        "v1",
+                        24,
+                        false,
+                        warmUpLeft,
+                        Position.of(0, 1));
+        return TrackedServer.of(entry, now::get, Reachability.of(now::get));
+    }
+
+    @Test
+    void aWarmWorkerMayGetRequestsOneAfterTheOther() {
+        final TrackedServer server = server(Duration.ZERO);
+        server.begin(0);
+        assertThat(eligibility.mayGet(server)).isTrue();
+    }
+
+    @Test
+    void aWorkerOfAnEvacuatedDataCentreMayNotAndNobodyKnowsWhen() {
+        final TrackedServer server = server(Duration.ZERO);
+        evacuations.begin(DC);
+        assertThat(eligibility.mayGet(server)).isFalse();
+        assertThat(eligibility.wait(server)).isEmpty();
+    }
+
+    @Test
+    void aColdWorkerMayOnlyAtTheRateThatItStands() {
+        final TrackedServer server = server(Duration.ofSeconds(3));
+        assertThat(eligibility.mayGet(server)).isTrue();
+        server.begin(0);
+        assertThat(eligibility.wait(server)).contains(Duration.ofMillis(600));
+        now.addAndGet(600);
+        assertThat(eligibility.mayGet(server)).isTrue();
+    }
+
+    @Test
+    void aWorkerThatHasWarmedUpIsWarm() {
+        final TrackedServer server = server(Duration.ofSeconds(3));
+        now.addAndGet(3_000);
+        server.begin(0);
+        assertThat(eligibility.mayGet(server)).isTrue();
+    }
+
+    @Test
+    void aWorkerThatWantsNothingMayNot() {
+        final TrackedServer server = server(Duration.ZERO);
+        server.onTurnedAway(Duration.ofSeconds(5));
+        assertThat(eligibility.wait(server)).contains(Duration.ofSeconds(5));
+    }
+
+    /** Guards against a crowd at workers that became cold just before they were taken back. */
+    @Test
+    void workersThatAreTakenBackAreTakenForCold() {
+        final TrackedServer server = server(Duration.ZERO);
+        eligibility.onTakenBack(server);
+        server.begin(0);
+        assertThat(eligibility.mayGet(server)).isFalse();
+    }
+
+    /** Guards against a crowd at a restarted worker whose entry nobody can read. */
+    @Test
+    void whileTheStoreIsAwayAWorkerThatWasOutOfReachIsTakenForCold() {
+        final TrackedServer server = server(Duration.ZERO);
+        server.health().onUnreachable();
+        server.begin(0);
+        assertThat(eligibility.mayGet(server)).isTrue();
+        storeAway.set(true);
+        assertThat(eligibility.mayGet(server)).isFalse();
+        now.addAndGet(600);
+        assertThat(eligibility.mayGet(server)).isTrue();
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/WarmUpSharesTest.java
@@ -0,0 +1,150 @@
+package org.fennelstage.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fennelstage.history.Position;
+import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.DataCentreId;
+import org.fennelstage.id.ServiceName;
+import org.fennelstage.id.VmId;
+import org.junit.jupiter.api.Test;
+
+class WarmUpSharesTest {
+
+    private static final BackendServerId WORKER = BackendServerId.of("i-1");
+    private static final long SECOND_MILLIS = 1_000;
+
+    private static Set<VmId> vms(final int count) {
+        final Set<VmId> vms = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            vms.add(VmId.of("vm-" + i));
+        }
+        return vms;
+    }
+
+    private static WarmUpShares shares(final VmId own, final Set<VmId> known) {
+        final WarmUpShares shares = WarmUpShares.empty();
+        final Set<VmId> others = new HashSet<>(known);
+        others.remove(own);
+        shares.onVms(own, others);
+        return shares;
+    }
+
+    private static int sum(final Set<VmId> fleet, final int requests) {
+        return fleet.stream().mapToInt(vm -> shares(vm, fleet).of(WORKER, requests)).sum();
+    }
+
+    @Property(tries = 200)
+    void theSharesOfAllVmsAddUpToWhatTheWorkerStands(
+            @ForAll @IntRange(min = 1, max = 300) final int vms,
+            @ForAll @IntRange(min = 0, max = 60) final int requests) {
+        assertThat(sum(vms(vms), requests)).isEqualTo(requests);
+    }
+
+    /** Guards against a VM that has just started and sends a cold worker all that it stands. */
+    @Test
+    void aVmThatDoesNotKnowTheFleetHasNoShare() {
+        assertThat(WarmUpShares.empty().of(WORKER, 17)).isZero();
+    }
+
+    /** Guards against VMs that do not know of each other and together exceed the overshoot. */
+    @Property(tries = 100)
+    void vmsThatMissAThirdOfTheFleetEachStayWithinHalfAsMuchAgain(
+            @ForAll @IntRange(min = 3, max = 120) final int count, @ForAll final long seed) {
+        final int requests = 17;
+        final int slack = 5;
+        final Random random = new Random(seed);
+        final Set<VmId> fleet = vms(count);
+        int sum = 0;
+        for (final VmId vm : fleet) {
+            final List<VmId> others = new ArrayList<>(fleet);
+            others.remove(vm);
+            Collections.shuffle(others, random);
+            final Set<VmId> known = new HashSet<>(others.subList(0, others.size() - count / 3));
+            known.add(vm);
+            sum += shares(vm, known).of(WORKER, requests);
+        }
+        assertThat(sum).isLessThanOrEqualTo((int) (requests * 1.5) + slack);
+    }
+
+    private static TrackedServer cold(final AtomicLong now) {
+        final ServerEntry entry =
+                new ServerEntry(
+                        Incarnation.of(WORKER),
+                        ServiceName.of("models"),
+                        new ServerAddress("10.0.0.1", 80),
+                        DataCentreId.of("dc-a"),
+                        "v1",
+                        24,
+                        false,
+                        Duration.ofHours(1),
+                        Position.of(0, 1));
+        return TrackedServer.of(entry, now::get, Reachability.of(now::get));
+    }
+
+    /**
+     * Guards against a crowd of VMs that crashes a worker by coming to it as soon as it is back.
+     */
+    @Property(tries = 40)
+    void whateverArrivesAllVmsTogetherStayWithinWhatTheWorkerStandsInAnySecond(
+            @ForAll @IntRange(min = 1, max = 120) final int count,
+            @ForAll @IntRange(min = 1, max = 40) final int requests,
+            @ForAll final long seed) {
+        final AtomicLong now = new AtomicLong(1_000_000);
+        final Random random = new Random(seed);
+        final Set<VmId> fleet = vms(count);
+        final List<TrackedServer> views = new ArrayList<>();
+        final List<Integer> shares = new ArrayList<>();
+        for (final VmId vm : fleet) {
+            views.add(cold(now));
+            shares.add(shares(vm, fleet).of(WORKER, requests));
+        }
+        final Deque<Long> lastSecond = new ArrayDeque<>();
+        for (int step = 0; step < 4_000; step++) {
+            now.addAndGet(random.nextInt(3));
+            final int vm = random.nextInt(count);
+            if (views.get(vm).nextWhileCold(shares.get(vm)).isZero()) {
+                views.get(vm).begin(0);
+                lastSecond.addLast(now.get());
+            }
+            while (!lastSecond.isEmpty() && lastSecond.peekFirst() < now.get() - SECOND_MILLIS) {
+                lastSecond.removeFirst();
+            }
+            assertThat(lastSecond).hasSizeLessThanOrEqualTo(requests);
+        }
+    }
+
+    /** Guards against requests sent while the worker seemed warm, which count as well. */
+    @Test
+    void aRequestSentBeforeTheWorkerBecameColdCounts() {
+        final AtomicLong now = new AtomicLong(1_000_000);
+        final TrackedServer server = cold(now);
+        server.begin(0);
+        assertThat(server.nextWhileCold(1))
+                .isEqualTo(Duration.ofMillis(TrackedServer.WARM_UP_WINDOW_MILLIS));
+        now.addAndGet(TrackedServer.WARM_UP_WINDOW_MILLIS);
+        assertThat(server.nextWhileCold(1)).isZero();
+    }
+
+    @Test
+    void aVmWithoutAShareWaitsUntilTheWorkerIsWarm() {
+        final AtomicLong now = new AtomicLong(1_000_000);
+        final TrackedServer server = cold(now);
+        assertThat(server.nextWhileCold(0)).isEqualTo(Duration.ofHours(1));
+        now.addAndGet(Duration.ofHours(1).toMillis());
+        assertThat(server.warmUpLeft()).isZero();
+    }
+}
