A data centre that is being emptied gets nothing new, and cold workers no more than they stand

Callers saw: requests at workers about to be switched off, and workers that crash as they come back. Cause: the order was followed by nobody and the remaining warm-up was dropped by the decoder. Mend: the orders are followed as configurations are (through other VMs where the store turns this one away), a VM is not ready before it has heard them, and Eligibility decides for each send. What runs there may end there. Callers whose service has no worker that may get a request are refused at once, not run, with when the first may again.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -8,19 +8,26 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.fennelstage.attempt.Pace;
 import org.fennelstage.attempt.RepeatBudget;
 import org.fennelstage.attempt.UsualFailures;
 import org.fennelstage.canary.Canary;
 import org.fennelstage.fleet.ConnectionShare;
+import org.fennelstage.fleet.Eligibility;
+import org.fennelstage.fleet.Evacuations;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
 import org.fennelstage.fleet.TrackedServer;
+import org.fennelstage.fleet.WarmUpShares;
 import org.fennelstage.history.Position;
+import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
+import org.fennelstage.id.VmId;
 import org.fennelstage.serving.Service;
 import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.serving.WarmUp;
 import org.fennelstage.sizing.Opinions;
 import org.fennelstage.time.MonotonicClock;
 
@@ -43,11 +50,14 @@
      * an older copy; milliseconds. Workers take about two seconds; as much again for operators, who
      * see it by their own calls.
      */
-    static final long REWRITE_MILLIS = 4_000;
+    public static final long REWRITE_MILLIS = 4_000;
 
     private final MonotonicClock clock;
     private GatewaySettings settings;
     private final ServerTable servers;
+    private final Evacuations evacuations;
+    private final WarmUpShares warmUpShares = WarmUpShares.empty();
+    private final Eligibility eligibility;
     private final Map<ServiceName, Canary> canaries = new HashMap<>();
     private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
     private final Map<String, UsualFailures> usualFailures = new HashMap<>();
@@ -70,6 +80,9 @@
         this.clock = Objects.requireNonNull(clock, "clock is null");
         this.settings = Objects.requireNonNull(settings, "settings is null");
         this.servers = ServerTable.of(clock);
+        this.evacuations = Evacuations.empty(clock);
+        this.eligibility =
+                new Eligibility(evacuations, warmUpShares, this::warmUp, this.servers::isStoreAway);
     }
 
     public MonotonicClock clock() {
@@ -80,6 +93,10 @@
         return servers;
     }
 
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
     public Optional<ServingConfiguration> configuration() {
         return configuration;
     }
@@ -154,6 +171,16 @@
         vmCount = count;
     }
 
+    /**
+     * Notes which VMs there are, once that is known.
+     *
+     * @param own this VM
+     * @param others all others, gone ones included
+     */
+    public void onVms(final VmId own, final Set<VmId> others) {
+        warmUpShares.onVms(own, others);
+    }
+
     /** Returns this VM's share of the connections that each worker of a service accepts. */
     ConnectionShare connectionShare(final ServiceName service) {
         final int accepted =
@@ -164,6 +191,21 @@
         return new ConnectionShare(accepted, vmCount);
     }
 
+    private Optional<WarmUp> warmUp(final ServiceName service) {
+        return configuration.flatMap(c -> c.service(service)).flatMap(Service::warmUp);
+    }
+
+    /**
+     * Notes that operators have taken a data centre back.
+     *
+     * @param dataCentre the data centre
+     */
+    public void onTakenBack(final DataCentreId dataCentre) {
+        servers.all().stream()
+                .filter(server -> server.entry().dataCentre().equals(dataCentre))
+                .forEach(eligibility::onTakenBack);
+    }
+
     /** Returns the share of a route's requests that fail wherever they run. */
     UsualFailures usualFailures(final String route) {
         return usualFailures.computeIfAbsent(route, r -> new UsualFailures());
@@ -280,9 +322,9 @@
     }
 
     /**
-     * Returns the workers that may get a request now. One that wants nothing for a time is not
-     * among them even if it is the last: it would turn the request away, and loses by doing so the
-     * time that those lack that it has.
+     * Returns the workers that may get a request now. One that may not is not among them even if it
+     * is the last: it would turn the request away, crash under it, or be switched off before it has
+     * answered.
      *
      * @param service the service
      * @param toNew whether the request goes to the version under roll-out
@@ -296,20 +338,21 @@
         if (admitted.isEmpty() && toNew) {
             return candidates(service, false);
         }
-        // Only after the version is settled: workers of a new version that want nothing for a
+        // Only after the version is settled: workers of a new version that may get nothing for a
         // moment must not send sessions back to the old one.
-        return admitted.stream().filter(s -> s.wantsNothingFor().isZero()).toList();
+        return admitted.stream().filter(eligibility::mayGet).toList();
     }
 
     /**
-     * Returns when the first worker takes requests again, if those of a service want none now.
+     * Returns when the first worker may get requests again, if those of a service may get none now.
      *
      * @param service the service
-     * @return the time until then, empty if one takes requests or there is none
+     * @return the time until then, empty if one may, or if nobody knows
      */
-    Optional<Duration> soonestWanted(final ServiceName service) {
+    Optional<Duration> soonestEligible(final ServiceName service) {
         return servers.usable(service).stream()
-                .map(TrackedServer::wantsNothingFor)
+                .map(eligibility::wait)
+                .flatMap(Optional::stream)
                 .min(Comparator.naturalOrder())
                 .filter(wait -> !wait.isZero());
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RefusedAnswer.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RefusedAnswer.java
@@ -47,19 +47,19 @@
     }
 
     /**
-     * Refuses for any other reason. Where all workers of the service want nothing, a caller that
-     * may come back is told when the first takes requests again.
+     * Refuses for any other reason. Where no worker of the service may get a request now, a caller
+     * that may come back is told when the first may again.
      *
      * @param refusal the reason
      * @param service the service, empty if none was chosen
      */
     void plain(final Refusal refusal, final Optional<ServiceName> service) {
-        final Optional<Duration> wanted =
+        final Optional<Duration> eligible =
                 refusal.comeBack().isPresent()
-                        ? service.flatMap(gateway.beliefs()::soonestWanted)
+                        ? service.flatMap(gateway.beliefs()::soonestEligible)
                         : Optional.empty();
-        if (wanted.isPresent()) {
-            gateway.respond(exchange, requestId, refusal, outlook.spread(wanted.get()));
+        if (eligible.isPresent()) {
+            gateway.respond(exchange, requestId, refusal, outlook.spread(eligible.get()));
         } else {
             gateway.respond(exchange, requestId, refusal);
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/StoreKind.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/StoreKind.java
@@ -4,6 +4,7 @@
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.ServerEntry;
+import org.fennelstage.id.DataCentreId;
 import org.fennelstage.serving.ServingConfiguration;
 
 /**
@@ -23,6 +24,9 @@
     /** The operator's orders to move a service to a version. */
     public static final StoreKind<RolloutOrder> ROLLOUTS = new StoreKind<>("rollouts");
 
+    /** The operator's orders to empty a data centre. */
+    public static final StoreKind<DataCentreId> EVACUATIONS = new StoreKind<>("evacuations");
+
     /** The VMs of this system. */
     public static final StoreKind<VmEntry> VMS = new StoreKind<>("vms");
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -51,6 +51,8 @@
     /** How often silent workers, lapsed workers and due writes are looked for; milliseconds. */
     private static final long DUTY_MILLIS = 100;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private static final int OK = 200;
 
     private VmSettings settings;
@@ -62,6 +64,7 @@
     private final ServerFeed serverFeed;
     private final RolloutFeed rolloutFeed;
     private final QuarantineFeed quarantineFeed;
+    private final EvacuationFeed evacuationFeed;
     private final CrashNews crashNews;
     private final LoadReports loadReports;
     private final RolloutAges rolloutAges;
@@ -89,6 +92,7 @@
                         ownEntry(settings),
                         address -> storeAt.apply(storeClient, Sockets.address(address)),
                         beliefs::onVmCount);
+        peers.onFleet(others -> beliefs.onVms(settings.vm(), others));
         final LoadBoard loadBoard = LoadBoard.of(clock, peers::othersPerSharer);
         this.gateway =
                 new Gateway(
@@ -122,6 +126,7 @@
                         clock,
                         readiness::onQuarantineListed);
         gateway.crashes().onQuarantined(quarantineFeed::writeDue);
+        this.evacuationFeed = new EvacuationFeed(beliefs, readiness::onEvacuationsListed);
         this.callers =
                 HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
         startSideServers(storeClient, store, workers);
@@ -181,6 +186,10 @@
         final Follower<RolloutOrder> rollouts =
                 watches.of(StoreKind.ROLLOUTS, () -> StoreWatches.ROLLOUT_PACE, rolloutFeed);
         beliefs.onOrdersWanted(rollouts::refresh);
+        if (settings.evacuations()) {
+            watches.of(StoreKind.EVACUATIONS, () -> StoreWatches.EVACUATION_PACE, evacuationFeed)
+                    .start();
+        }
         watches.of(
                         StoreKind.CONFIGURATION,
                         () -> StoreWatches.CONFIGURATION_PACE,
@@ -315,6 +324,7 @@
             }
             serverFeed.dropLapsed();
             beliefs.settle();
+            evacuationFeed.settle();
             rolloutFeed.writeDue();
             crashNews.sendDue();
             quarantineFeed.writeDue();
@@ -360,6 +370,14 @@
                 "fennelstage_gateway_quarantined_requests",
                 "Requests that are refused since they end the workers that run them",
                 () -> gateway.crashes().quarantine().size());
+        metrics.gauge(
+                "fennelstage_gateway_evacuations",
+                "Data centres whose workers get nothing new",
+                () -> beliefs.evacuations().size());
+        metrics.gauge(
+                "fennelstage_gateway_evacuations_age_seconds",
+                "Time since the store was last heard of evacuations",
+                () -> beliefs.evacuations().ageMillis() / MILLIS_PER_SECOND);
         metrics.gauge(
                 "fennelstage_gateway_store_returns",
                 "How often the store was seen to come back from an older copy",
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -5,12 +5,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
@@ -83,7 +86,9 @@
     private List<InetSocketAddress> nearOthers = List.of();
     private List<InetSocketAddress> allOthers = List.of();
     private int reads;
+    private boolean knowsFleet;
     private final IntConsumer onCount;
+    private Consumer<Set<VmId>> fleetListener = others -> {};
 
     Peers(
             final VmEntry own,
@@ -94,6 +99,15 @@
         this.relayOf = Objects.requireNonNull(relayOf, "relayOf is null");
     }
 
+    /**
+     * Sets who hears which other VMs there are, once all are known.
+     *
+     * @param listener takes the others, gone ones included
+     */
+    void onFleet(final Consumer<Set<VmId>> listener) {
+        fleetListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
     /** Begins to read the list, and to enter this VM when the list lacks it. */
     void start(final EventLoop loop, final Store store) {
         read(loop, store, SECOND_MILLIS);
@@ -177,7 +191,15 @@
     private void take(final List<StoredValue<VmEntry>> values) {
         reads++;
         values.forEach(v -> v.value().ifPresent(e -> entries.put(e.vm(), e)));
+        // A list with this VM is of a fleet that ran before; one without it, of a fleet that
+        // starts.
+        knowsFleet = knowsFleet || !hasJustStarted() || lists(values, own);
         rank();
+        if (knowsFleet) {
+            final Set<VmId> others = new HashSet<>(entries.keySet());
+            others.remove(own.vm());
+            fleetListener.accept(others);
+        }
     }
 
     private void rank() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
@@ -10,9 +10,9 @@
 /**
  * Whether the balancer may send callers to this VM, and the answer to its question.
  *
- * <p>Laws: a VM is ready once it knows a configuration, the workers, the roll-outs and the requests
- * that are refused for ending workers, stays so while the store is away, and is never ready again
- * once it stops. Confined to the event loop.
+ * <p>Laws: a VM is ready once it knows a configuration, the workers, the roll-outs, the data
+ * centres that are being emptied and the requests that are refused for ending workers, stays so
+ * while the store is away, and is never ready again once it stops. Confined to the event loop.
  */
 final class Readiness implements RequestHandler {
 
@@ -25,12 +25,14 @@
     private boolean serversListed;
     private boolean rolloutsListed;
     private boolean quarantineListed;
+    private boolean evacuationsListed;
     private boolean ready;
     private boolean stopping;
 
     Readiness(final VmSettings settings, final Beliefs beliefs) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
         this.beliefs = Objects.requireNonNull(beliefs, "beliefs is null");
+        this.evacuationsListed = !settings.evacuations();
     }
 
     void onServersListed() {
@@ -48,6 +50,11 @@
         update();
     }
 
+    void onEvacuationsListed() {
+        evacuationsListed = true;
+        update();
+    }
+
     boolean knowsQuarantine() {
         return quarantineListed;
     }
@@ -63,6 +70,7 @@
                 serversListed
                         && rolloutsListed
                         && quarantineListed
+                        && evacuationsListed
                         && beliefs.configuration().isPresent();
         if (knowsAll && !ready && !stopping) {
             ready = true;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
@@ -38,6 +38,9 @@
     /** Pace of the watch on roll-outs: a halt must be known at once, and is rare. */
     static final WatchPace ROLLOUT_PACE = WatchPace.ofMillis(10_000, 0);
 
+    /** Pace of the watch on evacuations: each must be known at once, and they are rare. */
+    static final WatchPace EVACUATION_PACE = WatchPace.ofMillis(10_000, 0);
+
     /**
      * Pace of the watch on requests that are refused for ending workers: the VMs tell each other at
      * once, and the store is for those that missed it or start later. While it is away a call every
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmSettings.java
@@ -20,6 +20,7 @@
  * @param peers where other VMs connect
  * @param store where the store listens
  * @param linkMegabits what the VM's own link carries; megabits a second
+ * @param evacuations whether operators may order that a data centre be emptied
  * @param bounds the deployment's bounds
  * @param policy the mechanisms in use
  */
@@ -33,6 +34,7 @@
         InetSocketAddress peers,
         InetSocketAddress store,
         double linkMegabits,
+        boolean evacuations,
         GatewaySettings bounds,
         Policy policy) {
 
@@ -80,6 +82,7 @@
                 peers,
                 store,
                 linkMegabits,
+                evacuations,
                 newBounds,
                 newPolicy);
     }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -37,6 +37,8 @@
     STORE_REPLACED(2026, Level.WARNING, "store came back from an older copy; all is listed anew"),
     VM_ENTERED(2027, Level.INFO, "own entry is written to the store"),
     SERVER_LEAVES(2028, Level.INFO, "backend server says in its answers that it leaves"),
+    EVACUATION_BEGUN(2029, Level.INFO, "data centre is evacuated; its servers get nothing new"),
+    EVACUATION_ENDED(2030, Level.INFO, "data centre is taken back; its servers may be cold"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store did not take effect for sure"),
 
     MEMBER_CHANGED(3001, Level.INFO, "another VM changed state"),
