Red: a request that is answered after the third end of a worker stays refused for ten minutes

Found by reading: an answer clears the count of ends but lifts no quarantine, so a sound request with many copies that a wave of crashes hits at three workers is refused by all VMs.

--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/QuarantineFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/QuarantineFeedTest.java
@@ -5,13 +5,17 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.crash.Acquittal;
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.crash.Quarantine;
+import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.gateway.CrashWatch;
 import org.fennelstage.history.Position;
 import org.fennelstage.http.HttpClient;
+import org.fennelstage.id.BackendServerId;
 import org.fennelstage.store.ManualStore;
 import org.fennelstage.store.StoreAnswer;
 import org.fennelstage.store.StoredValue;
@@ -112,4 +116,17 @@
                 new StoredValue<>("other", Position.of(0, 6), Optional.empty(), Optional.empty()));
         assertThat(crashes.quarantine().left(CONTENT)).isPresent();
     }
+
+    /** Guards against a request that was answered and that the store has refused again. */
+    @Test
+    void aRequestThatWasAnsweredIsDeletedFromTheStoreAndNotTakenUpAgain() {
+        feed.onAll(List.of(stored(Optional.of(CONTENT))));
+        final Incarnation server = Incarnation.of(BackendServerId.of("i-1"));
+        crashes.onAcquittal(new Acquittal(CONTENT, Set.of(server)));
+        assertThat(crashes.quarantine().left(CONTENT)).isEmpty();
+        feed.writeDue();
+        assertThat(store.waiting()).hasSize(1);
+        feed.onChange(stored(Optional.of(CONTENT)));
+        assertThat(crashes.quarantine().left(CONTENT)).isEmpty();
+    }
 }
