An answer after the third end of a worker has the request served again everywhere

Cause: the answer cleared the count and not the quarantine. Mend: the VM with the answer lifts the quarantine and tells all with the acquittal they take already; the object is deleted from the store by the VM in turn, and one written a moment later by a VM that had not heard is deleted too. The bound holds: a request that ends its workers is never answered, so nothing lifts it; three further ends refuse it again. A trial of a request of which no copy is under way is not made: it waits its ten minutes.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashWatch.java
@@ -65,6 +65,7 @@
     private Consumer<CrashReport> reportListener = report -> {};
     private Consumer<Acquittal> acquittalListener = acquittal -> {};
     private Runnable storeListener = () -> {};
+    private Consumer<Fingerprint> liftedListener = content -> {};
 
     /**
      * Creates a watch that knows of no ends.
@@ -108,6 +109,15 @@
         storeListener = Objects.requireNonNull(listener, "listener is null");
     }
 
+    /**
+     * Sets what notes in the store that a request is refused no longer, since it was answered.
+     *
+     * @param listener takes the request
+     */
+    public void onLifted(final Consumer<Fingerprint> listener) {
+        liftedListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
     /** Sets what runs when a worker has ended, and when a request is refused from now on. */
     void onDecided(final Consumer<TrackedServer> ends, final Consumer<Fingerprint> quarantined) {
         endListener = Objects.requireNonNull(ends, "ends is null");
@@ -202,6 +212,18 @@
         final Set<Incarnation> cleared = ledger.onAnswered(content);
         if (!cleared.isEmpty()) {
             acquittalListener.accept(new Acquittal(content, cleared));
+            lift(content);
+        }
+    }
+
+    /**
+     * Serves a request again that was answered after all: copies of it were under way when the
+     * third worker ended, and a wave of crashes hits sound requests as well.
+     */
+    private void lift(final Fingerprint content) {
+        if (quarantine.release(content)) {
+            EventLog.write(Event.QUARANTINE_OVER, "content", content, "source", "answer");
+            liftedListener.accept(content);
         }
     }
 
@@ -212,6 +234,7 @@
      */
     public void onAcquittal(final Acquittal acquittal) {
         ledger.clear(acquittal);
+        lift(acquittal.content());
     }
 
     /**
@@ -243,7 +266,7 @@
     public void release(final Fingerprint content) {
         ledger.onAnswered(content);
         if (quarantine.release(content)) {
-            EventLog.write(Event.QUARANTINE_OVER, "content", content);
+            EventLog.write(Event.QUARANTINE_OVER, "content", content, "source", "store");
         }
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/QuarantineFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/QuarantineFeed.java
@@ -1,7 +1,9 @@
 package org.fennelstage.vm;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -31,6 +33,12 @@
     /** Turns waited for at most: the VMs tell each other at once, so this write may wait. */
     private static final int MOST_TURNS = 30;
 
+    /**
+     * How long the store's word that a request is refused is doubted after its answer;
+     * milliseconds. Another VM may have written it a moment before it heard of the answer.
+     */
+    private static final long LIFTED_MILLIS = 10_000;
+
     /** The wait after a write that failed; milliseconds. */
     private static final long RETRY_MILLIS = 1_000;
 
@@ -42,6 +50,7 @@
     private final Set<Fingerprint> stored = new HashSet<>();
     private final Set<Fingerprint> over = new HashSet<>();
     private final Set<Fingerprint> writing = new HashSet<>();
+    private final Map<Fingerprint, Long> liftedMillis = new HashMap<>();
     private long retryAtMillis = Long.MIN_VALUE;
 
     QuarantineFeed(
@@ -55,6 +64,17 @@
         this.clock = Objects.requireNonNull(clock, "clock is null");
         this.turns = new Turns<>(turnAt, MOST_TURNS, clock);
         this.afterList = Objects.requireNonNull(afterList, "afterList is null");
+        crashes.onLifted(this::onLifted);
+    }
+
+    private void onLifted(final Fingerprint content) {
+        liftedMillis.put(content, clock.millis());
+        over.add(content);
+    }
+
+    private boolean wasLifted(final Fingerprint content) {
+        final Long lifted = liftedMillis.get(content);
+        return lifted != null && clock.millis() - lifted < LIFTED_MILLIS;
     }
 
     @Override
@@ -75,6 +95,9 @@
     private void onStored(final Fingerprint content) {
         stored.add(content);
         turns.forget(content);
+        if (wasLifted(content)) {
+            over.add(content);
+        }
         if (!over.contains(content)) {
             crashes.quarantine(content, "store");
         }
@@ -101,9 +124,10 @@
     /** Writes and deletes what is due. To be called a few times a second. */
     void writeDue() {
         for (final Fingerprint content : crashes.quarantine().takeExpired()) {
-            EventLog.write(Event.QUARANTINE_OVER, "content", content);
+            EventLog.write(Event.QUARANTINE_OVER, "content", content, "source", "time");
             over.add(content);
         }
+        liftedMillis.keySet().removeIf(content -> !wasLifted(content));
         over.retainAll(stored);
         if (clock.millis() < retryAtMillis) {
             return;
