Refusals name why no worker may get a request; a VM that starts watches for rare things only once others ask for all

A VM is not in touch before; new versions of workers make it list the orders again at once, and crashes come by other VMs.

Logs: FS4011 no_eligible_server with how many workers are evacuated, cold or want nothing; FS4012 warm_up_ms; metric of requests sent to workers that warm up.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Eligibility.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Eligibility.java
@@ -1,6 +1,7 @@
 package org.fennelstage.fleet;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -23,6 +24,15 @@
  */
 public final class Eligibility {
 
+    /**
+     * Why workers may get no request now.
+     *
+     * @param evacuated how many stand in data centres that are being emptied
+     * @param cold how many are cold, and this VM has used up its share
+     * @param wantNothing how many want nothing from this VM
+     */
+    public record Reasons(int evacuated, int cold, int wantNothing) {}
+
     private final Evacuations evacuations;
     private final WarmUpShares shares;
     private final Function<ServiceName, Optional<WarmUp>> warmUps;
@@ -72,6 +82,28 @@
         return Optional.of(wanted.compareTo(cold) > 0 ? wanted : cold);
     }
 
+    /**
+     * Counts the workers that may get no request now, by the first reason for it.
+     *
+     * @param servers the workers
+     * @return the counts
+     */
+    public Reasons reasons(final Collection<TrackedServer> servers) {
+        int evacuated = 0;
+        int cold = 0;
+        int wantNothing = 0;
+        for (final TrackedServer server : servers) {
+            if (evacuations.includes(server.entry().dataCentre())) {
+                evacuated++;
+            } else if (!server.wantsNothingFor().isZero()) {
+                wantNothing++;
+            } else if (!mayGet(server)) {
+                cold++;
+            }
+        }
+        return new Reasons(evacuated, cold, wantNothing);
+    }
+
     /**
      * Notes that a data centre was taken back. Its workers may have become cold shortly before, and
      * their entries may not say so yet.
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/EligibilityTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/EligibilityTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -88,6 +89,18 @@
         assertThat(eligibility.wait(server)).contains(Duration.ofSeconds(5));
     }
 
+    @Test
+    void theReasonsAreCounted() {
+        final TrackedServer cold = server(Duration.ofSeconds(3));
+        cold.begin(0);
+        final TrackedServer turnsAway = server(Duration.ZERO);
+        turnsAway.onTurnedAway(Duration.ofSeconds(1));
+        final List<TrackedServer> servers = List.of(server(Duration.ZERO), cold, turnsAway);
+        assertThat(eligibility.reasons(servers)).isEqualTo(new Eligibility.Reasons(0, 1, 1));
+        evacuations.begin(DC);
+        assertThat(eligibility.reasons(servers)).isEqualTo(new Eligibility.Reasons(3, 0, 0));
+    }
+
     /** Guards against a crowd at workers that became cold just before they were taken back. */
     @Test
     void workersThatAreTakenBackAreTakenForCold() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -343,6 +343,11 @@
         return admitted.stream().filter(eligibility::mayGet).toList();
     }
 
+    /** Counts the workers of a service that may get no request now, by the reason for it. */
+    Eligibility.Reasons ineligible(final ServiceName service) {
+        return eligibility.reasons(servers.usable(service));
+    }
+
     /**
      * Returns when the first worker may get requests again, if those of a service may get none now.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
@@ -25,6 +25,12 @@
                     .help("Attempts at workers by service and end")
                     .labelNames("service", "end")
                     .register(registry);
+    private final Counter sentToCold =
+            Counter.builder()
+                    .name("fennelstage_gateway_cold_server_requests_total")
+                    .help("Requests sent to workers that warm up, by service")
+                    .labelNames("service")
+                    .register(registry);
     private final Histogram firstByte =
             Histogram.builder()
                     .name("fennelstage_gateway_first_byte_seconds")
@@ -76,6 +82,10 @@
         firstByte.labelValues(route).observe(millis / 1_000.0);
     }
 
+    void sentToCold(final String service) {
+        sentToCold.labelValues(service).inc();
+    }
+
     void attempt(final String service, final String end) {
         attempts.labelValues(service, end).inc();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Refusal.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Refusal.java
@@ -20,6 +20,8 @@
     NOT_CONFIGURED(503, "not_configured", Optional.of(Duration.ofMillis(500))),
     /** No worker can take the request now, and it was not run. */
     NO_SERVER(503, "no_server", Optional.of(Duration.ofMillis(300))),
+    /** There are workers, but none may get a request now; it was not run. */
+    NO_ELIGIBLE_SERVER(503, "no_eligible_server", Optional.of(Duration.ofMillis(300))),
     /** Workers end when they run the request; nothing was sent. */
     QUARANTINED(503, "ends_servers", Optional.empty()),
     /** All workers have more to do than the caller will wait for; nothing was sent. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -6,6 +6,7 @@
 import org.fennelstage.attempt.AttemptLog;
 import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.crash.Fingerprint;
+import org.fennelstage.fleet.Eligibility;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.TeamId;
@@ -81,6 +82,8 @@
                 server.running(),
                 "unread_ms",
                 server.load().unreadMillis(),
+                "warm_up_ms",
+                server.warmUpLeft().toMillis(),
                 "expected_ms",
                 expectedMillis,
                 "candidates",
@@ -108,6 +111,25 @@
                 remainingMillis);
     }
 
+    void noneEligible(final Eligibility.Reasons reasons) {
+        EventLog.write(
+                Event.REQUEST_REFUSED,
+                "request",
+                request.id(),
+                "route",
+                route,
+                "reason",
+                Refusal.NO_ELIGIBLE_SERVER.reason(),
+                "status",
+                Refusal.NO_ELIGIBLE_SERVER.status(),
+                "evacuated",
+                reasons.evacuated(),
+                "cold",
+                reasons.cold(),
+                "want_nothing",
+                reasons.wantNothing());
+    }
+
     void quarantined(final Duration left) {
         EventLog.write(
                 Event.REQUEST_REFUSED,
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -272,8 +272,19 @@
             abort("stream_broken");
         } else if (attempts.mayHaveRun()) {
             refuse(Refusal.OUTCOME_UNKNOWN);
+        } else if (attempts.sent() > 0) {
+            refuse(Refusal.REJECTED);
         } else {
-            refuse(attempts.sent() > 0 ? Refusal.REJECTED : Refusal.NO_SERVER);
+            refuseWithoutServer();
+        }
+    }
+
+    private void refuseWithoutServer() {
+        if (gateway.beliefs().servers().usable(service).isEmpty()) {
+            refuse(Refusal.NO_SERVER);
+        } else {
+            log.noneEligible(gateway.beliefs().ineligible(service));
+            refuse(Refusal.NO_ELIGIBLE_SERVER);
         }
     }
 
@@ -316,6 +327,9 @@
                         answer.lastEventId().or(request::lastEventId));
         final long expectedMillis = Math.round(gateway.placement().waitMillis(server, job));
         log.sent(server, version, candidates, dispatch, expectedMillis);
+        if (!server.warmUpLeft().isZero()) {
+            gateway.metrics().sentToCold(service.value());
+        }
         final Attempt attempt = new Attempt(this, server, pace(), job.readMillis());
         open = Optional.of(attempt);
         attempt.send(dispatch);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -1,6 +1,7 @@
 package org.fennelstage.store;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -226,7 +227,7 @@
         hearAll(List.copyOf(listed));
         listed.clear();
         listener.onPosition(position);
-        watch();
+        watchAfter(pace.get().listPause());
     }
 
     /** A VM that lags passed an answer of a former era on: asked again after a pause. */
@@ -257,7 +258,11 @@
                 });
     }
 
-    private void watchAfterPause() {
+    private void watchAfter(final Duration wait) {
+        if (wait.isZero()) {
+            watch();
+            return;
+        }
         final int asked = round;
         loop.schedule(
                 () -> {
@@ -265,7 +270,7 @@
                         watch();
                     }
                 },
-                pace.get().pause().toMillis(),
+                wait.toMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
@@ -302,7 +307,7 @@
         if (page.values().isEmpty()) {
             watch();
         } else {
-            watchAfterPause();
+            watchAfter(pace.get().pause());
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/WatchPace.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/WatchPace.java
@@ -10,10 +10,12 @@
  *     it
  * @param pause the pause after a watch that brought changes; changes that come together are then
  *     one call, where each would end a watch of every VM
+ * @param listPause the pause between a list and the first watch after it
  * @param longestBackoff the longest wait after calls that failed; those made while the store is
  *     away are in vain
  */
-public record WatchPace(Duration watchTime, Duration pause, Duration longestBackoff) {
+public record WatchPace(
+        Duration watchTime, Duration pause, Duration listPause, Duration longestBackoff) {
 
     /** Suits what must be known a moment after the store's return. */
     private static final Duration SOON = Duration.ofMillis(800);
@@ -21,6 +23,7 @@
     public WatchPace {
         Objects.requireNonNull(watchTime, "watchTime is null");
         Objects.requireNonNull(pause, "pause is null");
+        Objects.requireNonNull(listPause, "listPause is null");
         Objects.requireNonNull(longestBackoff, "longestBackoff is null");
     }
 
@@ -32,7 +35,18 @@
      * @return the pace
      */
     public static WatchPace ofMillis(final long waitMillis, final long pauseMillis) {
-        return new WatchPace(Duration.ofMillis(waitMillis), Duration.ofMillis(pauseMillis), SOON);
+        return new WatchPace(
+                Duration.ofMillis(waitMillis), Duration.ofMillis(pauseMillis), Duration.ZERO, SOON);
+    }
+
+    /**
+     * Returns this pace with another pause between a list and the first watch after it.
+     *
+     * @param newer the pause
+     * @return the pace
+     */
+    public WatchPace withListPause(final Duration newer) {
+        return new WatchPace(watchTime, pause, newer, longestBackoff);
     }
 
     /**
@@ -42,6 +56,6 @@
      * @return the pace
      */
     public WatchPace withLongestBackoff(final Duration backoff) {
-        return new WatchPace(watchTime, pause, backoff);
+        return new WatchPace(watchTime, pause, listPause, backoff);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -38,6 +38,7 @@
 import org.fennelstage.store.Store;
 import org.fennelstage.store.StoreKind;
 import org.fennelstage.store.VmEntry;
+import org.fennelstage.store.WatchPace;
 import org.fennelstage.time.MonotonicClock;
 
 /**
@@ -188,10 +189,16 @@
 
     private void follow(final StoreWatches watches, final Peers peers) {
         final Follower<RolloutOrder> rollouts =
-                watches.of(StoreKind.ROLLOUTS, () -> StoreWatches.ROLLOUT_PACE, rolloutFeed);
+                watches.of(
+                        StoreKind.ROLLOUTS,
+                        () -> rarePace(StoreWatches.ROLLOUT_PACE, peers),
+                        rolloutFeed);
         beliefs.onOrdersWanted(rollouts::refresh);
         if (settings.evacuations()) {
-            watches.of(StoreKind.EVACUATIONS, () -> StoreWatches.EVACUATION_PACE, evacuationFeed)
+            watches.of(
+                            StoreKind.EVACUATIONS,
+                            () -> rarePace(StoreWatches.EVACUATION_PACE, peers),
+                            evacuationFeed)
                     .start();
         }
         watches.of(
@@ -211,13 +218,19 @@
         watches.of(
                         StoreKind.QUARANTINE,
                         () ->
-                                readiness.knowsQuarantine()
-                                        ? StoreWatches.QUARANTINE_PACE
-                                        : StoreWatches.FIRST_QUARANTINE_PACE,
+                                rarePace(
+                                        readiness.knowsQuarantine()
+                                                ? StoreWatches.QUARANTINE_PACE
+                                                : StoreWatches.FIRST_QUARANTINE_PACE,
+                                        peers),
                         quarantineFeed)
                 .start();
     }
 
+    private static WatchPace rarePace(final WatchPace pace, final Peers peers) {
+        return peers.hasJustStarted() ? pace.withListPause(StoreWatches.STARTING_LIST_PAUSE) : pace;
+    }
+
     /**
      * Starts a VM.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
@@ -52,6 +52,13 @@
     /** Pace of that watch until its first list, for which a VM that starts waits. */
     static final WatchPace FIRST_QUARANTINE_PACE = WatchPace.ofMillis(30_000, 0);
 
+    /**
+     * How long a VM that starts waits after its list of something rare before it watches for it: by
+     * then one VM asks for all of its data centre, and the first watch costs no call. What happens
+     * meanwhile is heard then; new versions of workers make it list again at once.
+     */
+    static final Duration STARTING_LIST_PAUSE = Duration.ofMillis(3_300);
+
     private final EventLoop loop;
     private final Store store;
     private final RandomGenerator random;
