--- a/fennelstage-core/src/main/java/org/fennelstage/canary/ToldVersions.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/ToldVersions.java
@@ -16,8 +16,8 @@
 final class ToldVersions {
 
     /**
-     * How long a word counts; milliseconds. VMs tell twice a second, and three datagrams in a row
-     * may be lost.
+     * How long a word counts; milliseconds. several words a second come to each VM, and some
+     * datagrams are lost.
      */
     static final long TOLD_MILLIS = 2_000;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Eligibility.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Eligibility.java
@@ -64,6 +64,10 @@
      * @return true if nothing speaks against it
      */
     public boolean mayGet(final TrackedServer server) {
+        final boolean nothingIsUp = evacuations.size() == 0 && !storeAway.getAsBoolean();
+        if (nothingIsUp && server.isUnrestricted()) {
+            return true;
+        }
         return wait(server).filter(Duration::isZero).isPresent();
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -207,6 +207,9 @@
     }
 
     private double excessNow() {
+        if (excess == 0) {
+            return 0;
+        }
         final double age = clock.millis() - excessAtMillis;
         return excess * Math.pow(0.5, age / HALF_LIFE_MILLIS);
     }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.fennelstage.member.Rendezvous;
 import org.fennelstage.time.MonotonicClock;
 
 /**
@@ -20,6 +21,7 @@
 
     private final ServerHealth health;
     private final MonotonicClock clock;
+    private final long idHash;
     private ServerEntry entry;
     private int running;
     private int begunAnswers;
@@ -35,6 +37,7 @@
         this.entry = entry;
         this.health = health;
         this.clock = clock;
+        this.idHash = Rendezvous.hash(entry.id().value());
         this.wantsNothingUntilMillis = clock.millis();
         this.coldUntilMillis = clock.millis() + entry.warmUpLeft().toMillis();
         this.lastBeginMillis = clock.millis() - WARM_UP_WINDOW_MILLIS;
@@ -62,6 +65,25 @@
         return health;
     }
 
+    /**
+     * Returns the hash of the worker's id.
+     *
+     * @return the hash
+     */
+    public long idHash() {
+        return idHash;
+    }
+
+    /**
+     * Tells whether neither the worker's word nor its warming up holds requests back.
+     *
+     * @return true if {@link #wantsNothingFor} and {@link #warmUpLeft} are zero
+     */
+    boolean isUnrestricted() {
+        final long now = clock.millis();
+        return now >= wantsNothingUntilMillis && now >= coldUntilMillis;
+    }
+
     /**
      * Returns this VM's requests at the worker.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/member/Rendezvous.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/member/Rendezvous.java
@@ -13,6 +13,15 @@
  */
 public final class Rendezvous {
 
+    /** The finalizer of MurmurHash3: each bit of the input changes each bit of the result. */
+    private static final long FIRST_FACTOR = 0xff51afd7ed558ccdL;
+
+    private static final long SECOND_FACTOR = 0xc4ceb9fe1a85ec53L;
+    private static final int HALF_BITS = 33;
+
+    /** Keeps key and name apart: of two equal hashes nothing would be left. */
+    private static final long GOLDEN_RATIO = 0x9e3779b97f4a7c15L;
+
     private Rendezvous() {}
 
     /**
@@ -48,6 +57,31 @@
         return Hashing.komihash5_0().hashStream().putString(key).putString(name).getAsLong();
     }
 
+    /**
+     * Returns the hash of a name, for {@link #weight(long, long)}.
+     *
+     * @param name the name
+     * @return the hash
+     */
+    public static long hash(final String name) {
+        return Hashing.komihash5_0().hashCharsToLong(name);
+    }
+
+    /**
+     * Returns the weight of a name for a key by their hashes. Where one key is weighed against many
+     * names, each name is read once and not once for each key.
+     *
+     * @param keyHash the hash of the key
+     * @param nameHash the hash of the name
+     * @return the weight, uniform over all longs
+     */
+    public static long weight(final long keyHash, final long nameHash) {
+        long mixed = keyHash ^ (nameHash * GOLDEN_RATIO);
+        mixed = (mixed ^ (mixed >>> HALF_BITS)) * FIRST_FACTOR;
+        mixed = (mixed ^ (mixed >>> HALF_BITS)) * SECOND_FACTOR;
+        return mixed ^ (mixed >>> HALF_BITS);
+    }
+
     private static Comparator<VmId> order(final String duty) {
         return Comparator.<VmId>comparingLong(vm -> weight(duty, vm.value()))
                 .thenComparing(Comparator.naturalOrder());
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -1,7 +1,6 @@
 package org.fennelstage.placement;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
@@ -194,14 +193,17 @@
      * @return milliseconds, empty if a place is free or no worker can be reached
      */
     public OptionalDouble leastWaitMillis(final List<TrackedServer> candidates, final Job job) {
-        final List<TrackedServer> reachable =
-                candidates.stream()
-                        .filter(s -> s.health().tier() != ServerHealth.Tier.UNREACHABLE)
-                        .toList();
-        if (reachable.stream().anyMatch(this::hasFreePlace)) {
-            return OptionalDouble.empty();
+        double least = Double.MAX_VALUE;
+        for (final TrackedServer server : candidates) {
+            if (server.health().tier() == ServerHealth.Tier.UNREACHABLE) {
+                continue;
+            }
+            if (hasFreePlace(server)) {
+                return OptionalDouble.empty();
+            }
+            least = Math.min(least, waitMillis(server, job) - job.sharedMillis());
         }
-        return reachable.stream().mapToDouble(s -> waitMillis(s, job) - job.sharedMillis()).min();
+        return least == Double.MAX_VALUE ? OptionalDouble.empty() : OptionalDouble.of(least);
     }
 
     private boolean hasFreePlace(final TrackedServer server) {
@@ -226,18 +228,26 @@
         if (job.affinity().isEmpty()) {
             return List.of();
         }
-        final String part = job.affinity().get();
+        final long part = Rendezvous.hash(job.affinity().get());
         final List<TrackedServer> ranked = new ArrayList<>(MEMORY_WORTH.length);
-        for (int i = 0; i < MEMORY_WORTH.length; i++) {
-            servers.stream()
-                    .filter(s -> !ranked.contains(s))
-                    .max(Comparator.comparingLong(s -> weight(part, s)))
-                    .ifPresent(ranked::add);
+        for (int i = 0; i < Math.min(MEMORY_WORTH.length, servers.size()); i++) {
+            ranked.add(heaviest(servers, part, ranked));
         }
         return ranked;
     }
 
-    private static long weight(final String part, final TrackedServer server) {
-        return Rendezvous.weight(part, server.entry().id().value());
+    /** Returns the worker of the highest weight that is not among some; one at least is not. */
+    private static TrackedServer heaviest(
+            final List<TrackedServer> servers, final long part, final List<TrackedServer> without) {
+        TrackedServer heaviest = null;
+        long most = Long.MIN_VALUE;
+        for (final TrackedServer server : servers) {
+            final long weight = Rendezvous.weight(part, server.idHash());
+            if ((heaviest == null || weight > most) && !without.contains(server)) {
+                heaviest = server;
+                most = weight;
+            }
+        }
+        return heaviest;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Beliefs.java
@@ -1,6 +1,7 @@
 package org.fennelstage.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -333,14 +334,19 @@
     List<TrackedServer> candidates(final ServiceName service, final boolean toNew) {
         final Canary canary = canary(service);
         final List<TrackedServer> usable = servers.usable(service);
-        final List<TrackedServer> admitted =
-                usable.stream().filter(s -> canary.admits(s.entry().version(), toNew)).toList();
-        if (admitted.isEmpty() && toNew) {
-            return candidates(service, false);
+        final List<TrackedServer> eligible = new ArrayList<>(usable.size());
+        boolean anyAdmitted = false;
+        for (final TrackedServer server : usable) {
+            if (canary.admits(server.entry().version(), toNew)) {
+                anyAdmitted = true;
+                if (eligibility.mayGet(server)) {
+                    eligible.add(server);
+                }
+            }
         }
-        // Only after the version is settled: workers of a new version that may get nothing for a
-        // moment must not send sessions back to the old one.
-        return admitted.stream().filter(eligibility::mayGet).toList();
+        // Workers of a new version that may get nothing for a moment must not send sessions back to
+        // the old one.
+        return anyAdmitted || !toNew ? eligible : candidates(service, false);
     }
 
     /** Counts the workers of a service that may get no request now, by the reason for it. */
--- a/fennelstage-log/src/main/java/org/fennelstage/log/EventLog.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/EventLog.java
@@ -32,11 +32,12 @@
         message.append(event.text());
         named.forEach((name, value) -> message.append(' ').append(name).append('=').append(value));
         named.put(CODE, event.code());
-        named.forEach(MDC::put);
+        // In one step: put one by one, each of some twenty fields would pass the context's locks.
+        MDC.setContextMap(named);
         try {
             LOGGER.log(event.level(), message.toString());
         } finally {
-            named.keySet().forEach(MDC::remove);
+            MDC.clear();
         }
     }
 
