--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -20,6 +20,21 @@
 
 # name, file, text of the guard, text without it, test that must fail
 GUARDS = [
+    ("evacuated-gets-nothing", CORE + "fleet/Eligibility.java",
+     "        if (evacuations.includes(server.entry().dataCentre())) {\n            return Optional.empty();", "        if (evacuations.size() < 0) {\n            return Optional.empty();",
+     "EvacuationPathTest"),
+    ("evacuation-survives-a-copy", CORE + "fleet/Evacuations.java",
+     "return unsettled ? Set.of() : endUnlisted();", "return endUnlisted();",
+     "EvacuationsTest"),
+    ("cold-worker-has-shares", CORE + "fleet/WarmUpShares.java",
+     "return requests / vms + (rank < leftOver ? 1 : 0);", "return requests + 0 * (vms + rank + leftOver);",
+     "WarmUpSharesTest"),
+    ("silent-collector-is-passed-over", GATEWAY + "vm/LoadCollection.java",
+     "collector.ifPresent(vm -> pausedUntilMillis.put(vm, now + PAUSE_MILLIS));", "",
+     "LoadCollectionTest"),
+    ("answer-lifts-quarantine", GATEWAY + "gateway/CrashWatch.java",
+     "        if (quarantine.release(content)) {\n            EventLog.write(Event.QUARANTINE_OVER, \"content\", content, \"source\", \"answer\");", "        if (content == null) {\n            EventLog.write(Event.QUARANTINE_OVER, \"content\", content, \"source\", \"answer\");",
+     "CrashWatchTest"),
     ("revision-never-falls", CORE + "configuration/ConfigurationTable.java",
      "if (held != null && !object.revision().isAfter(held.revision())) {", "if (held != null && false) {",
      "ConfigurationTableTest"),
