A collector of loads that never answers is tried less and less often

Found by reading: entries of VMs that are gone stay in the list, so one that stands first in its data centre's order was turned to again every 5 s, each time for 1.2 s without sums.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
@@ -36,9 +36,12 @@
     /** How long a collector may keep silent before the next is told; milliseconds. */
     static final long SILENCE_MILLIS = 1_200;
 
-    /** How long a collector that kept silent is passed over; milliseconds. */
+    /** How long a collector that kept silent is passed over at first; milliseconds. */
     static final long PAUSE_MILLIS = 5_000;
 
+    /** How often in a row the pause doubles for a VM that never answers; it may be gone. */
+    private static final int MOST_DOUBLINGS = 4;
+
     /** Workers in one message: as many as a datagram holds. */
     static final int MOST_SERVERS = 40;
 
@@ -48,6 +51,7 @@
     private final BiConsumer<PeerMessage, List<InetSocketAddress>> tell;
     private final MonotonicClock clock;
     private final Map<VmId, Long> pausedUntilMillis = new HashMap<>();
+    private final Map<VmId, Integer> silences = new HashMap<>();
     private final Map<VmId, Long> heardMillis = new HashMap<>();
     private Map<BackendServerId, Load> told = Map.of();
     private Optional<VmId> collector = Optional.empty();
@@ -95,6 +99,7 @@
             return;
         }
         awaiting = false;
+        silences.remove(sums.collector());
         final Map<BackendServerId, Load> others = new HashMap<>();
         sums.loads().forEach((server, load) -> others.put(server, withoutOwn(server, load)));
         board.onReport(sums.collector(), sums.part(), others);
@@ -126,11 +131,17 @@
     private void passOverSilentCollector() {
         final long now = clock.millis();
         if (awaiting && now - awaitingSinceMillis >= SILENCE_MILLIS) {
-            collector.ifPresent(vm -> pausedUntilMillis.put(vm, now + PAUSE_MILLIS));
+            collector.ifPresent(this::passOver);
             awaiting = false;
         }
     }
 
+    private void passOver(final VmId vm) {
+        final int before = silences.merge(vm, 1, Integer::sum) - 1;
+        final long pause = PAUSE_MILLIS << Math.min(before, MOST_DOUBLINGS);
+        pausedUntilMillis.put(vm, clock.millis() + pause);
+    }
+
     /** Returns the first VM in the order that is not passed over, empty if that is this one. */
     private Optional<VmId> chosen() {
         final long now = clock.millis();
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
@@ -159,6 +159,23 @@
                 .allSatisfy(vm -> assertThat(vm.others()).isEqualTo(VMS - 2));
     }
 
+    /** Guards against seconds without loads, again and again, for a VM that never comes back. */
+    @Test
+    void aVmThatIsGoneForGoodIsTriedLessAndLessOften() {
+        startFleet(VMS);
+        periods(3);
+        final Vm gone = first();
+        dead.add(gone);
+        int without = 0;
+        for (int i = 0; i < 200; i++) {
+            periods(1);
+            final boolean unaware =
+                    vms.values().stream().anyMatch(vm -> vm != gone && vm.others() < VMS - 2);
+            without += unaware ? 1 : 0;
+        }
+        assertThat(without).isLessThan(200 / 10);
+    }
+
     @Test
     void vmsThatHaveNothingSayNothing() {
         startFleet(VMS);
