--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RefusedAnswer.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RefusedAnswer.java
@@ -46,6 +46,22 @@
         gateway.respond(exchange, requestId, Refusal.QUARANTINED, left);
     }
 
+    /**
+     * Refuses a request for which no worker was found.
+     *
+     * @param service the service
+     * @return the reason: there is none, or none may get a request now
+     */
+    Refusal withoutServer(final ServiceName service) {
+        final boolean hasServers = !gateway.beliefs().servers().usable(service).isEmpty();
+        final Refusal refusal = hasServers ? Refusal.NO_ELIGIBLE_SERVER : Refusal.NO_SERVER;
+        if (hasServers) {
+            log.noneEligible(gateway.beliefs().ineligible(service));
+        }
+        plain(refusal, Optional.of(service));
+        return refusal;
+    }
+
     /**
      * Refuses for any other reason. Where no worker of the service may get a request now, a caller
      * that may come back is told when the first may again.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestRun.java
@@ -275,16 +275,7 @@
         } else if (attempts.sent() > 0) {
             refuse(Refusal.REJECTED);
         } else {
-            refuseWithoutServer();
-        }
-    }
-
-    private void refuseWithoutServer() {
-        if (gateway.beliefs().servers().usable(service).isEmpty()) {
-            refuse(Refusal.NO_SERVER);
-        } else {
-            log.noneEligible(gateway.beliefs().ineligible(service));
-            refuse(Refusal.NO_ELIGIBLE_SERVER);
+            finish(refused.withoutServer(service));
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -2,11 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +20,6 @@
 import org.fennelstage.gateway.WireCodec;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.HttpServer;
-import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -52,10 +49,6 @@
     /** How often silent workers, lapsed workers and due writes are looked for; milliseconds. */
     private static final long DUTY_MILLIS = 100;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
-    private static final int OK = 200;
-
     private VmSettings settings;
     private final NioEventLoopGroup group;
     private final EventLoop loop;
@@ -183,7 +176,8 @@
                         settings.linkMegabits(),
                         beliefs.clock()));
         if (settings.metrics().isPresent()) {
-            startMetrics(settings.metrics().get(), workers);
+            final VmMetrics served = new VmMetrics(metrics, beliefs, gateway, eras, workers);
+            HttpServer.start(group, settings.metrics().get(), ServerLimits.DEFAULT, served);
         }
     }
 
@@ -372,40 +366,4 @@
                 limits.headerTimeout(),
                 limits.idleTimeout());
     }
-
-    private void startMetrics(final InetSocketAddress address, final HttpClient workers)
-            throws IOException {
-        metrics.gauge(
-                "fennelstage_gateway_worker_connections_opened",
-                "Connections opened to workers",
-                workers::connectionsOpened);
-        metrics.gauge(
-                "fennelstage_log_lines_dropped",
-                "Log lines dropped because the queue was full",
-                LogSetup::dropped);
-        metrics.gauge(
-                "fennelstage_gateway_quarantined_requests",
-                "Requests that are refused since they end the workers that run them",
-                () -> gateway.crashes().quarantine().size());
-        metrics.gauge(
-                "fennelstage_gateway_evacuations",
-                "Data centres whose workers get nothing new",
-                () -> beliefs.evacuations().size());
-        metrics.gauge(
-                "fennelstage_gateway_evacuations_age_seconds",
-                "Time since the store was last heard of evacuations",
-                () -> beliefs.evacuations().ageMillis() / MILLIS_PER_SECOND);
-        metrics.gauge(
-                "fennelstage_gateway_store_returns",
-                "How often the store was seen to come back from an older copy",
-                eras::rises);
-        HttpServer.start(group, address, ServerLimits.DEFAULT, this::answerMetrics);
-    }
-
-    private void answerMetrics(final ServerExchange exchange) {
-        exchange.respond(
-                OK,
-                Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "text/plain; version=0.0.4"),
-                metrics.scrape());
-    }
 }
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
@@ -0,0 +1,63 @@
+package org.fennelstage.vm;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Map;
+import java.util.Objects;
+import org.fennelstage.gateway.Beliefs;
+import org.fennelstage.gateway.Gateway;
+import org.fennelstage.gateway.GatewayMetrics;
+import org.fennelstage.http.HttpClient;
+import org.fennelstage.http.RequestHandler;
+import org.fennelstage.http.ServerExchange;
+import org.fennelstage.log.LogSetup;
+import org.fennelstage.store.EraTracker;
+
+/** Serves a VM's metrics, with gauges of what it believes and holds. Confined to the event loop. */
+final class VmMetrics implements RequestHandler {
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final int OK = 200;
+
+    private final GatewayMetrics metrics;
+
+    VmMetrics(
+            final GatewayMetrics metrics,
+            final Beliefs beliefs,
+            final Gateway gateway,
+            final EraTracker eras,
+            final HttpClient workers) {
+        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+        metrics.gauge(
+                "fennelstage_gateway_worker_connections_opened",
+                "Connections opened to workers",
+                workers::connectionsOpened);
+        metrics.gauge(
+                "fennelstage_log_lines_dropped",
+                "Log lines dropped because the queue was full",
+                LogSetup::dropped);
+        metrics.gauge(
+                "fennelstage_gateway_quarantined_requests",
+                "Requests that are refused since they end the workers that run them",
+                () -> gateway.crashes().quarantine().size());
+        metrics.gauge(
+                "fennelstage_gateway_evacuations",
+                "Data centres whose workers get nothing new",
+                () -> beliefs.evacuations().size());
+        metrics.gauge(
+                "fennelstage_gateway_evacuations_age_seconds",
+                "Time since the store was last heard of evacuations",
+                () -> beliefs.evacuations().ageMillis() / MILLIS_PER_SECOND);
+        metrics.gauge(
+                "fennelstage_gateway_store_returns",
+                "How often the store was seen to come back from an older copy",
+                eras::rises);
+    }
+
+    @Override
+    public void handle(final ServerExchange exchange) {
+        exchange.respond(
+                OK,
+                Map.of(HttpHeaderNames.CONTENT_TYPE.toString(), "text/plain; version=0.0.4"),
+                metrics.scrape());
+    }
+}
