--- a/fennelstage-core/src/main/java/org/fennelstage/canary/ToldVersions.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/ToldVersions.java
@@ -16,7 +16,7 @@
 final class ToldVersions {
 
     /**
-     * How long a word counts; milliseconds. several words a second come to each VM, and some
+     * How long a word counts; milliseconds. Several words a second come to each VM, and some
      * datagrams are lost.
      */
     static final long TOLD_MILLIS = 2_000;
