Backend servers get no more requests from all VMs than the limit that they report

Callers saw nothing; backend servers in need named 3.1 and 2.5 requests a second in their answers and got 25 and 29 in 4 s from VMs that had passed such an answer on (allowed 24 and 20), as many as before.

Cause: nobody read the header; it went on to the caller. Read by each VM alone, nine VMs would have sent nine times the limit. Class: a server's word on its own state that is not heard, as before with leaving and rejecting servers; and a bound on all VMs together that no VM can keep by itself.

Now the limit is one more reason why a server is not eligible: each VM has a fixed integer share of what the server accepts in 4 s (the shares of cold servers, generalised: RequestShares), VMs inform each other of a limit and of its end.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Eligibility.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Eligibility.java
@@ -13,9 +13,9 @@
  * Decides whether a backend server may get a request now, and if not, when it may.
  *
  * <p>A backend server is not eligible while its data centre is evacuated, while it rejects requests
- * from this VM, and while it is warming up and this VM has used up its share of the warm-up rate.
- * This keeps the VMs from overloading restarted servers, whose low load would attract all VMs at
- * once.
+ * from this VM, and while it is warming up or reports a limit and this VM has used up its share of
+ * what the server accepts. This keeps the VMs from overloading such servers, whose low load would
+ * attract all VMs at once.
  *
  * <p>While the store is unavailable, restarts are not reported. A backend server that was recently
  * unreachable is then treated as restarted and warming up.
@@ -31,11 +31,15 @@
      * @param evacuated how many are in evacuated data centres
      * @param warmingUp how many are warming up while this VM has used up its share
      * @param rejecting how many reject requests from this VM
+     * @param limited how many report a limit of which this VM has used up its share
      */
-    public record Reasons(int evacuated, int warmingUp, int rejecting) {}
+    public record Reasons(int evacuated, int warmingUp, int rejecting, int limited) {}
+
+    private static final Duration LIMIT_WINDOW =
+            Duration.ofMillis(TrackedServer.LIMIT_WINDOW_MILLIS);
 
     private final Evacuations evacuations;
-    private final WarmUpShares shares;
+    private final RequestShares shares;
     private final Function<ServiceName, Optional<WarmUp>> warmUps;
     private final BooleanSupplier storeUnavailable;
 
@@ -43,13 +47,13 @@
      * Creates the eligibility rules of one VM.
      *
      * @param evacuations the evacuated data centres
-     * @param shares this VM's share of the warm-up rate of each backend server
+     * @param shares this VM's share of the requests that each backend server accepts
      * @param warmUps the warm-up settings of a service, empty if it needs no warm-up
      * @param storeUnavailable returns whether the store cannot be reached
      */
     public Eligibility(
             final Evacuations evacuations,
-            final WarmUpShares shares,
+            final RequestShares shares,
             final Function<ServiceName, Optional<WarmUp>> warmUps,
             final BooleanSupplier storeUnavailable) {
         this.evacuations = Objects.requireNonNull(evacuations, "evacuations is null");
@@ -84,9 +88,22 @@
         if (evacuations.includes(server.entry().dataCentre())) {
             return Optional.empty();
         }
-        final Duration rejects = server.rejectsFor();
-        final Duration warmUp = warmUpDelay(server);
-        return Optional.of(rejects.compareTo(warmUp) > 0 ? rejects : warmUp);
+        final Duration others = longer(server.rejectsFor(), warmUpDelay(server));
+        return limitDelay(server).map(limit -> longer(others, limit));
+    }
+
+    private static Duration longer(final Duration one, final Duration other) {
+        return one.compareTo(other) > 0 ? one : other;
+    }
+
+    /** Returns how long this VM's share of a reported limit is used up, empty if it has none. */
+    private Optional<Duration> limitDelay(final TrackedServer server) {
+        final Optional<RateLimit> limit = server.limit();
+        if (limit.isEmpty()) {
+            return Optional.of(Duration.ZERO);
+        }
+        final int requests = limit.get().requestsIn(LIMIT_WINDOW);
+        return server.limitDelay(shares.of(server.entry().id(), requests));
     }
 
     /**
@@ -99,16 +116,19 @@
         int evacuated = 0;
         int warmingUp = 0;
         int rejecting = 0;
+        int limited = 0;
         for (final TrackedServer server : servers) {
             if (evacuations.includes(server.entry().dataCentre())) {
                 evacuated++;
             } else if (!server.rejectsFor().isZero()) {
                 rejecting++;
+            } else if (!limitDelay(server).equals(Optional.of(Duration.ZERO))) {
+                limited++;
             } else if (!isEligible(server)) {
                 warmingUp++;
             }
         }
-        return new Reasons(evacuated, warmingUp, rejecting);
+        return new Reasons(evacuated, warmingUp, rejecting, limited);
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/WarmUpShares.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/RequestShares.java
@@ -10,37 +10,38 @@
 import org.fennelstage.member.Rendezvous;
 
 /**
- * This VM's share of the request rate that a backend server accepts during its warm-up.
+ * This VM's share of the requests that a backend server accepts from all VMs together in some
+ * window of time, during its warm-up or while it reports a limit.
  *
- * <p>A restarted backend server has no load, so every VM that places requests by load would select
- * it at once, and together they would crash it. Each VM therefore has a fixed share: the requests
- * per second divided by the number of VMs, and one more for as many VMs as the remainder. Which VMs
- * get one more follows from rendezvous hashing of the server's and the VMs' ids, so all VMs agree
- * without messages and the load spreads over different VMs for each server.
+ * <p>A backend server that needs relief has little load, so every VM that places requests by load
+ * would select it at once, and together they would overload it. Each VM therefore has a fixed
+ * share: the requests divided by the number of VMs, and one more for as many VMs as the remainder.
+ * Which VMs get one more follows from rendezvous hashing of the server's and the VMs' ids, so all
+ * VMs agree without messages and the load spreads over different VMs for each server.
  *
- * <p>Invariant: the shares of VMs that know the same VMs add up to the rate of the backend server;
- * a VM that does not know the other VMs yet has no share. Not thread-safe.
+ * <p>Invariant: the shares of VMs that know the same VMs add up to the requests that the backend
+ * server accepts; a VM that does not know the other VMs yet has no share. Not thread-safe.
  *
  * <pre>{@code
- * // 90 VMs and a backend server that accepts 17 requests per second: 17 VMs have a share of 1
+ * // 90 VMs and a backend server that accepts 17 requests in a window: 17 VMs have a share of 1
  * shares.of(server, 17)  // 0 or 1
  * }</pre>
  */
-public final class WarmUpShares {
+public final class RequestShares {
 
     private final Set<VmId> others = new HashSet<>();
     private final Map<BackendServerId, Integer> ranks = new HashMap<>();
     private Optional<VmId> own = Optional.empty();
 
-    private WarmUpShares() {}
+    private RequestShares() {}
 
     /**
      * Returns the shares of a VM that does not know the other VMs yet.
      *
      * @return the shares
      */
-    public static WarmUpShares empty() {
-        return new WarmUpShares();
+    public static RequestShares empty() {
+        return new RequestShares();
     }
 
     /**
@@ -63,7 +64,7 @@
      * Returns this VM's share.
      *
      * @param server the backend server
-     * @param requests how many requests per second it accepts from all VMs together
+     * @param requests how many requests it accepts from all VMs together in a window
      * @return this VM's part of them, 0 if it has none
      */
     public int of(final BackendServerId server, final int requests) {
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import org.fennelstage.member.Rendezvous;
 import org.fennelstage.time.MonotonicClock;
 
@@ -19,6 +20,12 @@
      */
     static final long WARM_UP_WINDOW_MILLIS = 1_200;
 
+    /**
+     * Window to which this VM's share of a reported limit applies; milliseconds. Long enough for a
+     * low limit to give several VMs a share.
+     */
+    static final long LIMIT_WINDOW_MILLIS = 4_000;
+
     private final ServerHealth health;
     private final MonotonicClock clock;
     private final long idHash;
@@ -31,6 +38,7 @@
     private long rejectsUntilMillis;
     private long warmUpUntilMillis;
     private long lastBeginMillis;
+    private final ReportedLimit limit;
 
     private TrackedServer(
             final ServerEntry entry, final ServerHealth health, final MonotonicClock clock) {
@@ -40,7 +48,8 @@
         this.idHash = Rendezvous.hash(entry.id().value());
         this.rejectsUntilMillis = clock.millis();
         this.warmUpUntilMillis = clock.millis() + entry.warmUpLeft().toMillis();
-        this.lastBeginMillis = clock.millis() - WARM_UP_WINDOW_MILLIS;
+        this.lastBeginMillis = clock.millis() - LIMIT_WINDOW_MILLIS;
+        this.limit = new ReportedLimit(clock);
     }
 
     /**
@@ -75,13 +84,15 @@
     }
 
     /**
-     * Returns whether the backend server neither rejects requests nor is warming up.
+     * Returns whether the backend server neither rejects requests nor is warming up nor reports a
+     * limit.
      *
-     * @return true if {@link #rejectsFor} and {@link #warmUpLeft} are zero
+     * @return true if {@link #rejectsFor} and {@link #warmUpLeft} are zero and {@link #limit} is
+     *     empty
      */
     boolean isUnrestricted() {
         final long now = clock.millis();
-        return now >= rejectsUntilMillis && now >= warmUpUntilMillis;
+        return now >= rejectsUntilMillis && now >= warmUpUntilMillis && limit().isEmpty();
     }
 
     /**
@@ -208,10 +219,65 @@
      * @return the time until then; the rest of the warm-up if the share is 0
      */
     public Duration warmUpDelay(final int share) {
-        if (share == 0) {
-            return warmUpLeft();
-        }
-        final long spacing = (WARM_UP_WINDOW_MILLIS + share - 1) / share;
+        return share == 0 ? warmUpLeft() : spacingDelay(share, WARM_UP_WINDOW_MILLIS);
+    }
+
+    /**
+     * Returns the rate limit that the backend server reports.
+     *
+     * @return the limit, empty if it reports none
+     */
+    public Optional<RateLimit> limit() {
+        return limit.current();
+    }
+
+    /**
+     * Records that the backend server reported a rate limit, to this VM or to another.
+     *
+     * @param reported the limit
+     * @return whether it differs from the one before
+     */
+    public boolean onLimit(final RateLimit reported) {
+        return limit.onReported(reported);
+    }
+
+    /**
+     * Records that the backend server responded to this VM without a limit.
+     *
+     * @param sentMillis when the request was sent, by this VM's clock
+     * @return whether this ends the limit
+     */
+    public boolean onUnlimitedResponse(final long sentMillis) {
+        return limit.onUnlimitedResponse(sentMillis);
+    }
+
+    /**
+     * Records that another VM found that the backend server reports no limit any more.
+     *
+     * @return whether there was a limit
+     */
+    public boolean onLimitEnded() {
+        return limit.onEnded();
+    }
+
+    /**
+     * Returns how long until the backend server may get its next request under its limit.
+     *
+     * <p>Invariant: if requests are sent only while this is zero, at most {@code share} of them are
+     * sent within any {@link #LIMIT_WINDOW_MILLIS}.
+     *
+     * @param share how many requests this VM may send to it in that window
+     * @return the time until then, empty if the share is 0
+     */
+    public Optional<Duration> limitDelay(final int share) {
+        return share == 0
+                ? Optional.empty()
+                : Optional.of(spacingDelay(share, LIMIT_WINDOW_MILLIS));
+    }
+
+    /** Returns the time until the next request if at most {@code share} fit into any window. */
+    private Duration spacingDelay(final int share, final long windowMillis) {
+        final long spacing = (windowMillis + share - 1) / share;
         return Duration.ofMillis(Math.max(0, lastBeginMillis + spacing - clock.millis()));
     }
 
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/EligibilityTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/EligibilityTest.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
@@ -25,7 +27,7 @@
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final AtomicBoolean storeUnavailable = new AtomicBoolean();
     private final Evacuations evacuations = Evacuations.empty(now::get);
-    private final WarmUpShares shares = WarmUpShares.empty();
+    private final RequestShares shares = RequestShares.empty();
     private final Eligibility eligibility =
             new Eligibility(evacuations, shares, s -> Optional.of(WARM_UP), storeUnavailable::get);
 
@@ -96,9 +98,9 @@
         final TrackedServer rejecting = server(Duration.ZERO);
         rejecting.onRejected(Duration.ofSeconds(1));
         final List<TrackedServer> servers = List.of(server(Duration.ZERO), warmingUp, rejecting);
-        assertThat(eligibility.reasons(servers)).isEqualTo(new Eligibility.Reasons(0, 1, 1));
+        assertThat(eligibility.reasons(servers)).isEqualTo(new Eligibility.Reasons(0, 1, 1, 0));
         evacuations.begin(DC);
-        assertThat(eligibility.reasons(servers)).isEqualTo(new Eligibility.Reasons(3, 0, 0));
+        assertThat(eligibility.reasons(servers)).isEqualTo(new Eligibility.Reasons(3, 0, 0, 0));
     }
 
     /** Guards against overloading servers that restarted before their evacuation ended. */
@@ -122,4 +124,31 @@
         now.addAndGet(600);
         assertThat(eligibility.isEligible(server)).isTrue();
     }
+
+    @Test
+    void serverThatReportsALimitIsNotEligibleOnceTheShareIsUsedUp() {
+        final TrackedServer server = server(Duration.ZERO);
+        server.onLimit(new RateLimit(0.5));
+        assertThat(eligibility.isEligible(server)).isTrue();
+        server.begin(0);
+        assertThat(eligibility.wait(server)).contains(Duration.ofSeconds(2));
+        assertThat(eligibility.reasons(List.of(server)).limited()).isEqualTo(1);
+        now.addAndGet(2_000);
+        assertThat(eligibility.isEligible(server)).isTrue();
+    }
+
+    @Test
+    void serverWithALimitOfWhichThisVmHasNoShareIsNotEligibleForAnUnknownTime() {
+        shares.onVms(VmId.of("vm-1"), manyOtherVms());
+        final TrackedServer server = server(Duration.ZERO);
+        server.onLimit(new RateLimit(0));
+        assertThat(eligibility.wait(server)).isEmpty();
+    }
+
+    /** Returns so many VMs that a single request is not this VM's. */
+    private static Set<VmId> manyOtherVms() {
+        return IntStream.range(2, 100)
+                .mapToObj(i -> VmId.of("vm-" + i))
+                .collect(Collectors.toSet());
+    }
 }
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/WarmUpSharesTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/RequestSharesTest.java
@@ -22,7 +22,7 @@
 import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.Test;
 
-class WarmUpSharesTest {
+class RequestSharesTest {
 
     private static final BackendServerId SERVER = BackendServerId.of("i-1");
     private static final long SECOND_MILLIS = 1_000;
@@ -35,8 +35,8 @@
         return vms;
     }
 
-    private static WarmUpShares shares(final VmId own, final Set<VmId> known) {
-        final WarmUpShares shares = WarmUpShares.empty();
+    private static RequestShares shares(final VmId own, final Set<VmId> known) {
+        final RequestShares shares = RequestShares.empty();
         final Set<VmId> others = new HashSet<>(known);
         others.remove(own);
         shares.onVms(own, others);
@@ -57,7 +57,7 @@
     /** Guards against a VM without known peers that uses the whole warm-up rate. */
     @Test
     void vmWithUnknownPeersHasNoShare() {
-        assertThat(WarmUpShares.empty().of(SERVER, 17)).isZero();
+        assertThat(RequestShares.empty().of(SERVER, 17)).isZero();
     }
 
     /** Bounds the overload by VMs that do not know all of their peers. */
@@ -145,4 +145,39 @@
         now.addAndGet(Duration.ofHours(1).toMillis());
         assertThat(server.warmUpLeft()).isZero();
     }
+
+    /** Guards against VMs that together send more than the limit that a server reports. */
+    @Property(tries = 40)
+    void allVmsTogetherStayWithinAReportedLimitInAnyWindow(
+            @ForAll @IntRange(min = 1, max = 120) final int count,
+            @ForAll @IntRange(min = 1, max = 400) final int tenthsPerSecond,
+            @ForAll final long seed) {
+        final AtomicLong now = new AtomicLong(1_000_000);
+        final Random random = new Random(seed);
+        final Set<VmId> fleet = vms(count);
+        final RateLimit limit = new RateLimit(tenthsPerSecond / 10.0);
+        final int requests = limit.requestsIn(Duration.ofMillis(TrackedServer.LIMIT_WINDOW_MILLIS));
+        final List<TrackedServer> views = new ArrayList<>();
+        final List<Integer> shares = new ArrayList<>();
+        for (final VmId vm : fleet) {
+            views.add(warmingUp(now));
+            shares.add(shares(vm, fleet).of(SERVER, requests));
+        }
+        final Deque<Long> window = new ArrayDeque<>();
+        for (int step = 0; step < 8_000; step++) {
+            now.addAndGet(random.nextInt(4));
+            final int vm = random.nextInt(count);
+            final boolean mayBegin =
+                    views.get(vm).limitDelay(shares.get(vm)).filter(Duration::isZero).isPresent();
+            if (mayBegin) {
+                views.get(vm).begin(0);
+                window.addLast(now.get());
+            }
+            final long oldest = now.get() - TrackedServer.LIMIT_WINDOW_MILLIS;
+            while (!window.isEmpty() && window.peekFirst() <= oldest) {
+                window.removeFirst();
+            }
+            assertThat(window).hasSizeLessThanOrEqualTo(requests);
+        }
+    }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -185,6 +185,11 @@
             execution.gateway().onServerDraining(server);
         }
         decoded.rejectsFor().ifPresent(time -> execution.gateway().onRejecting(server, time));
+        if (decoded.limit().isPresent()) {
+            execution.gateway().onLimitReported(server, decoded.limit().get());
+        } else if (decoded.isSuccess()) {
+            execution.gateway().onUnlimitedResponse(server, sentMillis);
+        }
     }
 
     @Override
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -6,10 +6,12 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.RateLimit;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
@@ -42,6 +44,7 @@
     private final CrashDetector crashes;
     private Consumer<Incarnation> unreachableListener = id -> {};
     private Consumer<Incarnation> drainingListener = id -> {};
+    private BiConsumer<Incarnation, Optional<RateLimit>> limitListener = (id, limit) -> {};
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private int inFlight;
 
@@ -122,6 +125,16 @@
         drainingListener = Objects.requireNonNull(listener, "listener is null");
     }
 
+    /**
+     * Sets the listener for rate limits that backend servers report in responses to this VM.
+     *
+     * @param listener receives the backend server and its limit with each response that has one,
+     *     and once without a limit when the limit has ended
+     */
+    public void onServerLimit(final BiConsumer<Incarnation, Optional<RateLimit>> listener) {
+        limitListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
     /**
      * Returns the number of requests whose response is not complete.
      *
@@ -232,6 +245,34 @@
                 time.toMillis());
     }
 
+    /** Records that a backend server reported a rate limit and notifies the other VMs. */
+    void onLimitReported(final TrackedServer server, final RateLimit limit) {
+        final Incarnation incarnation = server.entry().incarnation();
+        if (server.onLimit(limit)) {
+            EventLog.write(
+                    Event.SERVER_LIMITED,
+                    "server",
+                    incarnation,
+                    "requests_per_s",
+                    limit.requestsPerSecond(),
+                    "source",
+                    "response");
+        }
+        limitListener.accept(incarnation, Optional.of(limit));
+    }
+
+    /**
+     * Records that a backend server responded without a rate limit, and notifies the other VMs if
+     * this ends one: most have no share of its requests and would not find out.
+     */
+    void onUnlimitedResponse(final TrackedServer server, final long sentMillis) {
+        if (server.onUnlimitedResponse(sentMillis)) {
+            final Incarnation incarnation = server.entry().incarnation();
+            EventLog.write(Event.SERVER_LIMIT_ENDED, "server", incarnation, "source", "response");
+            limitListener.accept(incarnation, Optional.empty());
+        }
+    }
+
     /**
      * Records that a backend server could not be reached and notifies the other VMs if the network
      * is not at fault.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
@@ -17,10 +17,10 @@
 import org.fennelstage.fleet.ConnectionShare;
 import org.fennelstage.fleet.Eligibility;
 import org.fennelstage.fleet.Evacuations;
+import org.fennelstage.fleet.RequestShares;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
 import org.fennelstage.fleet.TrackedServer;
-import org.fennelstage.fleet.WarmUpShares;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ModelId;
@@ -58,7 +58,7 @@
     private GatewaySettings settings;
     private final ServerTable servers;
     private final Evacuations evacuations;
-    private final WarmUpShares warmUpShares = WarmUpShares.empty();
+    private final RequestShares requestShares = RequestShares.empty();
     private final Eligibility eligibility;
     private final Map<ServiceName, Canary> canaries = new HashMap<>();
     private final Map<ServiceName, WindowedRetryBudget> retryBudgets = new HashMap<>();
@@ -85,7 +85,7 @@
         this.evacuations = Evacuations.empty(clock);
         this.eligibility =
                 new Eligibility(
-                        evacuations, warmUpShares, this::warmUp, this.servers::isStoreUnavailable);
+                        evacuations, requestShares, this::warmUp, this.servers::isStoreUnavailable);
     }
 
     public MonotonicClock clock() {
@@ -182,7 +182,7 @@
      * @param others all others, including those that have stopped
      */
     public void onVms(final VmId own, final Set<VmId> others) {
-        warmUpShares.onVms(own, others);
+        requestShares.onVms(own, others);
     }
 
     /** Returns this VM's share of the connections that each backend server of a service accepts. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -128,7 +128,9 @@
                 "cold",
                 reasons.warmingUp(),
                 "want_nothing",
-                reasons.rejecting());
+                reasons.rejecting(),
+                "limited",
+                reasons.limited());
     }
 
     void quarantined(final Duration remaining) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ResponseHead.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ResponseHead.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.fennelstage.fleet.RateLimit;
 
 /**
  * The decoded head of a backend server's response. Immutable except for the headers, which must not
@@ -17,6 +18,8 @@
  * @param draining whether the backend server reports that it is draining
  * @param rejectsFor how long the backend server rejects further requests of this VM, empty if not
  *     given
+ * @param limit the rate of requests that the backend server accepts from all VMs together, empty if
+ *     it reports none
  */
 public record ResponseHead(
         int status,
@@ -24,7 +27,8 @@
         HttpHeaders headers,
         OptionalInt confidence,
         boolean draining,
-        Optional<Duration> rejectsFor) {
+        Optional<Duration> rejectsFor,
+        Optional<RateLimit> limit) {
 
     /** What a response proves about the request. */
     public enum Trust {
@@ -41,6 +45,7 @@
         Objects.requireNonNull(headers, "headers is null");
         Objects.requireNonNull(confidence, "confidence is null");
         Objects.requireNonNull(rejectsFor, "rejectsFor is null");
+        Objects.requireNonNull(limit, "limit is null");
     }
 
     boolean isSuccess() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -140,6 +140,7 @@
         this.crashBroadcast = new CrashBroadcast(peers::allPeers, messenger::send, clock);
         gateway.onServerDraining(
                 server -> messenger.send(new PeerMessage.Draining(server), peers.allPeers()));
+        gateway.onServerLimit(new LimitReports(peers::allPeers, messenger::send, clock)::onLimit);
         gateway.crashes().onDetected(crashBroadcast::onReport, crashBroadcast::onClearedCrashes);
         this.rolloutAges = new RolloutAges(state, peers::loadPeers, messenger::send, random);
         final LoadCollection collection =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -14,6 +14,7 @@
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
+import org.fennelstage.fleet.RateLimit;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
@@ -27,6 +28,9 @@
  */
 sealed interface PeerMessage {
 
+    /** Rate in a message about a limit that has ended. */
+    String NO_LIMIT = "-";
+
     /** Id and start time of a backend server. Ids contain no space or comma. */
     Pattern UNREACHABLE =
             Pattern.compile("unreachable ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
@@ -34,6 +38,12 @@
     /** Id and start time of a backend server. */
     Pattern DRAINING = Pattern.compile("leaving ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
 
+    /** Id and start time of a backend server, and requests per second, or "-" for no limit. */
+    Pattern LIMIT =
+            Pattern.compile(
+                    "limit ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})"
+                            + " (-|[0-9]{1,9}(?:\\.[0-9]{1,20})?(?:E-?[0-9]{1,3})?)");
+
     /** Sending VM and any number of loads. */
     Pattern LOADS = Pattern.compile("loads ([A-Za-z0-9][A-Za-z0-9._-]{0,95})((?: [^ ]+)*)");
 
@@ -95,6 +105,28 @@
         }
     }
 
+    /**
+     * A backend server reported a rate limit in a response, or responded without the one that it
+     * had.
+     *
+     * @param server the incarnation of the backend server
+     * @param limit the limit, empty if it has ended
+     */
+    record Limit(Incarnation server, Optional<RateLimit> limit) implements PeerMessage {
+
+        public Limit {
+            Objects.requireNonNull(server, "server is null");
+            Objects.requireNonNull(limit, "limit is null");
+        }
+
+        @Override
+        public String text() {
+            final String rate =
+                    limit.map(l -> Double.toString(l.requestsPerSecond())).orElse(NO_LIMIT);
+            return "limit " + server.server().value() + " " + server.startMillis() + " " + rate;
+        }
+    }
+
     /**
      * A VM's load at the backend servers.
      *
@@ -236,6 +268,11 @@
         if (draining.matches()) {
             return Optional.of(new Draining(incarnation(draining.group(1), draining.group(2))));
         }
+        final Matcher limit = LIMIT.matcher(text);
+        if (limit.matches()) {
+            return Optional.of(
+                    new Limit(incarnation(limit.group(1), limit.group(2)), limit(limit.group(3))));
+        }
         final Matcher crash = CRASH.matcher(text);
         if (crash.matches()) {
             final Incarnation server = incarnation(crash.group(1), crash.group(2));
@@ -279,6 +316,10 @@
         return new Incarnation(BackendServerId.of(id), Long.parseLong(startMillis));
     }
 
+    private static Optional<RateLimit> limit(final String rate) {
+        return rate.equals(NO_LIMIT) ? Optional.empty() : RateLimit.of(Double.parseDouble(rate));
+    }
+
     private static Set<Fingerprint> contents(final String list) {
         final Set<Fingerprint> contents = new HashSet<>();
         for (final String item : list.strip().split(" ")) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.RateLimit;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.gateway.CrashDetector;
 import org.fennelstage.gateway.GatewayState;
@@ -12,6 +13,9 @@
 /** Dispatches the messages of other VMs. Not thread-safe; confined to the event loop. */
 final class PeerMessageDispatcher {
 
+    /** Source of a fact in the log that another VM reported. */
+    private static final String ANOTHER_VM = "another VM";
+
     private final GatewayState state;
     private final CrashDetector crashes;
     private final LoadCollection loads;
@@ -45,6 +49,8 @@
             rolloutAges.onAge(rollout.age());
         } else if (message instanceof PeerMessage.Draining draining) {
             onDraining(draining.server());
+        } else if (message instanceof PeerMessage.Limit limit) {
+            onLimit(limit);
         } else if (message instanceof PeerMessage.Crash crash) {
             crashes.onReport(crash.report());
         } else if (message instanceof PeerMessage.CrashesCleared cleared) {
@@ -54,16 +60,45 @@
 
     private void onDraining(final Incarnation server) {
         if (state.servers().onDraining(server)) {
-            EventLog.write(Event.SERVER_DRAINING, "server", server, "source", "another VM");
+            EventLog.write(Event.SERVER_DRAINING, "server", server, "source", ANOTHER_VM);
+        }
+    }
+
+    private void onLimit(final PeerMessage.Limit message) {
+        final Optional<TrackedServer> server = find(message.server());
+        if (server.isEmpty()) {
+            return;
+        }
+        if (message.limit().isPresent()) {
+            onLimit(server.get(), message.limit().get());
+        } else if (server.get().onLimitEnded()) {
+            EventLog.write(
+                    Event.SERVER_LIMIT_ENDED, "server", message.server(), "source", ANOTHER_VM);
         }
     }
 
+    private static void onLimit(final TrackedServer server, final RateLimit limit) {
+        if (server.onLimit(limit)) {
+            EventLog.write(
+                    Event.SERVER_LIMITED,
+                    "server",
+                    server.entry().incarnation(),
+                    "requests_per_s",
+                    limit.requestsPerSecond(),
+                    "source",
+                    ANOTHER_VM);
+        }
+    }
+
+    /** Finds a backend server, unless it has restarted since the message about it. */
+    private Optional<TrackedServer> find(final Incarnation incarnation) {
+        return state.servers()
+                .find(incarnation.server())
+                .filter(s -> s.entry().incarnation().equals(incarnation));
+    }
+
     private void onUnreachable(final Incarnation incarnation, final double draw) {
-        // Ignores a report about an earlier incarnation of a backend server that has restarted.
-        final Optional<TrackedServer> server =
-                state.servers()
-                        .find(incarnation.server())
-                        .filter(s -> s.entry().incarnation().equals(incarnation));
+        final Optional<TrackedServer> server = find(incarnation);
         if (server.isPresent()) {
             final boolean applied = server.get().health().onPeerReport(draw);
             EventLog.write(
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -6,9 +6,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.NotEmpty;
 import org.fennelstage.canary.RolloutAge;
@@ -17,6 +19,7 @@
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
+import org.fennelstage.fleet.RateLimit;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
@@ -49,6 +52,21 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
+    @Property(tries = 200)
+    void limitRoundTrip(@ForAll @DoubleRange(max = 999_999) final double rate) {
+        final Incarnation server = new Incarnation(BackendServerId.of("i-7"), 12);
+        final PeerMessage message = new PeerMessage.Limit(server, RateLimit.of(rate));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
+    @Test
+    void endOfALimitRoundTrip() {
+        final PeerMessage message =
+                new PeerMessage.Limit(
+                        new Incarnation(BackendServerId.of("i-7"), 12), Optional.empty());
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
     @Test
     void rolloutAgeRoundTrip() {
         final PeerMessage message =
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -71,6 +71,8 @@
     SERVER_REPORTED_UNREACHABLE(
             4016, Level.INFO, "another VM reported that it could not reach a backend server"),
     SERVER_REJECTING(4021, Level.INFO, "backend server rejects requests from this VM for a time"),
+    SERVER_LIMITED(4022, Level.INFO, "backend server limits the requests per second of all VMs"),
+    SERVER_LIMIT_ENDED(4023, Level.INFO, "backend server no longer limits the requests per second"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
