Limits of backend servers: a VM does not repeat what another VM has just reported

Each VM that got a response with a limit informed all others once a second: in a fleet of 90 some 8,000 datagrams for one server in the first second, far more than its requests. Now a report within the last second, of this VM or another, stands for all. Found by reading; LimitReportsTest has the case.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -140,13 +140,15 @@
         this.crashBroadcast = new CrashBroadcast(peers::allPeers, messenger::send, clock);
         gateway.onServerDraining(
                 server -> messenger.send(new PeerMessage.Draining(server), peers.allPeers()));
-        gateway.onServerLimit(new LimitReports(peers::allPeers, messenger::send, clock)::onLimit);
+        final LimitReports limitReports = new LimitReports(peers::allPeers, messenger::send, clock);
+        gateway.onServerLimit(limitReports::onLimit);
         gateway.crashes().onDetected(crashBroadcast::onReport, crashBroadcast::onClearedCrashes);
         this.rolloutAges = new RolloutAges(state, peers::loadPeers, messenger::send, random);
         final LoadCollection collection =
                 new LoadCollection(settings.vm(), peers, loadBoard, messenger::send, clock);
         this.dispatcher =
-                new PeerMessageDispatcher(state, gateway.crashes(), collection, rolloutAges);
+                new PeerMessageDispatcher(
+                        state, gateway.crashes(), collection, rolloutAges, limitReports);
         this.loadReports =
                 new LoadReports(
                         settings.vm(), state.servers(), peers, collection, messenger::send, clock);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LimitReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LimitReports.java
@@ -16,9 +16,10 @@
  * Reports the rate limits of backend servers to all other VMs, since the limit applies to the
  * requests of all VMs together.
  *
- * <p>Invariant: for each backend server, at most one message with a limit is sent to each VM in any
- * {@link #MIN_INTERVAL_MILLIS}, unless the limit ended in between. Not thread-safe; confined to the
- * event loop.
+ * <p>Invariant: for each backend server, a message with a limit is sent only if neither this VM nor
+ * another one has reported it within {@link #MIN_INTERVAL_MILLIS}, unless the limit ended in
+ * between. So the messages about one server do not grow with the number of VMs that get its
+ * responses. Not thread-safe; confined to the event loop.
  */
 final class LimitReports {
 
@@ -31,7 +32,7 @@
     private final Supplier<List<InetSocketAddress>> peers;
     private final BiConsumer<PeerMessage, List<InetSocketAddress>> send;
     private final MonotonicClock clock;
-    private final Map<Incarnation, Long> sentMillis = new HashMap<>();
+    private final Map<Incarnation, Long> reportedMillis = new HashMap<>();
 
     LimitReports(
             final Supplier<List<InetSocketAddress>> peers,
@@ -49,13 +50,30 @@
      * @param limit its limit, empty if it has ended
      */
     void onLimit(final Incarnation server, final Optional<RateLimit> limit) {
-        final long now = clock.millis();
-        sentMillis.values().removeIf(sent -> now - sent >= MIN_INTERVAL_MILLIS);
+        final boolean reportedRecently = limit.isPresent() && isReported(server);
+        onReported(server, limit);
+        if (!reportedRecently) {
+            send.accept(new PeerMessage.Limit(server, limit), peers.get());
+        }
+    }
+
+    /**
+     * Records that a limit was reported to all VMs, by this one or by another.
+     *
+     * @param server the backend server
+     * @param limit its limit, empty if it has ended
+     */
+    void onReported(final Incarnation server, final Optional<RateLimit> limit) {
         if (limit.isEmpty()) {
-            sentMillis.remove(server);
-        } else if (sentMillis.putIfAbsent(server, now) != null) {
-            return;
+            reportedMillis.remove(server);
+        } else if (!isReported(server)) {
+            reportedMillis.put(server, clock.millis());
         }
-        send.accept(new PeerMessage.Limit(server, limit), peers.get());
+    }
+
+    private boolean isReported(final Incarnation server) {
+        final long now = clock.millis();
+        reportedMillis.values().removeIf(at -> now - at >= MIN_INTERVAL_MILLIS);
+        return reportedMillis.containsKey(server);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
@@ -20,16 +20,19 @@
     private final CrashDetector crashes;
     private final LoadCollection loads;
     private final RolloutAges rolloutAges;
+    private final LimitReports limitReports;
 
     PeerMessageDispatcher(
             final GatewayState state,
             final CrashDetector crashes,
             final LoadCollection loads,
-            final RolloutAges rolloutAges) {
+            final RolloutAges rolloutAges,
+            final LimitReports limitReports) {
         this.state = Objects.requireNonNull(state, "state is null");
         this.crashes = Objects.requireNonNull(crashes, "crashes is null");
         this.loads = Objects.requireNonNull(loads, "loads is null");
         this.rolloutAges = Objects.requireNonNull(rolloutAges, "rolloutAges is null");
+        this.limitReports = Objects.requireNonNull(limitReports, "limitReports is null");
     }
 
     /**
@@ -65,6 +68,7 @@
     }
 
     private void onLimit(final PeerMessage.Limit message) {
+        limitReports.onReported(message.server(), message.limit());
         final Optional<TrackedServer> server = find(message.server());
         if (server.isEmpty()) {
             return;
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/LimitReportsTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/LimitReportsTest.java
@@ -47,4 +47,15 @@
                         new PeerMessage.Limit(SERVER, Optional.empty()),
                         new PeerMessage.Limit(SERVER, LIMIT));
     }
+
+    /** Guards against messages that grow with the square of the number of VMs. */
+    @Test
+    void aLimitThatAnotherVmHasJustReportedIsNotReportedAgain() {
+        reports.onReported(SERVER, LIMIT);
+        reports.onLimit(SERVER, LIMIT);
+        assertThat(sent).isEmpty();
+        now.addAndGet(LimitReports.MIN_INTERVAL_MILLIS);
+        reports.onLimit(SERVER, LIMIT);
+        assertThat(sent).hasSize(1);
+    }
 }
