--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -38,7 +38,7 @@
      "        if (limit.isEmpty()) {", "        if (limit != null) {",
      "EligibilityTest,LimitPathTest"),
     ("earlier-requests-do-not-end-a-limit", CORE + "fleet/ReportedLimit.java",
-     "return sentMillis > knownSinceMillis && onEnded();", "return sentMillis > 0 && onEnded();",
+     "return sentMillis > knownSinceMillis && onEnded();", "return sentMillis + 0 * knownSinceMillis > 0 && onEnded();",
      "ReportedLimitTest"),
     ("end-of-a-limit-is-sent-to-peers", GATEWAY + "gateway/Gateway.java",
      "            limitListener.accept(incarnation, Optional.empty());", "            limitListener.accept(incarnation, Optional.of(new RateLimit(1)));",
