A small model's answer is kept if no unlimited server may run the larger one

Callers got 502 for an answer that had been there: it was dropped for a larger model, and then no server was eligible, as the only one had just named its limit. Cause: without candidates the expected wait is empty, which counted as 'in time'. Class: an absent value read as a good one. Now there has to be a server without a limit; what limited ones accept goes to callers who have no answer yet.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -151,8 +151,13 @@
     }
 
     private boolean canMeetDeadline(final ModelId model) {
+        final List<TrackedServer> candidates = candidates();
+        // The few requests that limited servers accept go to callers without an answer.
+        if (candidates.stream().allMatch(server -> server.limit().isPresent())) {
+            return false;
+        }
         final OptionalDouble wait =
-                waitEstimator.minWaitMillis(service, candidates(), Optional.of(model));
+                waitEstimator.minWaitMillis(service, candidates, Optional.of(model));
         return wait.isEmpty() || wait.getAsDouble() < remaining().toMillis();
     }
 
