One throttle for reports between VMs on a backend server

LimitReports had written again what PeerMessenger had: times of reports by incarnation, expired and looked up by hand. Both use RecentReports now; LimitReports.onLimit no longer looks up what onReported has just recorded. LimitReportsTest and PeerMessengerTest unchanged.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LimitReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LimitReports.java
@@ -1,9 +1,7 @@
 package org.fennelstage.vm;
 
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -31,8 +29,7 @@
 
     private final Supplier<List<InetSocketAddress>> peers;
     private final BiConsumer<PeerMessage, List<InetSocketAddress>> send;
-    private final MonotonicClock clock;
-    private final Map<Incarnation, Long> reportedMillis = new HashMap<>();
+    private final RecentReports recent;
 
     LimitReports(
             final Supplier<List<InetSocketAddress>> peers,
@@ -40,7 +37,7 @@
             final MonotonicClock clock) {
         this.peers = Objects.requireNonNull(peers, "peers is null");
         this.send = Objects.requireNonNull(send, "send is null");
-        this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.recent = new RecentReports(clock, MIN_INTERVAL_MILLIS);
     }
 
     /**
@@ -50,9 +47,7 @@
      * @param limit its limit, empty if it has ended
      */
     void onLimit(final Incarnation server, final Optional<RateLimit> limit) {
-        final boolean reportedRecently = limit.isPresent() && isReported(server);
-        onReported(server, limit);
-        if (!reportedRecently) {
+        if (onReported(server, limit)) {
             send.accept(new PeerMessage.Limit(server, limit), peers.get());
         }
     }
@@ -62,18 +57,13 @@
      *
      * @param server the backend server
      * @param limit its limit, empty if it has ended
+     * @return whether this is news: an end, or a limit that was not reported recently
      */
-    void onReported(final Incarnation server, final Optional<RateLimit> limit) {
+    boolean onReported(final Incarnation server, final Optional<RateLimit> limit) {
         if (limit.isEmpty()) {
-            reportedMillis.remove(server);
-        } else if (!isReported(server)) {
-            reportedMillis.put(server, clock.millis());
+            recent.remove(server);
+            return true;
         }
-    }
-
-    private boolean isReported(final Incarnation server) {
-        final long now = clock.millis();
-        reportedMillis.values().removeIf(at -> now - at >= MIN_INTERVAL_MILLIS);
-        return reportedMillis.containsKey(server);
+        return recent.add(server);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessenger.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessenger.java
@@ -13,9 +13,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -44,8 +42,7 @@
 
     private final Channel channel;
     private final Supplier<List<InetSocketAddress>> dataCentrePeers;
-    private final MonotonicClock clock;
-    private final Map<Incarnation, Long> reportedMillis = new HashMap<>();
+    private final RecentReports recentlyUnreachable;
 
     private PeerMessenger(
             final Channel channel,
@@ -53,7 +50,7 @@
             final MonotonicClock clock) {
         this.channel = channel;
         this.dataCentrePeers = dataCentrePeers;
-        this.clock = clock;
+        this.recentlyUnreachable = new RecentReports(clock, MIN_REPORT_INTERVAL_MILLIS);
     }
 
     /**
@@ -93,9 +90,7 @@
      * Reports to the other VMs of the data centre that this VM could not reach a backend server.
      */
     void reportUnreachable(final Incarnation server) {
-        final long now = clock.millis();
-        reportedMillis.values().removeIf(reported -> now - reported >= MIN_REPORT_INTERVAL_MILLIS);
-        if (reportedMillis.putIfAbsent(server, now) == null) {
+        if (recentlyUnreachable.add(server)) {
             send(new PeerMessage.Unreachable(server), dataCentrePeers.get());
         }
     }
