Loads and shares without streams and without a figure that another class holds

LoadBoard.ageMillis and the order in LoadLevelling run for each request without a prompt; they are loops now, as the other steps of that decision (no figure: not measured). RateLimit checks a rate in one place; the age of summed loads follows from the longest period of LoadReports, still 250 ms.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/LoadBoard.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/LoadBoard.java
@@ -127,11 +127,11 @@
      */
     public double ageMillis() {
         removeExpired();
-        final long now = clock.millis();
-        return reports.values().stream()
-                .mapToLong(report -> now - report.madeMillis())
-                .average()
-                .orElse(0);
+        long madeMillis = 0;
+        for (final Report report : reports.values()) {
+            madeMillis += report.madeMillis();
+        }
+        return reports.isEmpty() ? 0 : clock.millis() - (double) madeMillis / reports.size();
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/RateLimit.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/RateLimit.java
@@ -24,7 +24,7 @@
      * @throws IllegalArgumentException if the rate is negative or not finite
      */
     public RateLimit {
-        if (!Double.isFinite(requestsPerSecond) || requestsPerSecond < 0) {
+        if (!isValid(requestsPerSecond)) {
             throw new IllegalArgumentException("no rate: " + requestsPerSecond);
         }
     }
@@ -36,11 +36,15 @@
      * @return the limit, empty if the rate is negative or not finite
      */
     public static Optional<RateLimit> of(final double requestsPerSecond) {
-        return Double.isFinite(requestsPerSecond) && requestsPerSecond >= 0
+        return isValid(requestsPerSecond)
                 ? Optional.of(new RateLimit(requestsPerSecond))
                 : Optional.empty();
     }
 
+    private static boolean isValid(final double requestsPerSecond) {
+        return Double.isFinite(requestsPerSecond) && requestsPerSecond >= 0;
+    }
+
     /**
      * Returns how many requests all VMs together may send within a window.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/LoadLevelling.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/LoadLevelling.java
@@ -1,8 +1,5 @@
 package org.fennelstage.placement;
 
-import java.util.Comparator;
-import java.util.stream.IntStream;
-
 /**
  * Divides the requests that arrive before the next load reports over backend servers, so that their
  * loads relative to their capacities become as equal as possible.
@@ -60,11 +57,18 @@
         return shares;
     }
 
+    /** Returns the indexes of the servers, sorted by insertion since there are few. */
     private static int[] sortedByRelativeLoad(final double[] loads, final double[] capacities) {
-        return IntStream.range(0, loads.length)
-                .boxed()
-                .sorted(Comparator.comparingDouble(i -> loads[i] / capacities[i]))
-                .mapToInt(Integer::intValue)
-                .toArray();
+        final int[] sorted = new int[loads.length];
+        for (int server = 0; server < loads.length; server++) {
+            final double relative = loads[server] / capacities[server];
+            int at = server;
+            while (at > 0 && relative < loads[sorted[at - 1]] / capacities[sorted[at - 1]]) {
+                sorted[at] = sorted[at - 1];
+                at--;
+            }
+            sorted[at] = server;
+        }
+        return sorted;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
@@ -44,10 +44,10 @@
     private static final int MAX_DOUBLINGS = 4;
 
     /**
-     * Mean age of the loads in the collector's sums, half the period in which VMs report to it;
-     * milliseconds.
+     * Mean age of the loads in the collector's sums, half the longest period in which VMs report to
+     * it; milliseconds.
      */
-    private static final long SUMMED_AGE_MILLIS = 250;
+    private static final long SUMMED_AGE_MILLIS = LoadReports.MAX_PERIOD_MILLIS / 2;
 
     /** Backend servers in one message, so that it fits into a datagram. */
     static final int MAX_SERVERS = 40;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
@@ -35,7 +35,7 @@
      * Longest time between two reports, so that a report does not expire before the next one;
      * milliseconds.
      */
-    private static final long MAX_PERIOD_MILLIS = 500;
+    static final long MAX_PERIOD_MILLIS = 500;
 
     /**
      * Backend servers in a report, those with the most unread prompts first; they fit into one
