The expected wait of a request without a prompt counts those ahead of it once

Logs of the plain service showed expected waits of 0.6 to 4.4 s (medians of a second up to 1.2 s) at a server whose queue of 24 lasts 0.2 s; requests were rejected as no_room by them, with a Retry-After as wrong.

Cause: the time from sending to the end of a response, which contains the wait, was taken for the time in a slot; and it was counted for the requests ahead and once more for all requests there, as if they slowed each other down like a batch of prompts.

Now the wait is taken out of the duration by the number of requests that had to end before (known by the permit, else by the reported loads), and requests without a prompt cost no delay beyond the slot that they occupy. New tests state both; on the code before, the formula gives 603 ms instead of 203 ms for the case in PlacementTest.

--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
@@ -71,12 +71,24 @@
     }
 
     /**
-     * Adds the duration of a complete response.
+     * Adds the duration of a complete response that did not wait for a slot.
      *
      * @param millis the time from sending the request to the end of the response; milliseconds
      */
     public void onEnd(final long millis) {
-        responseMillis += WEIGHT * (millis - responseMillis);
+        onEnd(millis, 0);
+    }
+
+    /**
+     * Adds the duration of a complete response that may have waited for a slot. The wait is left
+     * out, so that {@link #responseMillis()} does not grow with the queue.
+     *
+     * @param millis the time from sending the request to the end of the response; milliseconds
+     * @param aheadPerSlot how many requests had to end before it could start, per slot of the
+     *     backend server; each of them takes as long as this one
+     */
+    public void onEnd(final long millis, final double aheadPerSlot) {
+        responseMillis += WEIGHT * (millis / (1 + aheadPerSlot) - responseMillis);
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Job.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Job.java
@@ -13,7 +13,7 @@
  * @param sharing whether to prefer backend servers that likely have the shared prompt part cached
  * @param millisPerToken time in which a backend server reads (prefills) one prompt token;
  *     milliseconds
- * @param responseMillis expected time that such a request runs; milliseconds
+ * @param responseMillis expected time that such a request occupies a slot; milliseconds
  */
 public record Job(
         Optional<Prompt> prompt,
@@ -57,8 +57,11 @@
                 .map(part -> part.id() + "/" + model.map(ModelId::value).orElse(""));
     }
 
-    /** Returns the delay caused by each other request that runs there; milliseconds. */
-    double delayPerRequestMillis(final int capacity) {
-        return prompt.isPresent() ? responseMillis * BATCH_SLOWDOWN : responseMillis / capacity;
+    /**
+     * Returns the delay caused by each other request that runs there; milliseconds. Without a
+     * prompt there is none, since each request has a slot to itself.
+     */
+    double delayPerRequestMillis() {
+        return prompt.isPresent() ? responseMillis * BATCH_SLOWDOWN : 0;
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -189,10 +189,9 @@
     public double waitMillis(final TrackedServer server, final Job job) {
         final Load load = load(server);
         final int capacity = Math.max(1, server.entry().capacity());
-        final int ahead = Math.max(0, load.running() + 1 - capacity);
         return load.unreadMillis()
-                + ahead * job.responseMillis() / capacity
-                + load.running() * job.delayPerRequestMillis(capacity)
+                + requestsAhead(server) * job.responseMillis() / capacity
+                + load.running() * job.delayPerRequestMillis()
                 + job.readMillis();
     }
 
@@ -230,13 +229,22 @@
         return load(server).running() < server.entry().capacity();
     }
 
+    /**
+     * Returns how many requests have to end before a request can start.
+     *
+     * @param server the backend server
+     * @return the count, 0 if a slot is free
+     */
+    public int requestsAhead(final TrackedServer server) {
+        return Math.max(0, load(server).running() + 1 - Math.max(1, server.entry().capacity()));
+    }
+
     private Load load(final TrackedServer server) {
         return server.load().plus(board.others(server.entry().id()));
     }
 
     private double tieBreak(final TrackedServer server, final Job job) {
-        final int capacity = Math.max(1, server.entry().capacity());
-        return tieBreakRequests(server) * job.delayPerRequestMillis(capacity);
+        return tieBreakRequests(server) * job.delayPerRequestMillis();
     }
 
     private double tieBreakRequests(final TrackedServer server) {
--- a/fennelstage-core/src/test/java/org/fennelstage/attempt/LatencyEstimatorTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/attempt/LatencyEstimatorTest.java
@@ -50,4 +50,13 @@
         }
         assertThat(estimator.prefillMillisPerToken()).isBetween(0.05, 0.4);
     }
+
+    /** Guards against a response time that grows with the queue and so counts the wait twice. */
+    @Test
+    void theTimeInTheQueueIsLeftOutOfTheResponseTime() {
+        for (int i = 0; i < 300; i++) {
+            estimator.onEnd(200, 4);
+        }
+        assertThat(estimator.responseMillis()).isBetween(39.0, 41.0);
+    }
 }
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -191,6 +191,24 @@
         assertThat(placement.minWaitMillis(servers, job(prompt("t")))).isEmpty();
     }
 
+    /** Guards against counting the requests ahead of one without a prompt twice. */
+    @Test
+    void aRequestWithoutAPromptWaitsForThoseAheadOfItOnly() {
+        final TrackedServer server = servers(1).get(0);
+        fill(server, 0);
+        fill(server, 0);
+        assertThat(placement.requestsAhead(server)).isEqualTo(65);
+        assertThat(placement.waitMillis(server, job(Optional.empty()))).isEqualTo(65 * 200.0 / 64);
+    }
+
+    @Test
+    void noRequestIsAheadWhileASlotIsFree() {
+        final TrackedServer server = servers(1).get(0);
+        server.begin(0);
+        assertThat(placement.hasFreeSlot(server)).isTrue();
+        assertThat(placement.requestsAhead(server)).isZero();
+    }
+
     @Test
     void choiceIsEmptyWithoutServers() {
         assertThat(placement.choose(List.of(), job(Optional.empty()), false, s -> false)).isEmpty();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -69,6 +69,7 @@
     private final LatencyEstimator latencyEstimator;
     private final long prefillMillis;
     private final Permit permit;
+    private final double aheadPerSlot;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter(this::onEvent);
     private Optional<ResponseHead> head = Optional.empty();
@@ -94,6 +95,17 @@
         this.latencyEstimator = latencyEstimator;
         this.prefillMillis = prefillMillis;
         this.permit = permit;
+        this.aheadPerSlot = aheadPerSlot();
+    }
+
+    /** Returns how many requests have to end before this one can start, per slot. */
+    private double aheadPerSlot() {
+        final int capacity = Math.max(1, server.entry().capacity());
+        final int ahead =
+                permit instanceof Permit.Granted granted
+                        ? Math.max(0, granted.decision().requests() - capacity)
+                        : execution.gateway().placement().requestsAhead(server);
+        return ahead / (double) capacity;
     }
 
     void send(final AttemptMetadata metadata) {
@@ -327,7 +339,7 @@
     private void onSigned(final ResponseHead response) {
         final boolean failed = response.isServerFailure();
         recordHealth(failed);
-        latencyEstimator.onEnd(now() - sentMillis);
+        recordDuration(now() - sentMillis);
         execution
                 .canary()
                 .onResponse(server.entry().id(), server.entry().version(), failed, latencyMillis());
@@ -413,6 +425,14 @@
         return true;
     }
 
+    private void recordDuration(final long millis) {
+        if (execution.request().prompt().isPresent()) {
+            latencyEstimator.onEnd(millis);
+        } else {
+            latencyEstimator.onEnd(millis, aheadPerSlot);
+        }
+    }
+
     private void recordHealth(final boolean failed) {
         final BaselineFailureRate baseline =
                 execution.gateway().state().baselineFailureRate(execution.route().name());
