Reasons that the wording had deleted, put back

Comments only.

Looked at and left: DrainOverrides, ServerHealth and CrashBroadcast still hold theirs.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
@@ -18,7 +18,8 @@
     /**
      * Sum from which the version is bad: odds of about 400 to 1, which two consecutive failures
      * reach if the current version rarely fails. In a large fleet, each VM sees few responses of
-     * the new version before the fleet as a whole has exceeded the allowed share of failures.
+     * the new version before the fleet as a whole has exceeded the allowed share of failures, so
+     * two must be enough.
      */
     private static final double BAD_SUM = 6;
 
@@ -28,7 +29,10 @@
     /** Smallest failure rate that is assumed of a good version. */
     private static final double MIN_USUAL_RATE = 0.015;
 
-    /** How far the failure rate of a bad version exceeds that of a good one. */
+    /**
+     * How far the failure rate of a bad version exceeds that of a good one: the least excess that
+     * matters to callers.
+     */
     private static final double BAD_EXCESS = 0.3;
 
     /** Weight of a response of the current version in its failure rate and pace. */
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
@@ -26,12 +26,16 @@
  */
 public record CanaryPlan(Duration duration, double allowedShare) {
 
-    /** Share of requests without a session before the move, as a part of the allowed share. */
+    /**
+     * Share of requests without a session before the move, as a part of the allowed share. The rest
+     * is for the move, when the new version gets more.
+     */
     private static final double REQUEST_PART = 0.47;
 
     /**
      * Share of sessions before the move, as a part of the allowed share. It exceeds that of other
-     * requests because sessions have less than half of the duration to reveal a bad version.
+     * requests because sessions have less than half of the duration to reveal a bad version; with
+     * the move they get 0.8 of the allowed share over the whole duration.
      */
     private static final double SESSION_PART = 0.8;
 
@@ -47,7 +51,7 @@
     /**
      * How long before the end of the duration the completion is written; milliseconds. The margin
      * covers the delay until VMs receive the order, write the completion one after the other, and
-     * the operator reads it.
+     * the operator reads it; with less, good versions would count as late.
      */
     private static final long COMPLETION_MARGIN_MILLIS = 750;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ConnectionShare.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ConnectionShare.java
@@ -20,8 +20,9 @@
 public record ConnectionShare(int accepted, int vms) {
 
     /**
-     * Fraction of the accepted connections that may be idle. The rest is for running requests and
-     * for VMs that have just started.
+     * Fraction of the accepted connections that may be idle. The rest is for running requests, for
+     * VMs that have just started, and for a backend server that accepts fewer while its queue is
+     * long.
      */
     static final double IDLE_FRACTION = 0.5;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -25,6 +25,9 @@
  * follows from rendezvous hashing of the part, so all VMs agree without messages. A part in high
  * demand spreads over more servers as the wait at the first ones grows.
  *
+ * <p>Without the unread prompts of other VMs, short prompts would wait behind long ones that those
+ * had sent to the same backend server.
+ *
  * <p>Only a few backend servers are compared for each request: those that likely have the shared
  * part cached, and some chosen at random. Requests without a prompt end before the next load
  * reports arrive, so their backend server is drawn at random with the probabilities of {@link
@@ -36,8 +39,9 @@
 public final class Placement {
 
     /**
-     * Factors on the saved time at the backend servers with the highest and second highest weight.
-     * Above one, because reading a prompt also delays other requests there and costs money.
+     * Factors on the saved time at the backend servers with the highest and second highest weight;
+     * the second gets what is too much for the first. Above one, because reading a prompt also
+     * delays other requests there and costs money.
      */
     private static final double[] CACHE_FACTORS = {6, 3};
 
--- a/fennelstage-core/src/main/java/org/fennelstage/sizing/SizePlan.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/sizing/SizePlan.java
@@ -23,18 +23,23 @@
 public final class SizePlan {
 
     /**
-     * Confidence from which an answer is accepted if only the largest model could improve it. An
-     * answer that is more likely good enough than not is worth more than the largest model's time.
+     * Confidence from which an answer is accepted if only the largest model could improve it. That
+     * one takes ten times as long as a small one, and other requests wait meanwhile; an answer that
+     * is more likely good enough than not is worth more.
      */
     private static final int ACCEPTED_BEFORE_LARGEST = ConfidenceGains.EVEN;
 
     /**
      * Confidence from which an answer is accepted if a middle model is likely good enough. Higher
-     * than {@link #ACCEPTED_BEFORE_LARGEST}, because a middle model costs less than the largest.
+     * than {@link #ACCEPTED_BEFORE_LARGEST}: of the answers with a confidence of 50 to 60, nearly a
+     * third are not good enough, and a middle model costs a quarter of the largest.
      */
     private static final int ACCEPTED_BEFORE_MIDDLE = 60;
 
-    /** Probability of a good enough answer from which a middle model precedes the largest. */
+    /**
+     * Probability of a good enough answer from which a middle model precedes the largest. It takes
+     * a quarter of the time at half the price; if its answer is not good enough, both are lost.
+     */
     private static final double MIN_MIDDLE_PROBABILITY = 0.5;
 
     private final List<ModelId> sizes;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -37,8 +37,8 @@
 
     /**
      * Maximum idle time of a connection that is reused for a request that must not be retried; zero
-     * forces a new one. A backend server may close an idle connection at any time, and then it is
-     * unknown whether the request ran.
+     * forces a new one. A backend server may drop an idle connection, some after 300 ms and without
+     * notice, and then it is unknown whether the request ran. A new connection costs about 1 ms.
      */
     private static final Duration MAX_IDLE_NON_RETRYABLE = Duration.ZERO;
 
@@ -50,8 +50,8 @@
 
     /**
      * Inactivity after which an attempt at a restarted backend server fails; milliseconds. Longer
-     * than a response of the new incarnation takes to start, since the attempt may have reached
-     * that one.
+     * than a response of the new incarnation takes to start: the restart becomes known some 250 ms
+     * late, and the attempt may have reached the new incarnation.
      */
     private static final long RESTART_GRACE_MILLIS = 500;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
@@ -101,7 +101,8 @@
 
     /**
      * Sets the listener that writes the quarantine to the store for VMs that start later. It runs
-     * at once when a request is quarantined.
+     * at once when a request is quarantined; a VM that starts within the next tenth of a second
+     * would not know of it otherwise.
      *
      * @param listener writes the contents of {@link #quarantine()}
      */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/CoalescedStore.java
@@ -40,7 +40,8 @@
 
     /**
      * The part of the maximum propagation delay that remains after the watch on the configuration
-     * ends: it covers detecting a relay that does not respond and listing again.
+     * ends: it covers detecting a relay that does not respond, 0.8 s, listing again, some hundred
+     * milliseconds, and a margin as long as that.
      */
     private static final Duration RECOVERY_RESERVE = Duration.ofMillis(1_300);
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -43,7 +43,8 @@
 
     /**
      * Time between two reads of the list; milliseconds. The list is polled, since with a watch each
-     * VM that registers would cause a call by every VM.
+     * VM that registers would cause a call by every VM, 64 times 64 calls at the start of a fleet
+     * of 64.
      */
     private static final long READ_PERIOD_MILLIS = 15_000;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
@@ -46,8 +46,10 @@
     private static final long JOIN_MILLIS = 500;
 
     /**
-     * Limit of the time for which one shared response may occupy this VM's link; seconds.
-     * Requesters beyond it get 413 and call the store directly.
+     * Limit of the time for which one shared response may occupy this VM's link; seconds. A
+     * configuration of a thousand routes sent to twenty VMs would occupy a link of 10 Mbit/s for
+     * ten seconds and delay callers. Requesters beyond the limit get 413 and call the store
+     * directly.
      */
     private static final double SHARED_LINK_SECONDS = 0.4;
 
