Permits follow the shortest objective at a server, and a shorter queue

Trial, one server left and a burst: requests of routes with an objective of 1 s had a limit of 77 to 96 where the others had 19, so they always got a permit and took up to half of the server (760 served instead of 329), in a queue in which the others became late; callers that returned were late as well, since 0.08 s in the queue were left of their 0.2 s. Cause: each request brought the limit of its own objective to a queue that all share.

The shortest objective of the last second counts for all, and the wait is a quarter of the time to the objective.

--- a/fennelstage-core/src/main/java/org/fennelstage/permit/QueueLimit.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/QueueLimit.java
@@ -7,17 +7,18 @@
  * time. Stateless and thread-safe.
  *
  * <pre>{@code
- * // 6 slots of 40 ms, objective 200 ms: a request may wait for 80 ms, so 12 may wait
- * requests(6, 40, Duration.ofMillis(200))  // 18
+ * // 6 slots of 40 ms, objective 200 ms: a request may wait for 40 ms, so 6 may wait
+ * requests(6, 40, Duration.ofMillis(200))  // 12
  * }</pre>
  */
 public final class QueueLimit {
 
     /**
      * Part of the time between the slot time and the objective that a request may wait. The rest is
-     * for requests that occupy a slot for longer than usual.
+     * for requests that occupy a slot for longer than usual, and for callers that return after a
+     * rejection.
      */
-    private static final double WAIT_PART = 0.5;
+    private static final double WAIT_PART = 0.25;
 
     private QueueLimit() {}
 
--- a/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The permits issued for one backend server, and its slot time as they show it.
@@ -17,20 +18,25 @@
     /** Slot time before the first sample, as a part of the objective. */
     private static final int INITIAL_DIVISOR = 4;
 
+    /** How long an objective counts after the last request that has it; milliseconds. */
+    private static final long OBJECTIVE_MILLIS = 1_000;
+
     private record Issued(long atMillis, long leaseEndMillis, double aheadPerSlot) {}
 
     private final Map<PermitId, Issued> issued = new HashMap<>();
     private int samples;
     private double slotMillis;
     private long unusedSinceMillis;
+    private Optional<Duration> shortestObjective = Optional.empty();
+    private long objectiveUntilMillis;
 
     PermitDecision issue(final PermitId permit, final PermitTerms terms, final long nowMillis) {
         unusedSinceMillis = nowMillis;
         issued.values().removeIf(i -> i.leaseEndMillis() <= nowMillis);
+        final Duration objective = shortestObjective(terms.objective(), nowMillis);
         final double slot =
-                samples == 0 ? terms.objective().toMillis() / (double) INITIAL_DIVISOR : slotMillis;
-        final int limit =
-                QueueLimit.requests(terms.capacity(), Math.max(1, slot), terms.objective());
+                samples == 0 ? objective.toMillis() / (double) INITIAL_DIVISOR : slotMillis;
+        final int limit = QueueLimit.requests(terms.capacity(), Math.max(1, slot), objective);
         final boolean mayIssue = issued.size() < limit;
         if (mayIssue) {
             final int ahead = Math.max(0, issued.size() + 1 - terms.capacity());
@@ -43,6 +49,21 @@
                 mayIssue, issued.size(), limit, Duration.ofMillis(Math.round(slot)));
     }
 
+    /**
+     * Returns the shortest objective of the requests of late. It applies to all, since those with a
+     * longer one would fill the queue in which the others become late.
+     */
+    private Duration shortestObjective(final Duration objective, final long nowMillis) {
+        final boolean replaces =
+                nowMillis >= objectiveUntilMillis
+                        || shortestObjective.filter(o -> o.compareTo(objective) < 0).isEmpty();
+        if (replaces) {
+            shortestObjective = Optional.of(objective);
+            objectiveUntilMillis = nowMillis + OBJECTIVE_MILLIS;
+        }
+        return shortestObjective.get();
+    }
+
     void onReturned(final PermitId permit, final boolean served, final long nowMillis) {
         final Issued returned = issued.remove(permit);
         if (returned != null && served) {
