A permit lasts ten objectives at most; none is asked for without an objective

A permit whose return is lost counted until the request's time was over, which may be minutes where the route allows it: a limit that shrinks with each lost datagram. Also a lease below zero had no valid message.

--- a/fennelstage-core/src/main/java/org/fennelstage/permit/PermitLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/PermitLedger.java
@@ -48,7 +48,7 @@
     public PermitDecision issue(
             final Incarnation server, final PermitId permit, final PermitTerms terms) {
         final long now = clock.millis();
-        servers.values().removeIf(s -> s.unusedSince() < now - MEMORY_MILLIS);
+        servers.values().removeIf(s -> s.lastRequestMillis() < now - MEMORY_MILLIS);
         return servers.computeIfAbsent(server, s -> new ServerPermits()).issue(permit, terms, now);
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
@@ -26,12 +26,12 @@
     private final Map<PermitId, Issued> issued = new HashMap<>();
     private int samples;
     private double slotMillis;
-    private long unusedSinceMillis;
+    private long lastRequestMillis;
     private Optional<Duration> shortestObjective = Optional.empty();
     private long objectiveUntilMillis;
 
     PermitDecision issue(final PermitId permit, final PermitTerms terms, final long nowMillis) {
-        unusedSinceMillis = nowMillis;
+        lastRequestMillis = nowMillis;
         issued.values().removeIf(i -> i.leaseEndMillis() <= nowMillis);
         final Duration objective = shortestObjective(terms.objective(), nowMillis);
         final double slot =
@@ -78,7 +78,7 @@
     }
 
     /** Returns when a permit was last asked for; milliseconds. */
-    long unusedSince() {
-        return unusedSinceMillis;
+    long lastRequestMillis() {
+        return lastRequestMillis;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
@@ -26,6 +26,9 @@
     /** Part of the objective to wait for a permit, so that the response can still be in time. */
     private static final int TIMEOUT_DIVISOR = 4;
 
+    /** Longest lease in objectives; a permit that is out for longer was probably lost. */
+    private static final int MAX_LEASE_OBJECTIVES = 10;
+
     private final Gateway gateway;
     private final Route route;
     private final RequestLog log;
@@ -40,10 +43,11 @@
 
     /**
      * Returns whether a backend server needs a permit. Prompts need none: engines run them in
-     * batches, and their wait is known well enough from the reported loads.
+     * batches, and their wait is known well enough from the reported loads. Without an objective
+     * nothing becomes late.
      */
     boolean isNeeded(final TrackedServer server, final Job job) {
-        if (job.prompt().isPresent()) {
+        if (job.prompt().isPresent() || route.objective().isZero()) {
             return false;
         }
         if (!gateway.placement().hasFreeSlot(server)) {
@@ -77,7 +81,7 @@
     void request(
             final TrackedServer server, final Duration remaining, final Consumer<Permit> listener) {
         final int capacity = Math.max(1, server.entry().capacity());
-        final PermitTerms terms = new PermitTerms(capacity, route.objective(), remaining);
+        final PermitTerms terms = new PermitTerms(capacity, route.objective(), lease(remaining));
         gateway.permits()
                 .request(
                         server.entry(),
@@ -86,6 +90,11 @@
                         permit -> onReply(server, permit, listener));
     }
 
+    private Duration lease(final Duration remaining) {
+        final long maxMillis = route.objective().toMillis() * MAX_LEASE_OBJECTIVES;
+        return Duration.ofMillis(Math.max(0, Math.min(remaining.toMillis(), maxMillis)));
+    }
+
     private void onReply(
             final TrackedServer server, final Permit permit, final Consumer<Permit> listener) {
         log.permit(server, permit);
