--- a/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
@@ -19,7 +19,7 @@
     private static final int INITIAL_DIVISOR = 4;
 
     /** How long an objective counts after the last request that has it; milliseconds. */
-    private static final long OBJECTIVE_MILLIS = 1_000;
+    private static final long OBJECTIVE_MEMORY_MILLIS = 1_000;
 
     private record Issued(long atMillis, long leaseEndMillis, double aheadPerSlot) {}
 
@@ -50,7 +50,7 @@
     }
 
     /**
-     * Returns the shortest objective of the requests of late. It applies to all, since those with a
+     * Returns the shortest objective of recent requests. It applies to all, since those with a
      * longer one would fill the queue in which the others become late.
      */
     private Duration shortestObjective(final Duration objective, final long nowMillis) {
@@ -59,7 +59,7 @@
                         || shortestObjective.filter(o -> o.compareTo(objective) < 0).isEmpty();
         if (replaces) {
             shortestObjective = Optional.of(objective);
-            objectiveUntilMillis = nowMillis + OBJECTIVE_MILLIS;
+            objectiveUntilMillis = nowMillis + OBJECTIVE_MEMORY_MILLIS;
         }
         return shortestObjective.get();
     }
--- a/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
@@ -116,9 +116,11 @@
         assertThat(probe().slotTime().toMillis()).isBetween(38L, 42L);
     }
 
-    /** Guards against requests that are in no hurry and fill the queue in which others are late. */
+    /**
+     * Guards against requests with a long objective that fill the queue in which others are late.
+     */
     @Test
-    void theShortestObjectiveOfLateLimitsAllRequests() {
+    void theShortestRecentObjectiveLimitsAllRequests() {
         final PermitTerms patient = new PermitTerms(6, Duration.ofSeconds(2), LEASE);
         serve(50, 300);
         final int strict = probe().limit();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -46,7 +46,7 @@
     private Consumer<Incarnation> drainingListener = id -> {};
     private BiConsumer<Incarnation, Optional<RateLimit>> limitListener = (id, limit) -> {};
     private PermitSource permits =
-            (server, terms, timeout, listener) -> listener.accept(Permit.UNAVAILABLE);
+            (server, terms, timeout, listener) -> listener.accept(Permit.NONE);
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private int inFlight;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Permit.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Permit.java
@@ -10,8 +10,11 @@
  */
 public sealed interface Permit {
 
-    /** No reply arrived in time; the request may be sent without a permit. */
-    Permit UNAVAILABLE = new Unavailable();
+    /**
+     * No permit; the request may be sent without one, since it needs none or no reply arrived in
+     * time.
+     */
+    Permit NONE = new None();
 
     /** Returns a permit to the VM that issued it. */
     @FunctionalInterface
@@ -95,12 +98,12 @@
         }
     }
 
-    /** See {@link #UNAVAILABLE}. */
-    record Unavailable() implements Permit {
+    /** See {@link #NONE}. */
+    record None() implements Permit {
 
         @Override
         public String name() {
-            return "unavailable";
+            return "none";
         }
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -318,7 +318,7 @@
         } else if (permits.isNeeded(server.get(), job)) {
             permits.request(server.get(), remaining(), p -> onPermit(server.get(), job, p));
         } else {
-            send(server.get(), job, candidates.size(), Permit.UNAVAILABLE);
+            send(server.get(), job, candidates.size(), Permit.NONE);
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitExchange.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitExchange.java
@@ -95,7 +95,7 @@
         }
         final Optional<InetSocketAddress> address = peers.address(issuer);
         if (address.isEmpty()) {
-            listener.accept(Permit.UNAVAILABLE);
+            listener.accept(Permit.NONE);
             return;
         }
         pending.put(permit, new Pending(issuer, incarnation, listener));
@@ -126,7 +126,7 @@
                     "server",
                     request.server());
         }
-        request.listener().accept(Permit.UNAVAILABLE);
+        request.listener().accept(Permit.NONE);
     }
 
     /** Handles a message of another VM. */
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
@@ -104,6 +104,17 @@
         assertThat(peersKnowing(all.get(0), all).coalescingRelays()).isEmpty();
     }
 
+    @Test
+    void vmsNearADataCentreAreItsOwnOrAllIfItHasNone() {
+        final List<VmEntry> all = dataCentre("dc-a", 1, 3);
+        all.addAll(dataCentre("dc-b", 20, 8));
+        final Peers peers = peersKnowing(all.get(0), all);
+        assertThat(peers.rankedNear("task", DataCentreId.of("dc-a")))
+                .containsExactlyInAnyOrderElementsOf(
+                        all.subList(0, 3).stream().map(VmEntry::vm).toList());
+        assertThat(peers.rankedNear("task", DataCentreId.of("dc-c"))).hasSize(11);
+    }
+
     /** Guards against forgetting VMs that a store restored from an older copy no longer lists. */
     @Test
     void restoredListRemovesNoVmAndMissingVmWritesItsEntry() {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PermitExchangeTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PermitExchangeTest.java
@@ -196,7 +196,7 @@
         other.request();
         assertThat(replies).isEmpty();
         runTimeouts();
-        assertThat(replies).containsExactly(Permit.UNAVAILABLE);
+        assertThat(replies).containsExactly(Permit.NONE);
     }
 
     @Test
@@ -232,7 +232,7 @@
         runTimeouts();
         delaying = false;
         delayed.forEach(Runnable::run);
-        assertThat(replies).containsExactly(Permit.UNAVAILABLE);
+        assertThat(replies).containsExactly(Permit.NONE);
         replies.clear();
         for (int i = 0; i < 30; i++) {
             vm(2).request();
