--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -1,6 +1,8 @@
 package org.fennelstage.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.fennelstage.attempt.AttemptEnd;
@@ -98,16 +100,8 @@
     }
 
     void waitTooLong(final long waitMillis, final long remainingMillis) {
-        EventLog.write(
-                Event.REQUEST_REJECTED,
-                "request",
-                request.id(),
-                "route",
-                route,
-                "reason",
-                GatewayError.OVERLOADED.reason(),
-                "status",
-                GatewayError.OVERLOADED.status(),
+        rejected(
+                GatewayError.OVERLOADED,
                 "expected_ms",
                 waitMillis,
                 "remaining_ms",
@@ -133,16 +127,8 @@
     }
 
     void saturated(final Duration retryAfter) {
-        EventLog.write(
-                Event.REQUEST_REJECTED,
-                "request",
-                request.id(),
-                "route",
-                route,
-                "reason",
-                GatewayError.OVERLOADED.reason(),
-                "status",
-                GatewayError.OVERLOADED.status(),
+        rejected(
+                GatewayError.OVERLOADED,
                 "sent",
                 attempts.sent(),
                 "retry_after_ms",
@@ -150,16 +136,8 @@
     }
 
     void noEligibleServer(final Eligibility.Reasons reasons) {
-        EventLog.write(
-                Event.REQUEST_REJECTED,
-                "request",
-                request.id(),
-                "route",
-                route,
-                "reason",
-                GatewayError.NO_ELIGIBLE_SERVER.reason(),
-                "status",
-                GatewayError.NO_ELIGIBLE_SERVER.status(),
+        rejected(
+                GatewayError.NO_ELIGIBLE_SERVER,
                 "evacuated",
                 reasons.evacuated(),
                 "cold",
@@ -187,6 +165,23 @@
                 remaining.toMillis());
     }
 
+    /** Writes a rejection with what it was based on, as names and values in turn. */
+    private void rejected(final GatewayError error, final Object... inputs) {
+        final List<Object> fields =
+                new ArrayList<>(
+                        List.of(
+                                "request",
+                                request.id(),
+                                "route",
+                                route,
+                                "reason",
+                                error.reason(),
+                                "status",
+                                error.status()));
+        fields.addAll(List.of(inputs));
+        EventLog.write(Event.REQUEST_REJECTED, fields.toArray());
+    }
+
     void attemptFailed(final AttemptEnd end, final String detail, final long elapsedMillis) {
         EventLog.write(
                 Event.ATTEMPT_FAILED,
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
@@ -11,20 +11,17 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.ServerAddress;
-import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
 import org.fennelstage.store.ManualStore;
 import org.fennelstage.store.Page;
 import org.fennelstage.store.StoreResult;
-import org.fennelstage.store.StoredValue;
 import org.fennelstage.store.VmEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -84,7 +81,7 @@
     }
 
     private void startFleet(final int count) {
-        final List<StoredValue<VmEntry>> values = new ArrayList<>();
+        final List<VmEntry> entries = new ArrayList<>();
         for (int i = 1; i <= count; i++) {
             final VmEntry entry =
                     new VmEntry(
@@ -92,15 +89,9 @@
                             DataCentreId.of("dc-a"),
                             new ServerAddress("10.0.0." + i, 7_000));
             vms.put(new InetSocketAddress("10.0.0." + i, 7_000), new Vm(entry));
-            values.add(
-                    new StoredValue<>(
-                            entry.vm().value(),
-                            Position.of(0, 1),
-                            Optional.of(entry),
-                            Optional.empty()));
+            entries.add(entry);
         }
-        final StoreResult<Page<VmEntry>> list =
-                new StoreResult.Done<>(new Page<>(values, Optional.empty(), Position.of(0, 1)));
+        final StoreResult<Page<VmEntry>> list = VmLists.of(entries);
         for (final Vm vm : vms.values()) {
             final ManualStore store = new ManualStore();
             vm.peers.start(loop, store);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeersTest.java
@@ -8,17 +8,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.gateway.Sockets;
-import org.fennelstage.history.Position;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
 import org.fennelstage.store.ManualStore;
 import org.fennelstage.store.Page;
 import org.fennelstage.store.Store;
 import org.fennelstage.store.StoreResult;
-import org.fennelstage.store.StoredValue;
 import org.fennelstage.store.VmEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -45,7 +42,7 @@
                 new Peers(own, a -> stores.computeIfAbsent(a, b -> new ManualStore()), count -> {});
         final ManualStore store = new ManualStore();
         peers.start(loop, store);
-        final StoreResult<Page<VmEntry>> list = list(all);
+        final StoreResult<Page<VmEntry>> list = VmLists.of(all);
         store.complete(list);
         assertThat(peers.coalescingRelays()).as("just started").isEmpty();
         peers.start(loop, store);
@@ -53,19 +50,6 @@
         return peers;
     }
 
-    private static StoreResult<Page<VmEntry>> list(final List<VmEntry> all) {
-        final List<StoredValue<VmEntry>> values = new ArrayList<>();
-        for (final VmEntry entry : all) {
-            values.add(
-                    new StoredValue<>(
-                            entry.vm().value(),
-                            Position.of(0, 1),
-                            Optional.of(entry),
-                            Optional.empty()));
-        }
-        return new StoreResult.Done<>(new Page<>(values, Optional.empty(), Position.of(0, 1)));
-    }
-
     private static List<VmEntry> dataCentre(final String name, final int first, final int count) {
         final List<VmEntry> result = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -123,7 +107,7 @@
         final List<Store> before = peers.coalescingRelays();
         final ManualStore store = new ManualStore();
         peers.start(loop, store);
-        store.complete(list(all.subList(1, 3)));
+        store.complete(VmLists.of(all.subList(1, 3)));
         assertThat(peers.coalescingRelays()).isEqualTo(before);
         assertThat(store.pending()).as("own entry").hasSize(1);
     }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PermitExchangeTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PermitExchangeTest.java
@@ -11,7 +11,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fennelstage.fleet.Incarnation;
@@ -27,7 +26,6 @@
 import org.fennelstage.store.ManualStore;
 import org.fennelstage.store.Page;
 import org.fennelstage.store.StoreResult;
-import org.fennelstage.store.StoredValue;
 import org.fennelstage.store.VmEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -110,7 +108,7 @@
 
     @BeforeEach
     void startFleet() {
-        final List<StoredValue<VmEntry>> values = new ArrayList<>();
+        final List<VmEntry> entries = new ArrayList<>();
         for (int i = 1; i <= 6; i++) {
             final VmEntry entry =
                     new VmEntry(
@@ -120,15 +118,9 @@
             final Vm vm = new Vm(entry);
             vms.put(entry.vm(), vm);
             byAddress.put(new InetSocketAddress("10.0.0." + i, 7_000), vm);
-            values.add(
-                    new StoredValue<>(
-                            entry.vm().value(),
-                            Position.of(0, 1),
-                            Optional.of(entry),
-                            Optional.empty()));
+            entries.add(entry);
         }
-        final StoreResult<Page<VmEntry>> list =
-                new StoreResult.Done<>(new Page<>(values, Optional.empty(), Position.of(0, 1)));
+        final StoreResult<Page<VmEntry>> list = VmLists.of(entries);
         for (final Vm vm : vms.values()) {
             final ManualStore store = new ManualStore();
             vm.peers.start(loop, store);
