--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -56,7 +56,7 @@
      "            giveBack.run(false);", "            Objects.requireNonNull(giveBack);",
      "PermitExchangeTest"),
     ("saturated-server-needs-a-permit", GATEWAY + "gateway/PermitCheck.java",
-     "return server.isSaturated();", "return server.isSaturated() && refused == null;",
+     "return server.isSaturated();", "return server.isSaturated() && server.isSuperseded();",
      "SaturatedServerPathTest"),
     ("response-ends-quarantine", GATEWAY + "gateway/CrashDetector.java",
      "        if (quarantine.release(fingerprint)) {\n            EventLog.write(Event.QUARANTINE_ENDED, \"content\", fingerprint, \"source\", \"answer\");", "        if (fingerprint == null) {\n            EventLog.write(Event.QUARANTINE_ENDED, \"content\", fingerprint, \"source\", \"answer\");",
