--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
@@ -70,22 +70,13 @@
         return samples >= MIN_SAMPLES;
     }
 
-    /**
-     * Adds the duration of a complete response that did not wait for a slot.
-     *
-     * @param millis the time from sending the request to the end of the response; milliseconds
-     */
-    public void onEnd(final long millis) {
-        onEnd(millis, 0);
-    }
-
     /**
      * Adds the duration of a complete response that may have waited for a slot. The wait is left
      * out, so that {@link #responseMillis()} does not grow with the queue.
      *
      * @param millis the time from sending the request to the end of the response; milliseconds
      * @param aheadPerSlot how many requests had to end before it could start, per slot of the
-     *     backend server; each of them takes as long as this one
+     *     backend server; each of them takes as long as this one; zero if it did not wait
      */
     public void onEnd(final long millis, final double aheadPerSlot) {
         responseMillis += WEIGHT * (millis / (1 + aheadPerSlot) - responseMillis);
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -194,7 +194,7 @@
         final Load load = load(server);
         final int capacity = Math.max(1, server.entry().capacity());
         return load.unreadMillis()
-                + requestsAhead(server) * job.responseMillis() / capacity
+                + requestsAhead(load, capacity) * job.responseMillis() / capacity
                 + load.running() * job.delayPerRequestMillis()
                 + job.readMillis();
     }
@@ -240,7 +240,11 @@
      * @return the count, 0 if a slot is free
      */
     public int requestsAhead(final TrackedServer server) {
-        return Math.max(0, load(server).running() + 1 - Math.max(1, server.entry().capacity()));
+        return requestsAhead(load(server), Math.max(1, server.entry().capacity()));
+    }
+
+    private static int requestsAhead(final Load load, final int capacity) {
+        return Math.max(0, load.running() + 1 - capacity);
     }
 
     private Load load(final TrackedServer server) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -98,8 +98,14 @@
         this.aheadPerSlot = aheadPerSlot();
     }
 
-    /** Returns how many requests have to end before this one can start, per slot. */
+    /**
+     * Returns how many requests have to end before this one can start, per slot; zero for a prompt,
+     * which engines run in a batch.
+     */
     private double aheadPerSlot() {
+        if (execution.request().prompt().isPresent()) {
+            return 0;
+        }
         final int capacity = Math.max(1, server.entry().capacity());
         final int ahead =
                 permit instanceof Permit.Granted granted
@@ -339,7 +345,7 @@
     private void onSigned(final ResponseHead response) {
         final boolean failed = response.isServerFailure();
         recordHealth(failed);
-        recordDuration(now() - sentMillis);
+        latencyEstimator.onEnd(now() - sentMillis, aheadPerSlot);
         execution
                 .canary()
                 .onResponse(server.entry().id(), server.entry().version(), failed, latencyMillis());
@@ -425,14 +431,6 @@
         return true;
     }
 
-    private void recordDuration(final long millis) {
-        if (execution.request().prompt().isPresent()) {
-            latencyEstimator.onEnd(millis);
-        } else {
-            latencyEstimator.onEnd(millis, aheadPerSlot);
-        }
-    }
-
     private void recordHealth(final boolean failed) {
         final BaselineFailureRate baseline =
                 execution.gateway().state().baselineFailureRate(execution.route().name());
