--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedRequest.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedRequest.java
@@ -155,7 +155,7 @@
     private void onEnd(final double sentMillis) {
         final ModelSpec model = spec(plan.model().orElseThrow());
         vm.latencyEstimator(model.id())
-                .onEnd((long) (simulation.eventQueue().nowMillis() - sentMillis));
+                .onEnd((long) (simulation.eventQueue().nowMillis() - sentMillis), 0);
         endAttempt();
         ended = true;
         simulation.stats(kind).onResponse(firstTokenMillis, difficulty <= model.quality());
