A plain backend server that could not be reached is used again when it accepts connections

Callers of a plain service saw its requests late or rejected long after a trouble had ended: VMs sent all to the backend servers that no trouble had hit, and none to those that were back.

Cause: a backend server that could not be reached, or did not respond, stays suspect until a byte arrives from it. A suspect one gets requests only if no healthy one is left, or as a probe, and only streams are used as probes, since a failed connection takes more than the objective of a short request. A service without streams has no probes, so a VM did not come back until the server restarted. Class: recovery that depends on traffic which the state itself prevents.

Now a request that cannot be a probe itself has a connection opened to such a server, once a pause; it is kept for the next request. Accepted, it ends the exclusion. A server that accepted and hung stays suspect for 2 to 4 s as after a report of another VM, so that few requests find out whether it still hangs. No caller waits for a probe.

The probe of CrashDetector is shared (ConnectionProbe).

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Reachability.java
@@ -55,9 +55,9 @@
     }
 
     /**
-     * Returns whether the data centre seemed unreachable and no byte was received since.
+     * Returns whether the data centre seemed unreachable and nothing was heard from it since.
      *
-     * @return true until one of its backend servers responds
+     * @return true until one of its backend servers accepts a probe's connection or responds
      */
     public boolean isSuspect() {
         return failures >= FAILURES;
@@ -81,6 +81,11 @@
         return clock.millis() - lastByteMillis <= RECENT_MILLIS;
     }
 
+    /** Records that one of its backend servers accepted a connection. */
+    void onConnected() {
+        failures = 0;
+    }
+
     void onBytesReceived() {
         failures = 0;
         lastByteMillis = clock.millis();
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -43,10 +43,11 @@
     private static final long MAX_PAUSE_MILLIS = 2_000;
 
     /**
-     * How long a report of another VM counts at least. By its end a crashed backend server has
-     * usually restarted or lost its entry; otherwise one VM finds the failure again for all.
+     * How long a report of another VM, or inactivity, counts at least. By its end a crashed backend
+     * server has usually restarted or lost its entry; otherwise one VM finds the failure again for
+     * all.
      */
-    private static final long PEER_REPORT_MILLIS = 2_000;
+    private static final long SUSPICION_MILLIS = 2_000;
 
     /** A byte received from the backend server within this time overrides reports of other VMs. */
     private static final long OWN_BYTE_MILLIS = 1_000;
@@ -58,7 +59,7 @@
     private int consecutiveUnreachable;
     private long pausedUntilMillis;
     private long lastByteMillis;
-    private long peerReportUntilMillis = Long.MIN_VALUE;
+    private long suspectUntilMillis = Long.MIN_VALUE;
     private long lastUnreachableMillis = Long.MIN_VALUE / 2;
 
     private ServerHealth(final MonotonicClock clock, final Reachability dataCentre) {
@@ -91,23 +92,24 @@
         if (paused || dataCentre.isUnreachable()) {
             return Tier.UNREACHABLE;
         }
-        final boolean reportedByPeer = clock.millis() < peerReportUntilMillis;
         final boolean suspect =
-                reportedByPeer || unconfirmed() || decayedExcessRate() >= SUSPECT_RATE;
+                clock.millis() < suspectUntilMillis
+                        || unconfirmed()
+                        || decayedExcessRate() >= SUSPECT_RATE;
         return suspect ? Tier.SUSPECT : Tier.HEALTHY;
     }
 
     /**
-     * Returns whether the backend server was unreachable and may be probed now. Only requests that
-     * can afford a failed connection attempt are used as probes.
+     * Returns whether the backend server was unreachable and may be probed now, by a connection or
+     * by a request that can afford a failed connection attempt.
      *
-     * @return true after each pause, until it responds
+     * @return true after each pause, until it accepts a connection or responds
      */
     public boolean probeDue() {
         return unconfirmed() && tier() != Tier.UNREACHABLE;
     }
 
-    /** Records that a request is used as a probe; no other one is during the next pause. */
+    /** Records that a probe is made; no other one is made during the next pause. */
     public void onProbe() {
         pausedUntilMillis = clock.millis() + FIRST_PAUSE_MILLIS;
         if (dataCentre.isSuspect()) {
@@ -147,17 +149,47 @@
         if (millisSinceLastByte() < OWN_BYTE_MILLIS) {
             return false;
         }
-        peerReportUntilMillis = clock.millis() + (long) (PEER_REPORT_MILLIS * (1 + draw));
+        suspectFor(draw);
         return true;
     }
 
-    /** Records that bytes were received from the backend server. */
-    public void onBytesReceived() {
+    /**
+     * Records that the backend server did not respond. Unlike one that could not be reached, it
+     * stays suspect for a while even if it accepts connections.
+     *
+     * @param draw random number in [0, 1) that spreads the end of the suspicion over the VMs
+     * @return as {@link #onUnreachable()}
+     */
+    public boolean onInactive(final double draw) {
+        suspectFor(draw);
+        return onUnreachable();
+    }
+
+    private void suspectFor(final double draw) {
+        suspectUntilMillis = clock.millis() + (long) (SUSPICION_MILLIS * (1 + draw));
+    }
+
+    /**
+     * Records that the backend server accepted a connection after it was unreachable. Reports of
+     * other VMs and inactivity count on, since they may be about a server that accepts connections
+     * and does not respond.
+     */
+    public void onConnected() {
+        endUnreachable();
+        dataCentre.onConnected();
+    }
+
+    private void endUnreachable() {
         if (consecutiveUnreachable > 0) {
             lastUnreachableMillis = clock.millis();
         }
         consecutiveUnreachable = 0;
-        peerReportUntilMillis = Long.MIN_VALUE;
+    }
+
+    /** Records that bytes were received from the backend server. */
+    public void onBytesReceived() {
+        endUnreachable();
+        suspectUntilMillis = Long.MIN_VALUE;
         dataCentre.onBytesReceived();
         lastByteMillis = clock.millis();
     }
@@ -202,7 +234,7 @@
         return clock.millis() - lastUnreachableMillis;
     }
 
-    /** The server or its data centre was unreachable, and no byte was received since. */
+    /** The server or its data centre was unreachable, and nothing shows that it is reachable. */
     private boolean unconfirmed() {
         return consecutiveUnreachable > 0 || dataCentre.isSuspect();
     }
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerHealthTest.java
@@ -111,4 +111,48 @@
         now.addAndGet(1_001);
         assertThat(health.onUnreachable()).isFalse();
     }
+
+    /** Guards against a server that gets no requests for ever after one failed to connect. */
+    @Test
+    void acceptedConnectionEndsTheExclusionOfAnUnreachableServer() {
+        health.onUnreachable();
+        now.addAndGet(500);
+        health.onProbe();
+        health.onConnected();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.HEALTHY);
+        assertThat(health.probeDue()).isFalse();
+    }
+
+    @Test
+    void acceptedConnectionShowsThatTheDataCentreIsReachable() {
+        final ServerHealth other = ServerHealth.of(now::get, dataCentre);
+        for (int i = 0; i < 3; i++) {
+            health.onUnreachable();
+        }
+        assertThat(other.tier()).isEqualTo(ServerHealth.Tier.UNREACHABLE);
+        health.onConnected();
+        assertThat(other.tier()).isEqualTo(ServerHealth.Tier.HEALTHY);
+    }
+
+    /** Guards against sending requests to a server that accepts connections and hangs. */
+    @Test
+    void inactiveServerStaysSuspectForAWhileAlthoughItAcceptsConnections() {
+        health.onInactive(0.5);
+        now.addAndGet(500);
+        assertThat(health.probeDue()).isTrue();
+        health.onProbe();
+        health.onConnected();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
+        now.addAndGet(2_499);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
+        now.addAndGet(1);
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.HEALTHY);
+    }
+
+    @Test
+    void receivedBytesEndTheSuspicionOfAnInactiveServer() {
+        health.onInactive(0.5);
+        health.onBytesReceived();
+        assertThat(health.tier()).isEqualTo(ServerHealth.Tier.HEALTHY);
+    }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
@@ -13,7 +13,6 @@
 import org.fennelstage.crash.SuspectedCrashes;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.TrackedServer;
-import org.fennelstage.http.ConnectionPolicy;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.ProbeResult;
 import org.fennelstage.log.Event;
@@ -41,20 +40,10 @@
      */
     static final long MAX_SUSPECT_RESPONSE_MILLIS = 2_000;
 
-    /** Timeout of a probe. A closed port refuses a connection within milliseconds. */
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
-
     /** Retry time of a request while probes decide whether its backend servers have crashed. */
-    private static final Duration PROBE_RETRY_AFTER = PROBE_TIMEOUT.multipliedBy(2);
-
-    /**
-     * A connection opened by a probe may carry the next request. The delay before its first use
-     * guards against a crashing process that still accepts a connection.
-     */
-    private static final ConnectionPolicy PROBE_CONNECTION =
-            new ConnectionPolicy(Duration.ofSeconds(4), 1, Duration.ofMillis(50));
+    private static final Duration PROBE_RETRY_AFTER = ConnectionProbe.TIMEOUT.multipliedBy(2);
 
-    private final HttpClient client;
+    private final ConnectionProbe probe;
     private final CrashLedger ledger;
     private final Quarantine quarantine;
     private final SuspectedCrashes suspected = SuspectedCrashes.empty();
@@ -72,7 +61,7 @@
      * @param client opens connections to backend servers
      */
     public CrashDetector(final MonotonicClock clock, final HttpClient client) {
-        this.client = Objects.requireNonNull(client, "client is null");
+        this.probe = new ConnectionProbe(client);
         this.ledger = CrashLedger.of(clock);
         this.quarantine = Quarantine.of(clock);
     }
@@ -147,22 +136,17 @@
     /** Handles a response that broke off or became inactive before its start or shortly after. */
     void onBrokenResponse(final TrackedServer server, final Fingerprint fingerprint) {
         if (suspected.add(server.entry().incarnation(), fingerprint)) {
-            probe(server, result -> onFirstProbe(server, result));
+            probe.run(server, result -> onFirstProbe(server, result));
         }
     }
 
-    private void probe(final TrackedServer server, final Consumer<ProbeResult> result) {
-        client.probe(
-                Sockets.address(server.entry().address()), PROBE_TIMEOUT, PROBE_CONNECTION, result);
-    }
-
     /**
      * Probes a second time if the connection was closed at once: the backend server is at its
      * connection limit or about to crash.
      */
     private void onFirstProbe(final TrackedServer server, final ProbeResult result) {
         if (result == ProbeResult.CLOSED) {
-            probe(server, second -> onProbed(server, second));
+            probe.run(server, second -> onProbed(server, second));
         } else {
             onProbed(server, result);
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -42,6 +42,7 @@
     private final GatewayMetrics metrics;
     private final Policy policy;
     private final CrashDetector crashes;
+    private final RecoveryProbe recoveryProbe;
     private Consumer<Incarnation> unreachableListener = id -> {};
     private Consumer<Incarnation> drainingListener = id -> {};
     private BiConsumer<Incarnation, Optional<RateLimit>> limitListener = (id, limit) -> {};
@@ -77,6 +78,7 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.policy = Objects.requireNonNull(policy, "policy is null");
         this.crashes = new CrashDetector(state.clock(), client);
+        this.recoveryProbe = new RecoveryProbe(client, this::onUnreachable);
         crashes.setListeners(this::onUnreachable, this::onQuarantined);
         state.servers().onRestart(this::onRestarted);
     }
@@ -218,6 +220,10 @@
         return metrics;
     }
 
+    RecoveryProbe recoveryProbe() {
+        return recoveryProbe;
+    }
+
     void onRequestStarted() {
         inFlight++;
         metrics.begin();
@@ -233,7 +239,7 @@
      */
     void onInactive(final TrackedServer server) {
         if (server.health().tier() != ServerHealth.Tier.UNREACHABLE) {
-            onUnreachable(server);
+            onExcluded(server, server.health().onInactive(random.nextDouble()));
         }
     }
 
@@ -293,8 +299,12 @@
      * is not at fault.
      */
     void onUnreachable(final TrackedServer server) {
+        onExcluded(server, server.health().onUnreachable());
+    }
+
+    private void onExcluded(final TrackedServer server, final boolean networkWorks) {
         client.closeIdle(Sockets.address(server.entry().address()));
-        if (server.health().onUnreachable()) {
+        if (networkWorks) {
             unreachableListener.accept(server.entry().incarnation());
         }
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -303,13 +303,17 @@
             return;
         }
         final List<TrackedServer> candidates = candidates();
+        final boolean mayProbe = mayProbe();
+        if (!mayProbe) {
+            gateway.recoveryProbe().probeDue(candidates);
+        }
         final Job job = waitEstimator.job(service, models.model());
         final Optional<TrackedServer> server =
                 gateway.placement()
                         .choose(
                                 candidates,
                                 job,
-                                mayProbe(),
+                                mayProbe,
                                 s -> attempts.tried(s.entry().id()) || permits.isDenied(s));
         if (server.isEmpty()) {
             giveUp();
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -76,6 +76,7 @@
     PERMIT_REQUESTED(4024, Level.INFO, "permit requested for a saturated backend server"),
     PERMIT_ISSUER_SKIPPED(
             4025, Level.WARNING, "VM that issues permits for a backend server does not reply"),
+    RECOVERY_PROBED(4026, Level.INFO, "unreachable backend server probed"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
