A probe whose connection is closed at once does not make other VMs avoid the backend server

Found by reading again: a backend server at its connection limit accepts a connection and closes it. The probe counted that as unreachable, closed the idle connections to it and reported it, so that all VMs would avoid a healthy server for 2 to 4 s. Such a result now says nothing either way, as it already does for attempts; the next probe follows after the pause.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RecoveryProbe.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RecoveryProbe.java
@@ -47,13 +47,15 @@
         }
     }
 
-    private void onProbed(final TrackedServer server, final ProbeResult result) {
+    /** Handles the result of a probe. */
+    void onProbed(final TrackedServer server, final ProbeResult result) {
         EventLog.write(
                 Event.RECOVERY_PROBED, "server", server.entry().incarnation(), "result", result);
-        if (result == ProbeResult.ACCEPTED) {
-            server.health().onConnected();
-        } else {
-            unreachableListener.accept(server);
+        switch (result) {
+            case ACCEPTED -> server.health().onConnected();
+            case REFUSED, NO_RESPONSE -> unreachableListener.accept(server);
+            // At its connection limit or stopping; the next probe will tell.
+            case CLOSED -> {}
         }
     }
 }
