VMs report to each other which backend servers the store shows as leaving

Operators saw requests reach a backend server later than 3 s after it had said that it leaves. In a data centre of many VMs the entries are read by one VM for all. If it keeps silent (no power, frozen, cut off, no processor time), the others notice by a watch that runs up to 1.7 s there and times out 0.8 s later, and list anew: 2.5 s of the 3 s are gone before anything is read. The same one VM is what a draining server's entry depends on in all of them. Class: what all need in time depends on one VM, with a detection time nearly as long as the bound.

Two VMs of each data centre now report a change to draining, or a removal, to all others, with its position in the store's history: entries up to that position do not bring the server back, later ones do. A removal is ignored while missing entries are kept after an outage.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/DrainOverrides.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/DrainOverrides.java
@@ -30,8 +30,8 @@
     static final long OVERRIDE_MILLIS = 6_000;
 
     private final MonotonicClock clock;
-    private final Map<BackendServerId, Incarnation> drainedOrRemoved = RecentIncarnations.empty();
-    private final Map<BackendServerId, Incarnation> reportedDraining = RecentIncarnations.empty();
+    private final Map<BackendServerId, Incarnation> drainedOrRemoved = RecentServers.empty();
+    private final Map<BackendServerId, Incarnation> reportedDraining = RecentServers.empty();
 
     /** Entries from the store that are currently treated as draining after a restore. */
     private final Map<BackendServerId, ServerEntry> overridden = new HashMap<>();
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/LatestIncarnations.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/LatestIncarnations.java
@@ -7,12 +7,12 @@
  * The latest known incarnation of each backend server, including servers without an entry.
  *
  * <p>Invariant: an incarnation is accepted only if none that supersedes it was accepted before, as
- * long as its server is among the {@link RecentIncarnations#MAX_KEPT} most recently used. Not
+ * long as its server is among the {@link RecentServers#MAX_KEPT} most recently used. Not
  * thread-safe.
  */
 final class LatestIncarnations {
 
-    private final Map<BackendServerId, Incarnation> latest = RecentIncarnations.empty();
+    private final Map<BackendServerId, Incarnation> latest = RecentServers.empty();
 
     private LatestIncarnations() {}
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -31,6 +31,9 @@
  * write again, which is handled like expiry. It may also list servers that have drained or stopped;
  * see {@link DrainOverrides}.
  *
+ * <p>Other VMs report departures, since the entry that shows one may reach this VM late, for
+ * example if its store calls hang. A departure overrides entries up to its position.
+ *
  * <p>Invariant: a backend server that is draining or removed is in no result of {@link #usable}.
  * Not thread-safe.
  */
@@ -56,6 +59,7 @@
     private final ExpiredServers expired = ExpiredServers.empty();
     private final LatestIncarnations latestIncarnations = LatestIncarnations.empty();
     private final DrainOverrides drainOverrides;
+    private final Map<BackendServerId, Departure> departures = RecentServers.empty();
     private Consumer<TrackedServer> restartListener = former -> {};
     private boolean callFailed;
     private boolean storeUnavailable;
@@ -99,7 +103,9 @@
         if (!latestIncarnations.accept(entry.incarnation())) {
             return false;
         }
-        addOrUpdate(drainOverrides.apply(entry));
+        final Departure departure = departures.get(entry.id());
+        final boolean departed = departure != null && departure.overrides(entry);
+        addOrUpdate(drainOverrides.apply(departed ? entry.asDraining() : entry));
         return true;
     }
 
@@ -141,6 +147,26 @@
         return true;
     }
 
+    /**
+     * Handles a departure that another VM has read from the store. A removal is ignored while
+     * missing entries are kept.
+     *
+     * @param departure the departure
+     * @return whether this VM would have sent requests to the backend server otherwise
+     */
+    public boolean onDeparture(final Departure departure) {
+        if (departure.removed() && keepsMissing()) {
+            return false;
+        }
+        departures.put(departure.server().server(), departure);
+        final Optional<ServerEntry> usable =
+                find(departure.server().server())
+                        .map(TrackedServer::entry)
+                        .filter(entry -> !entry.draining() && departure.overrides(entry));
+        usable.ifPresent(entry -> addOrUpdate(entry.asDraining()));
+        return usable.isPresent();
+    }
+
     /**
      * Removes a backend server whose entry is no longer valid. It is removed at once, also while
      * missing entries are kept.
@@ -157,7 +183,7 @@
      * @param id the backend server
      */
     public void remove(final BackendServerId id) {
-        if (storeUnavailable || clock.millis() < graceUntilMillis) {
+        if (keepsMissing()) {
             if (servers.containsKey(id)) {
                 missing.add(id);
             }
@@ -243,7 +269,7 @@
             addOrUpdate(drainOverrides.apply(ended.get()));
             ended = drainOverrides.endedOverride();
         }
-        if (storeUnavailable || missing.isEmpty() || clock.millis() < graceUntilMillis) {
+        if (missing.isEmpty() || keepsMissing()) {
             return List.of();
         }
         final List<BackendServerId> removed = new ArrayList<>(missing);
@@ -289,6 +315,10 @@
         return servers.size();
     }
 
+    private boolean keepsMissing() {
+        return storeUnavailable || clock.millis() < graceUntilMillis;
+    }
+
     private List<TrackedServer> collect(final ServiceName service) {
         final List<TrackedServer> result = new ArrayList<>();
         for (final TrackedServer server : servers.values()) {
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/ServerTableTest.java
@@ -179,6 +179,67 @@
         assertThat(ids()).isEmpty();
     }
 
+    private static ServerEntry entryAt(final String id, final long revision) {
+        final ServerEntry first = entry(id, false);
+        return new ServerEntry(
+                first.incarnation(),
+                first.service(),
+                first.address(),
+                first.dataCentre(),
+                first.version(),
+                first.capacity(),
+                false,
+                Position.of(0, revision));
+    }
+
+    private static Departure departure(final String id, final long revision) {
+        final Incarnation server = Incarnation.of(BackendServerId.of(id));
+        return new Departure(server, Position.of(0, revision), false);
+    }
+
+    @Test
+    void serverThatDepartedGetsNoNewRequests() {
+        table.put(entryAt("a", 1));
+        table.put(entryAt("b", 1));
+        assertThat(table.onDeparture(departure("a", 5))).isTrue();
+        assertThat(ids()).containsExactly("b");
+    }
+
+    /** Guards against a late entry that brings a departed server back into use. */
+    @Test
+    void entryWrittenBeforeADepartureDoesNotEndIt() {
+        table.put(entryAt("a", 1));
+        table.onDeparture(departure("a", 5));
+        table.put(entryAt("a", 4));
+        assertThat(ids()).isEmpty();
+    }
+
+    @Test
+    void entryWrittenAfterADepartureEndsIt() {
+        table.put(entryAt("a", 1));
+        table.onDeparture(departure("a", 5));
+        table.put(entryAt("a", 6));
+        assertThat(ids()).containsExactly("a");
+    }
+
+    /** Guards against a late report that takes a server out of use that is ready again. */
+    @Test
+    void departureBeforeTheCurrentEntryIsIgnored() {
+        table.put(entryAt("a", 6));
+        assertThat(table.onDeparture(departure("a", 5))).isFalse();
+        assertThat(ids()).containsExactly("a");
+    }
+
+    /** Guards against losing running servers whose entries expired during an outage. */
+    @Test
+    void removalReportedDuringAnOutageIsIgnored() {
+        table.put(entryAt("a", 1));
+        table.onStoreUnavailable();
+        final Incarnation server = Incarnation.of(BackendServerId.of("a"));
+        assertThat(table.onDeparture(new Departure(server, Position.of(0, 5), true))).isFalse();
+        assertThat(ids()).containsExactly("a");
+    }
+
     private List<String> ids() {
         return table.usable(SERVICE).stream().map(s -> s.entry().id().value()).toList();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -143,6 +143,8 @@
         this.crashBroadcast = new CrashBroadcast(peers::allPeers, messenger::send, clock);
         gateway.onServerDraining(
                 server -> messenger.send(new PeerMessage.Draining(server), peers.allPeers()));
+        serverFeed.onDeparture(
+                new DepartureReports(settings.vm(), peers, messenger::send)::onDeparture);
         final LimitReports limitReports = new LimitReports(peers::allPeers, messenger::send, clock);
         gateway.onServerLimit(limitReports::onLimit);
         gateway.crashes().onDetected(crashBroadcast::onReport, crashBroadcast::onClearedCrashes);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -12,6 +12,7 @@
 import org.fennelstage.crash.ClearedCrashes;
 import org.fennelstage.crash.CrashReport;
 import org.fennelstage.crash.Fingerprint;
+import org.fennelstage.fleet.Departure;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.fleet.RateLimit;
@@ -29,6 +30,7 @@
 sealed interface PeerMessage
         permits PeerMessage.Unreachable,
                 PeerMessage.Draining,
+                PeerMessage.Departed,
                 PeerMessage.Limit,
                 PeerMessage.Loads,
                 PeerMessage.LoadSums,
@@ -47,6 +49,12 @@
     /** Id and start time of a backend server. */
     Pattern DRAINING = Pattern.compile("leaving ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})");
 
+    /** Id and start time of a backend server, era and revision, and whether it was removed. */
+    Pattern DEPARTED =
+            Pattern.compile(
+                    "departed ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18}) ([0-9]{1,18})"
+                            + " ([0-9]{1,18}) (true|false)");
+
     /** Id and start time of a backend server, and requests per second, or "-" for no limit. */
     Pattern LIMIT =
             Pattern.compile(
@@ -114,6 +122,29 @@
         }
     }
 
+    /**
+     * The store shows a backend server as draining, or has removed its entry.
+     *
+     * @param departure the change in the store
+     */
+    record Departed(Departure departure) implements PeerMessage {
+
+        public Departed {
+            Objects.requireNonNull(departure, "departure is null");
+        }
+
+        @Override
+        public String text() {
+            return "departed %s %d %d %d %s"
+                    .formatted(
+                            departure.server().server().value(),
+                            departure.server().startMillis(),
+                            departure.position().era(),
+                            departure.position().revision(),
+                            departure.removed());
+        }
+    }
+
     /**
      * A backend server reported a rate limit in a response, or responded without the one that it
      * had.
@@ -277,6 +308,10 @@
         if (draining.matches()) {
             return Optional.of(new Draining(incarnation(draining.group(1), draining.group(2))));
         }
+        final Matcher departed = DEPARTED.matcher(text);
+        if (departed.matches()) {
+            return Optional.of(new Departed(departure(departed)));
+        }
         final Matcher limit = LIMIT.matcher(text);
         if (limit.matches()) {
             return Optional.of(
@@ -325,6 +360,13 @@
         return new Incarnation(BackendServerId.of(id), Long.parseLong(startMillis));
     }
 
+    private static Departure departure(final Matcher departed) {
+        return new Departure(
+                incarnation(departed.group(1), departed.group(2)),
+                Position.of(Long.parseLong(departed.group(3)), Long.parseLong(departed.group(4))),
+                Boolean.parseBoolean(departed.group(5)));
+    }
+
     private static Optional<RateLimit> limit(final String rate) {
         return rate.equals(NO_LIMIT) ? Optional.empty() : RateLimit.of(Double.parseDouble(rate));
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.fennelstage.fleet.Departure;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.RateLimit;
 import org.fennelstage.fleet.TrackedServer;
@@ -57,6 +58,8 @@
             rolloutAges.onAge(rollout.age());
         } else if (message instanceof PeerMessage.Draining draining) {
             onDraining(draining.server());
+        } else if (message instanceof PeerMessage.Departed departed) {
+            onDeparted(departed.departure());
         } else if (message instanceof PeerMessage.Limit limit) {
             onLimit(limit);
         } else if (message instanceof PeerMessage.Crash crash) {
@@ -72,6 +75,19 @@
         }
     }
 
+    private void onDeparted(final Departure departure) {
+        if (state.servers().onDeparture(departure)) {
+            EventLog.write(
+                    Event.SERVER_DEPARTED,
+                    "server",
+                    departure.server(),
+                    "removed",
+                    departure.removed(),
+                    "revision",
+                    departure.position());
+        }
+    }
+
     private void onLimit(final PeerMessage.Limit message) {
         limitReports.onReported(message.server(), message.limit());
         final Optional<TrackedServer> server = find(message.server());
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Peers.java
@@ -182,6 +182,19 @@
         return dataCentreVms;
     }
 
+    /**
+     * Returns the VMs of the own data centre, this one included, in an order that is the same at
+     * each of them.
+     *
+     * @param task what the order is for; different tasks have different first VMs
+     */
+    List<VmId> rankedInDataCentre(final String task) {
+        final Set<VmId> vms = new HashSet<>(dataCentreVms);
+        // A VM that has just started is not listed yet.
+        vms.add(own.vm());
+        return Rendezvous.rank(task, vms);
+    }
+
     /**
      * Returns the VMs of a data centre, or all VMs if it has none, in an order that is the same at
      * each of them.
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -17,6 +17,7 @@
 import org.fennelstage.crash.ClearedCrashes;
 import org.fennelstage.crash.CrashReport;
 import org.fennelstage.crash.Fingerprint;
+import org.fennelstage.fleet.Departure;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.fleet.RateLimit;
@@ -52,6 +53,14 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
+    @Property(tries = 20)
+    void departureRoundTrip(@ForAll final boolean removed) {
+        final Incarnation server = new Incarnation(BackendServerId.of("i-7"), 12);
+        final PeerMessage message =
+                new PeerMessage.Departed(new Departure(server, Position.of(2, 40), removed));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
     @Property(tries = 200)
     void limitRoundTrip(@ForAll @DoubleRange(max = 999_999) final double rate) {
         final Incarnation server = new Incarnation(BackendServerId.of("i-7"), 12);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.fleet.Departure;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
@@ -58,6 +60,59 @@
         assertThat(usable()).containsExactly("i-2");
     }
 
+    private static StoredValue<ServerEntry> draining(final String id, final long revision) {
+        final ServerEntry ready = entry(id).value().orElseThrow();
+        final Position position = Position.of(0, revision);
+        final ServerEntry entry =
+                new ServerEntry(
+                        ready.incarnation(),
+                        ready.service(),
+                        ready.address(),
+                        ready.dataCentre(),
+                        ready.version(),
+                        ready.capacity(),
+                        true,
+                        position);
+        return new StoredValue<>(id, position, Optional.of(entry), Optional.empty());
+    }
+
+    private static StoredValue<ServerEntry> removed(final String id, final long revision) {
+        return new StoredValue<>(id, Position.of(0, revision), Optional.empty(), Optional.empty());
+    }
+
+    private static Departure departure(
+            final String id, final long revision, final boolean removed) {
+        final Incarnation server = Incarnation.of(BackendServerId.of(id));
+        return new Departure(server, Position.of(0, revision), removed);
+    }
+
+    @Test
+    void drainingAndRemovedServersArePassedOnAsDepartures() {
+        final List<Departure> departures = new ArrayList<>();
+        feed.onDeparture(departures::add);
+        feed.onAll(List.of(entry("i-1"), entry("i-2"), entry("i-3")));
+        feed.onChange(draining("i-1", 5));
+        feed.onChange(removed("i-2", 6));
+        feed.onAll(List.of(draining("i-1", 5), draining("i-3", 7)));
+        feed.onChange(removed("i-1", 8));
+        assertThat(departures)
+                .containsExactly(
+                        departure("i-1", 5, false),
+                        departure("i-2", 6, true),
+                        departure("i-3", 7, false));
+    }
+
+    /** Guards against losing running servers because one VM reads the removals of an outage. */
+    @Test
+    void entriesThatExpiredDuringAnOutageAreNoDepartures() {
+        final List<Departure> departures = new ArrayList<>();
+        feed.onDeparture(departures::add);
+        feed.onAll(List.of(entry("i-1")));
+        feed.onStoreUnavailable();
+        feed.onChange(removed("i-1", 6));
+        assertThat(departures).isEmpty();
+    }
+
     /** Guards against losing all servers whose entries expired during an outage of the store. */
     @Test
     void missingEntryIsKeptAfterOutageCountedFromFirstFailedCall() {
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -54,6 +54,10 @@
             2030,
             Level.INFO,
             "data centre no longer evacuated; its backend servers may need to warm up"),
+    SERVER_DEPARTED(
+            2031,
+            Level.INFO,
+            "another VM reported that the store shows a backend server as draining or removed"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store may not have taken effect"),
 
     PEER_STATE_CHANGED(3001, Level.INFO, "state of another VM changed"),
