A VM that reaches no backend server sends its callers' requests through others

A VM had one way to a server. It tried four of them, 200 ms each, for each request, never concluded that it was cut off, and asked no other VM, though it reached them. Class: a fault of this VM's own links taken for faults of the servers.

If every server that may get a request was unreachable and nothing shows otherwise, or three connections of the request failed, it goes to another VM, which handles it as one of its own callers' and says at once if it reaches no server either. What may have run is not sent again.

--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/AttemptEnd.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/AttemptEnd.java
@@ -13,7 +13,9 @@
     /** The response was dropped before any of it was sent to the caller. */
     DROPPED(true),
     /** The backend server responded that it ran the request and failed. */
-    FAILED(true);
+    FAILED(true),
+    /** A backend server's response arrived through another VM. */
+    FORWARDED(true);
 
     private final boolean mayHaveRun;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/AttemptLog.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/AttemptLog.java
@@ -64,6 +64,28 @@
         tried.add(server);
     }
 
+    /**
+     * Records the start of an attempt through another VM, which chooses the backend server.
+     *
+     * @throws IllegalStateException if {@link #maySend()} is false
+     */
+    public void beginForwarded() {
+        if (!maySend()) {
+            throw new IllegalStateException("no further attempt is allowed: " + this);
+        }
+        open = true;
+        sent++;
+    }
+
+    /**
+     * Returns the number of backend servers to which the request may still be sent.
+     *
+     * @return the number, 0 if there is none
+     */
+    public int remaining() {
+        return Math.max(0, maxServers - sent);
+    }
+
     /**
      * Records the end of the open attempt. An attempt that was not sent does not count towards the
      * largest number of backend servers.
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -94,7 +94,7 @@
         }
         final boolean suspect =
                 clock.millis() < suspectUntilMillis
-                        || unconfirmed()
+                        || isUnconfirmed()
                         || decayedExcessRate() >= SUSPECT_RATE;
         return suspect ? Tier.SUSPECT : Tier.HEALTHY;
     }
@@ -106,7 +106,7 @@
      * @return true after each pause, until it accepts a connection or responds
      */
     public boolean probeDue() {
-        return unconfirmed() && tier() != Tier.UNREACHABLE;
+        return isUnconfirmed() && tier() != Tier.UNREACHABLE;
     }
 
     /** Records that a probe is made; no other one is made during the next pause. */
@@ -234,8 +234,13 @@
         return clock.millis() - lastUnreachableMillis;
     }
 
-    /** The server or its data centre was unreachable, and nothing shows that it is reachable. */
-    private boolean unconfirmed() {
+    /**
+     * Returns whether the server or its data centre was unreachable from this VM, and nothing shows
+     * that it is reachable again.
+     *
+     * @return true until it accepts a connection or responds
+     */
+    public boolean isUnconfirmed() {
         return consecutiveUnreachable > 0 || dataCentre.isSuspect();
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -27,7 +27,7 @@
  *
  * <p>Not thread-safe; confined to the event loop.
  */
-final class Attempt implements ResponseListener {
+final class Attempt implements ResponseListener, OpenAttempt {
 
     /**
      * Connect timeout, short enough that another backend server can still meet the latency
@@ -153,17 +153,15 @@
         return execution;
     }
 
-    /**
-     * Cancels the attempt: closes its connection, upon which the backend server drops the request.
-     */
-    void cancel() {
+    @Override
+    public void cancel() {
         if (release(false)) {
             call.cancel();
         }
     }
 
-    /** Pauses or resumes reading, for backpressure from the caller. */
-    void pause(final boolean pause) {
+    @Override
+    public void pause(final boolean pause) {
         call.pause(pause);
         setFlowing(!pause);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ErrorResponder.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ErrorResponder.java
@@ -55,6 +55,12 @@
         gateway.respond(exchange, requestId, GatewayError.QUARANTINED, remaining);
     }
 
+    /** Rejects a request that another VM forwarded, since this VM reaches no backend server. */
+    void notReached() {
+        log.notReached();
+        gateway.respondNotReached(exchange, requestId);
+    }
+
     /**
      * Rejects a request for which no backend server was found.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -1,13 +1,19 @@
 package org.fennelstage.gateway;
 
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.fleet.Incarnation;
@@ -18,6 +24,7 @@
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
+import org.fennelstage.id.ServiceName;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.placement.Placement;
@@ -48,6 +55,10 @@
     private BiConsumer<Incarnation, Optional<RateLimit>> limitListener = (id, limit) -> {};
     private PermitSource permits =
             (server, terms, timeout, listener) -> listener.accept(Permit.NONE);
+    private Optional<HttpClient> peerClient = Optional.empty();
+    private Supplier<List<InetSocketAddress>> peers = List::of;
+    private final Map<ServiceName, ForwardingPeers> forwardingPeers = new HashMap<>();
+    private boolean acceptsForwarded = true;
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private int inFlight;
 
@@ -83,8 +94,72 @@
         state.servers().onRestart(this::onRestarted);
     }
 
+    /**
+     * Sets the other VMs, through which requests go while this VM reaches no backend server. There
+     * are none by default.
+     *
+     * @param client sends requests to other VMs
+     * @param addresses their addresses
+     */
+    public void forwardThrough(
+            final HttpClient client, final Supplier<List<InetSocketAddress>> addresses) {
+        peerClient = Optional.of(client);
+        peers = Objects.requireNonNull(addresses, "addresses is null");
+    }
+
+    HttpClient peerClient() {
+        return peerClient.orElseThrow();
+    }
+
+    ForwardingPeers forwardingPeers(final ServiceName service) {
+        return forwardingPeers.computeIfAbsent(
+                service, s -> new ForwardingPeers(() -> peers.get(), random, state.clock()));
+    }
+
+    /** Rejects the requests that other VMs forward from now on. */
+    public void stopAcceptingForwarded() {
+        acceptsForwarded = false;
+    }
+
+    /**
+     * Returns whether another VM has forwarded a request.
+     *
+     * @param exchange a request of another VM
+     * @return true if it is to be handled by {@link #handleForwarded}
+     */
+    public static boolean isForwarded(final ServerExchange exchange) {
+        return ForwardingHeaders.servers(exchange.headers()).isPresent();
+    }
+
+    /**
+     * Handles a caller's request that another VM has forwarded.
+     *
+     * @param exchange the request
+     */
+    public void handleForwarded(final ServerExchange exchange) {
+        final OptionalInt servers = ForwardingHeaders.servers(exchange.headers());
+        ForwardingHeaders.removeServers(exchange.headers());
+        if (!acceptsForwarded) {
+            respondNotReached(exchange, "");
+            return;
+        }
+        handle(exchange, servers);
+    }
+
+    /** Responds to another VM that this one reaches no backend server for its request. */
+    void respondNotReached(final ServerExchange exchange, final String requestId) {
+        final GatewayError error = GatewayError.NO_ELIGIBLE_SERVER;
+        final HttpHeaders headers = codec.errorHeaders(requestId, error.retryAfter());
+        ForwardingHeaders.setNotReached(headers);
+        exchange.respond(error.status(), headers, ErrorBody.body(error));
+    }
+
     @Override
     public void handle(final ServerExchange exchange) {
+        handle(exchange, OptionalInt.empty());
+    }
+
+    private void handle(final ServerExchange exchange, final OptionalInt forwardedServers) {
         final CallerRequest request;
         try {
             request = codec.decode(exchange);
@@ -108,7 +183,15 @@
             reject(exchange, request.id(), GatewayError.UNKNOWN_KEY, detail);
             return;
         }
-        new RequestExecution(this, exchange, request, configuration, route.get(), access).start();
+        new RequestExecution(
+                        this,
+                        exchange,
+                        request,
+                        configuration,
+                        route.get(),
+                        access,
+                        forwardedServers)
+                .start();
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -37,6 +37,8 @@
  */
 final class RequestExecution {
 
+    private static final int UNAVAILABLE = 503;
+
     /** Maximum attempts that fail before anything is sent; more indicate a fault of the network. */
     private static final int MAX_NOT_SENT = 4;
 
@@ -51,36 +53,57 @@
     private final ModelChoice models;
     private final WaitEstimator waitEstimator;
     private final PermitCheck permits;
+    private final Forwarding forwarding;
+    private final boolean forwarded;
     private final ErrorResponder errors;
     private final long arrivedMillis;
     private final long deadlineMillis;
     private final CallerResponse response;
-    private Optional<Attempt> openAttempt = Optional.empty();
+    private Optional<OpenAttempt> openAttempt = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private ServiceName service;
     private OptionalInt confidence = OptionalInt.empty();
     private VersionChoice version;
     private int notSent;
+    private boolean counted;
     private boolean ended;
 
+    /**
+     * Creates the execution of a request.
+     *
+     * @param gateway the gateway that received it
+     * @param exchange its response
+     * @param request the request
+     * @param configuration the configuration that it uses throughout
+     * @param route its route
+     * @param access the team and its access, empty without a key
+     * @param forwardedServers the number of backend servers to which a request that another VM
+     *     forwarded may be sent, empty for a request of a caller
+     */
     RequestExecution(
             final Gateway gateway,
             final ServerExchange exchange,
             final CallerRequest request,
             final ServingConfiguration configuration,
             final Route route,
-            final Optional<TeamAccess> access) {
+            final Optional<TeamAccess> access,
+            final OptionalInt forwardedServers) {
         this.gateway = gateway;
         this.exchange = exchange;
         this.request = request;
         this.route = route;
         this.access = access;
-        this.attempts = AttemptLog.of(route.retryable(), route.maxServers());
+        this.forwarded = forwardedServers.isPresent();
+        this.attempts =
+                AttemptLog.of(
+                        route.retryable(),
+                        Math.min(route.maxServers(), forwardedServers.orElse(route.maxServers())));
         this.fingerprint = request.fingerprint();
         this.log = new RequestLog(request, fingerprint, route, configuration.version(), attempts);
         this.models = ModelChoice.of(route, gateway);
         this.waitEstimator = new WaitEstimator(gateway, request);
         this.permits = new PermitCheck(gateway, route, log);
+        this.forwarding = new Forwarding(this, !forwarded);
         this.errors = new ErrorResponder(gateway, exchange, request.id(), waitEstimator, log);
         this.arrivedMillis = now();
         final Duration allowed =
@@ -109,17 +132,35 @@
         }
         service = chosen.get().service();
         version = canary().choose(request.session(), request.id());
-        gateway.state().retryBudget(service).onRequest();
+        final List<TrackedServer> candidates = candidates();
+        if (forwarded && Forwarding.reachesNone(candidates)) {
+            rejectAsNotReached();
+            return;
+        }
         final OptionalDouble excessiveWait =
-                waitEstimator.excessiveWaitMillis(
-                        service, candidates(), models.model(), remaining());
+                waitEstimator.excessiveWaitMillis(service, candidates, models.model(), remaining());
         if (excessiveWait.isPresent()) {
+            countRequest();
             rejectForWait(excessiveWait.getAsDouble());
         } else {
             startAttempt();
         }
     }
 
+    /** Counts the request for the retry budget of the VM that sends it to a backend server. */
+    private void countRequest() {
+        if (!counted) {
+            counted = true;
+            gateway.state().retryBudget(service).onRequest();
+        }
+    }
+
+    /** Rejects a forwarded request as not sent, so that the other VM tries another one. */
+    private void rejectAsNotReached() {
+        errors.notReached();
+        finish(GatewayError.NO_ELIGIBLE_SERVER);
+    }
+
     private void rejectForWait(final double waitMillis) {
         errors.waitTooLong(waitMillis, remaining());
         finish(GatewayError.OVERLOADED);
@@ -230,6 +271,72 @@
         }
     }
 
+    /** Starts an attempt through another VM. */
+    void sendThrough(final ForwardedAttempt attempt) {
+        final int servers = attempts.remaining();
+        attempts.beginForwarded();
+        openAttempt = Optional.of(attempt);
+        log.forwarded(service, attempt.peer(), notSent, remaining());
+        attempt.send(remaining(), response.lastEventId().or(request::lastEventId), servers);
+    }
+
+    /** Handles a complete response of a backend server that another VM passed on. */
+    void onForwarded(final ResponseHead head) {
+        attempts.end(AttemptEnd.FORWARDED);
+        gateway.metrics().attempt(service.value(), "FORWARDED");
+        openAttempt = Optional.empty();
+        confidence = head.confidence();
+        finish("forwarded", head.status());
+    }
+
+    /**
+     * Handles an attempt through another VM that ended without a response of a backend server.
+     *
+     * @param end what is known of its end
+     * @param detail the cause, for the log
+     * @param fallback what to do if the request is not retried
+     */
+    void onForwardingFailed(final AttemptEnd end, final String detail, final Runnable fallback) {
+        openAttempt = Optional.empty();
+        attempts.end(end);
+        gateway.metrics().attempt(service.value(), "FORWARDED_" + end.name());
+        log.attemptFailed(end, detail, elapsedMillis());
+        if (ended) {
+            return;
+        }
+        final boolean retry =
+                end == AttemptEnd.NOT_SENT
+                        ? attempts.maySend() && !remaining().isNegative()
+                        : mayRetry(end);
+        if (retry) {
+            startAttempt();
+        } else {
+            fallback.run();
+        }
+    }
+
+    /**
+     * Handles the rejection of a forwarded request, which the other VM did not run and never will.
+     *
+     * @param rejection the head of that VM's response
+     * @param body its body
+     * @param detail the cause, for the log
+     */
+    void onPeerRejected(final ResponseHead rejection, final byte[] body, final String detail) {
+        openAttempt = Optional.empty();
+        attempts.end(AttemptEnd.REJECTED);
+        log.attemptFailed(AttemptEnd.REJECTED, detail, elapsedMillis());
+        if (ended) {
+            return;
+        }
+        if (response.started() || attempts.mayHaveRun() || rejection.status() != UNAVAILABLE) {
+            giveUp();
+            return;
+        }
+        response.complete(rejection, body);
+        finish("rejected_by_another_vm", rejection.status());
+    }
+
     /**
      * Decides whether to drop a response that has started and try a larger model.
      *
@@ -282,6 +389,8 @@
             reject(GatewayError.OUTCOME_UNKNOWN);
         } else if (attempts.sent() > 0) {
             reject(GatewayError.REJECTED);
+        } else if (forwarded) {
+            rejectAsNotReached();
         } else {
             finish(errors.noServer(service));
         }
@@ -303,6 +412,11 @@
             return;
         }
         final List<TrackedServer> candidates = candidates();
+        if (forwarding.start(candidates, notSent)) {
+            gateway.recoveryProbe().probeDue(candidates);
+            return;
+        }
+        countRequest();
         final boolean mayProbe = mayProbe();
         if (!mayProbe) {
             gateway.recoveryProbe().probeDue(candidates);
@@ -437,7 +551,7 @@
     }
 
     private void cancelOpenAttempt() {
-        openAttempt.ifPresent(Attempt::cancel);
+        openAttempt.ifPresent(OpenAttempt::cancel);
         openAttempt = Optional.empty();
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -1,5 +1,6 @@
 package org.fennelstage.gateway;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.fennelstage.fleet.Eligibility;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.ModelId;
+import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.TeamId;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -126,6 +128,37 @@
                 decision.map(d -> d.slotTime().toMillis()).orElse(-1L));
     }
 
+    void forwarded(
+            final ServiceName service,
+            final InetSocketAddress peer,
+            final int failedConnections,
+            final Duration remaining) {
+        EventLog.write(
+                Event.REQUEST_FORWARDED,
+                "request",
+                request.id(),
+                "content",
+                fingerprint,
+                "route",
+                route,
+                "service",
+                service,
+                "configuration",
+                configurationVersion,
+                "to",
+                peer,
+                "failed_connections",
+                failedConnections,
+                "sent",
+                attempts.sent(),
+                "remaining_ms",
+                remaining.toMillis());
+    }
+
+    void notReached() {
+        rejected(GatewayError.NO_ELIGIBLE_SERVER, "forwarded", true, "sent", attempts.sent());
+    }
+
     void saturated(final Duration retryAfter) {
         rejected(
                 GatewayError.OVERLOADED,
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/WireCodec.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/WireCodec.java
@@ -31,6 +31,18 @@
      */
     FullHttpRequest encode(CallerRequest request, AttemptMetadata metadata);
 
+    /**
+     * Encodes a request for another VM, which decodes it as a caller's request.
+     *
+     * @param request the caller's request
+     * @param remaining the time left until its deadline
+     * @param lastEventId the event after which a stream continues, empty to start from the
+     *     beginning
+     * @return the request to send
+     */
+    FullHttpRequest encodeForwarded(
+            CallerRequest request, Duration remaining, Optional<String> lastEventId);
+
     /**
      * Returns whether a response belongs to a request.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -20,6 +20,7 @@
 import org.fennelstage.gateway.WireCodec;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.HttpServer;
+import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -140,6 +141,7 @@
         if (settings.policy().uses(Mechanism.PEER_NEWS)) {
             gateway.onUnreachable(messenger::reportUnreachable);
         }
+        gateway.forwardThrough(new HttpClient(loop), peers::allPeers);
         this.crashBroadcast = new CrashBroadcast(peers::allPeers, messenger::send, clock);
         gateway.onServerDraining(
                 server -> messenger.send(new PeerMessage.Draining(server), peers.allPeers()));
@@ -193,22 +195,33 @@
             final HttpClient storeClient, final FallbackStore store, final HttpClient serverClient)
             throws IOException {
         HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, readiness);
-        HttpServer.start(
-                group,
-                settings.peers(),
-                ServerLimits.DEFAULT,
+        final StoreRelay relay =
                 new StoreRelay(
                         storeClient,
                         settings.store(),
                         store,
                         settings.linkMegabits(),
-                        state.clock()));
+                        state.clock());
+        HttpServer.start(
+                group,
+                settings.peers(),
+                ServerLimits.DEFAULT,
+                exchange -> handlePeer(exchange, relay));
         if (settings.metrics().isPresent()) {
             final VmMetrics vmMetrics = new VmMetrics(metrics, state, gateway, eras, serverClient);
             HttpServer.start(group, settings.metrics().get(), ServerLimits.DEFAULT, vmMetrics);
         }
     }
 
+    /** Handles what another VM forwards: a caller's request, or a call to the store. */
+    private void handlePeer(final ServerExchange exchange, final StoreRelay relay) {
+        if (Gateway.isForwarded(exchange)) {
+            gateway.handleForwarded(exchange);
+        } else {
+            relay.handle(exchange);
+        }
+    }
+
     private void follow(final StoreWatches watches, final Peers peers) {
         final Follower<RolloutOrder> rollouts =
                 watches.of(
@@ -321,6 +334,7 @@
         }
         stopping = true;
         readiness.onStopping();
+        gateway.stopAcceptingForwarded();
         callerListener.closeAfterResponses();
         EventLog.write(
                 Event.DRAINING,
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -81,6 +81,10 @@
     PERMIT_ISSUER_SKIPPED(
             4025, Level.WARNING, "VM that issues permits for a backend server does not reply"),
     RECOVERY_PROBED(4026, Level.INFO, "unreachable backend server probed"),
+    REQUEST_FORWARDED(
+            4027,
+            Level.INFO,
+            "request forwarded to another VM, since no backend server is reachable"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
