Forwarding goes on through VMs that serve while others fail

The VMs that were cut off themselves were tried again by several requests at once each second; four failures in a row paused forwarding altogether, and requests fell back to direct attempts of 0.8 s. The pause now applies to VMs that are not known to serve, and one of them is tried in 100 ms while another one serves. The test fails without this.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardingPeers.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardingPeers.java
@@ -20,8 +20,9 @@
  * few of them, VMs of which nothing is known are tried first, so that the load spreads; at random,
  * since VMs that are near each other are often cut off together.
  *
- * <p>Invariant: after {@link #MAX_FAILURES} failures without a success in between, no VM is chosen
- * for a pause, since the service is then probably down for all. Not thread-safe.
+ * <p>Invariant: after {@link #MAX_FAILURES} failures without a success in between, only VMs that
+ * served a moment ago are chosen for a pause, since the service is then probably down for all
+ * others. Not thread-safe.
  */
 final class ForwardingPeers {
 
@@ -36,6 +37,9 @@
 
     static final int MAX_FAILURES = 4;
 
+    /** Time between two VMs that are tried while another one serves; milliseconds. */
+    static final long TRIAL_INTERVAL_MILLIS = 100;
+
     /** First pause after failures; doubles up to {@link #MAX_PAUSE_MILLIS}. */
     static final long FIRST_PAUSE_MILLIS = 500;
 
@@ -53,7 +57,7 @@
     private final Map<InetSocketAddress, Peer> known = new HashMap<>();
     private int failures;
     private int pauses;
-    private long pausedUntilMillis = Long.MIN_VALUE;
+    private long nextTrialMillis = Long.MIN_VALUE;
 
     /**
      * Creates a choice without knowledge.
@@ -79,9 +83,6 @@
      */
     Optional<InetSocketAddress> choose(final Set<InetSocketAddress> excluded) {
         final long now = clock.millis();
-        if (now < pausedUntilMillis) {
-            return Optional.empty();
-        }
         final List<InetSocketAddress> candidates =
                 peers.get().stream()
                         .filter(p -> !excluded.contains(p) && peer(p).avoidedUntilMillis <= now)
@@ -90,7 +91,9 @@
                 candidates.stream().filter(p -> isConfirmed(p, now)).toList();
         final List<InetSocketAddress> unknown =
                 candidates.stream().filter(p -> !isConfirmed(p, now)).toList();
-        if (confirmed.size() < ENOUGH_CONFIRMED && !unknown.isEmpty()) {
+        final boolean mayTry = now >= nextTrialMillis && !unknown.isEmpty();
+        if (mayTry && confirmed.size() < ENOUGH_CONFIRMED) {
+            nextTrialMillis = confirmed.isEmpty() ? now : now + TRIAL_INTERVAL_MILLIS;
             return Optional.of(unknown.get(random.nextInt(unknown.size())));
         }
         return confirmed.stream().min(Comparator.comparingInt(p -> peer(p).running));
@@ -130,7 +133,7 @@
         if (failures >= MAX_FAILURES) {
             failures = 0;
             final long pause = FIRST_PAUSE_MILLIS << Math.min(pauses, 2);
-            pausedUntilMillis = clock.millis() + Math.min(pause, MAX_PAUSE_MILLIS);
+            nextTrialMillis = clock.millis() + Math.min(pause, MAX_PAUSE_MILLIS);
             pauses++;
         }
     }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/gateway/ForwardingPeersTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/gateway/ForwardingPeersTest.java
@@ -37,6 +37,7 @@
             final InetSocketAddress peer = choose();
             peers.onSuccess(peer);
             served.add(peer);
+            now.addAndGet(ForwardingPeers.TRIAL_INTERVAL_MILLIS);
         }
         assertThat(served).hasSize(ForwardingPeers.ENOUGH_CONFIRMED);
         assertThat(choose()).isIn(served);
@@ -82,6 +83,21 @@
         assertThat(asked).isBetween(ForwardingPeers.MAX_FAILURES, 8 * ForwardingPeers.MAX_FAILURES);
     }
 
+    /** Guards against leaving out the VMs that serve because others do not. */
+    @Test
+    void vmsThatServeAreChosenAlsoAfterFailuresOfOthers() {
+        addVms(9);
+        peers.onSuccess(all.get(0));
+        all.subList(1, 9).forEach(peers::onFailure);
+        assertThat(choose()).isEqualTo(all.get(0));
+        now.addAndGet(ForwardingPeers.AVOIDED_MILLIS);
+        final Set<InetSocketAddress> together = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            together.add(choose());
+        }
+        assertThat(together).hasSizeLessThanOrEqualTo(2).contains(all.get(0));
+    }
+
     /** Guards against rejecting requests although a few of many VMs reach the servers. */
     @Test
     void theFewVmsThatReachTheServersAreFoundSoon() {
