A VM that reaches few backend servers reports none of them as unreachable

A report was sent at the first failed connection if the data centre had sent a byte within the last second, which holds for a VM that has just lost its own links, or whose open connections live on. Class: what a VM cannot do itself taken for a fact about others.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -315,6 +315,18 @@
         return servers.size();
     }
 
+    /**
+     * Returns whether this VM reaches most backend servers. Otherwise its own links are more likely
+     * at fault than the servers, so what it cannot reach says little about them.
+     *
+     * @return false if more than half of them were unreachable and nothing shows otherwise
+     */
+    public boolean reachesMost() {
+        final long unconfirmed =
+                servers.values().stream().filter(s -> s.health().isUnconfirmed()).count();
+        return unconfirmed * 2 <= servers.size();
+    }
+
     private boolean keepsMissing() {
         return storeUnavailable || clock.millis() < graceUntilMillis;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.fennelstage.crash.ClearedCrashes;
 import org.fennelstage.crash.CrashLedger;
@@ -28,7 +29,7 @@
  *
  * <p>A broken connection or inactivity alone does not prove a crash. The backend server is probed;
  * it has crashed if its port refuses connections, or if it is the only one of its data centre that
- * does not respond.
+ * does not respond and this VM reaches most of the others.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -43,6 +44,7 @@
     /** Retry time of a request while probes decide whether its backend servers have crashed. */
     private static final Duration PROBE_RETRY_AFTER = ConnectionProbe.TIMEOUT.multipliedBy(2);
 
+    private final BooleanSupplier reachesMost;
     private final ConnectionProbe probe;
     private final CrashLedger ledger;
     private final Quarantine quarantine;
@@ -59,8 +61,13 @@
      *
      * @param clock the clock
      * @param client opens connections to backend servers
+     * @param reachesMost whether this VM reaches most backend servers
      */
-    public CrashDetector(final MonotonicClock clock, final HttpClient client) {
+    public CrashDetector(
+            final MonotonicClock clock,
+            final HttpClient client,
+            final BooleanSupplier reachesMost) {
+        this.reachesMost = Objects.requireNonNull(reachesMost, "reachesMost is null");
         this.probe = new ConnectionProbe(client);
         this.ledger = CrashLedger.of(clock);
         this.quarantine = Quarantine.of(clock);
@@ -164,7 +171,9 @@
                 "requests",
                 fingerprints.size());
         final boolean onlyServerSilent =
-                result == ProbeResult.NO_RESPONSE && server.health().isDataCentreReachable();
+                result == ProbeResult.NO_RESPONSE
+                        && server.health().isDataCentreReachable()
+                        && reachesMost.getAsBoolean();
         if (result != ProbeResult.REFUSED && !onlyServerSilent) {
             return;
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -50,6 +50,7 @@
     private final Policy policy;
     private final CrashDetector crashes;
     private final RecoveryProbe recoveryProbe;
+    private final UnreachableReports unreachableReports;
     private Consumer<Incarnation> unreachableListener = id -> {};
     private Consumer<Incarnation> drainingListener = id -> {};
     private BiConsumer<Incarnation, Optional<RateLimit>> limitListener = (id, limit) -> {};
@@ -88,7 +89,12 @@
         this.random = Objects.requireNonNull(random, "random is null");
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.policy = Objects.requireNonNull(policy, "policy is null");
-        this.crashes = new CrashDetector(state.clock(), client);
+        this.crashes = new CrashDetector(state.clock(), client, state.servers()::reachesMost);
+        this.unreachableReports =
+                new UnreachableReports(
+                        state.servers(),
+                        state.clock(),
+                        server -> unreachableListener.accept(server));
         this.recoveryProbe = new RecoveryProbe(client, this::onUnreachable);
         crashes.setListeners(this::onUnreachable, this::onQuarantined);
         state.servers().onRestart(this::onRestarted);
@@ -195,7 +201,8 @@
     }
 
     /**
-     * Sets the listener for backend servers that could not be reached although the network works.
+     * Sets the listener for backend servers that could not be reached although this VM's links
+     * work.
      *
      * @param listener receives the backend server
      */
@@ -245,11 +252,12 @@
     }
 
     /**
-     * Ends attempts at backend servers that exceed the inactivity timeout. To be called several
-     * times a second.
+     * Ends attempts at backend servers that exceed the inactivity timeout, and reports unreachable
+     * servers that are due. To be called several times a second.
      */
     public void checkInactivity() {
         List.copyOf(attempts).forEach(Attempt::checkInactivity);
+        unreachableReports.sendDue();
     }
 
     /**
@@ -388,7 +396,7 @@
     private void onExcluded(final TrackedServer server, final boolean networkWorks) {
         client.closeIdle(Sockets.address(server.entry().address()));
         if (networkWorks) {
-            unreachableListener.accept(server.entry().incarnation());
+            unreachableReports.onUnreachable(server.entry().incarnation());
         }
     }
 
--- a/fennelstage-gateway/src/test/java/org/fennelstage/gateway/CrashDetectorTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/gateway/CrashDetectorTest.java
@@ -28,7 +28,7 @@
     private final CrashDetector other = detector();
 
     private CrashDetector detector() {
-        return new CrashDetector(now::get, new HttpClient(group.next()));
+        return new CrashDetector(now::get, new HttpClient(group.next()), () -> true);
     }
 
     @AfterEach
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/QuarantineFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/QuarantineFeedTest.java
@@ -29,7 +29,8 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final ManualStore store = new ManualStore();
-    private final CrashDetector crashes = new CrashDetector(now::get, new HttpClient(group.next()));
+    private final CrashDetector crashes =
+            new CrashDetector(now::get, new HttpClient(group.next()), () -> true);
     private int rank;
     private final QuarantineFeed feed =
             new QuarantineFeed(crashes, store, name -> rank, now::get, () -> {});
