Brittle backend servers get no request beyond their slots

Such a server stops when it has to reject more than a few requests in a second for want of room, and all of its requests with it. Nothing read the header; VMs filled its queue and were rejected as elsewhere.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -357,6 +357,13 @@
                 time.toMillis());
     }
 
+    /** Records whether the backend servers of a service say that they are brittle. */
+    void onResponseOf(final ServiceName service, final boolean brittle) {
+        if (state.brittleServices().onResponse(service, brittle)) {
+            EventLog.write(Event.SERVICE_BRITTLE, "service", service, "brittle", brittle);
+        }
+    }
+
     /** Records that a backend server reported a rate limit and notifies the other VMs. */
     void onLimitReported(final TrackedServer server, final RateLimit limit) {
         final Incarnation incarnation = server.entry().incarnation();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
@@ -14,6 +14,7 @@
 import org.fennelstage.attempt.LatencyEstimator;
 import org.fennelstage.attempt.WindowedRetryBudget;
 import org.fennelstage.canary.Canary;
+import org.fennelstage.fleet.BrittleServices;
 import org.fennelstage.fleet.ConnectionShare;
 import org.fennelstage.fleet.Eligibility;
 import org.fennelstage.fleet.Evacuations;
@@ -58,6 +59,7 @@
     private GatewaySettings settings;
     private final ServerTable servers;
     private final Evacuations evacuations;
+    private final BrittleServices brittleServices;
     private final RequestShares requestShares = RequestShares.empty();
     private final Eligibility eligibility;
     private final Map<ServiceName, Canary> canaries = new HashMap<>();
@@ -83,6 +85,7 @@
         this.settings = Objects.requireNonNull(settings, "settings is null");
         this.servers = ServerTable.of(clock);
         this.evacuations = Evacuations.empty(clock);
+        this.brittleServices = BrittleServices.empty(clock);
         this.eligibility =
                 new Eligibility(
                         evacuations, requestShares, this::warmUp, this.servers::isStoreUnavailable);
@@ -100,6 +103,10 @@
         return evacuations;
     }
 
+    public BrittleServices brittleServices() {
+        return brittleServices;
+    }
+
     public Optional<ServingConfiguration> configuration() {
         return configuration;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
@@ -29,6 +29,9 @@
     /** Longest lease in objectives; a permit that is out for longer was probably lost. */
     private static final int MAX_LEASE_OBJECTIVES = 10;
 
+    /** Time to wait for a permit for a request without an objective. */
+    private static final Duration DEFAULT_REPLY_TIMEOUT = Duration.ofMillis(100);
+
     private final Gateway gateway;
     private final Route route;
     private final RequestLog log;
@@ -44,9 +47,12 @@
     /**
      * Returns whether a backend server needs a permit. Prompts need none: engines run them in
      * batches, and their wait is known well enough from the reported loads. Without an objective
-     * nothing becomes late.
+     * nothing becomes late. Brittle servers always need one, since they stop after rejections.
      */
     boolean isNeeded(final TrackedServer server, final Job job) {
+        if (isBrittle(server)) {
+            return true;
+        }
         if (job.prompt().isPresent() || route.objective().isZero()) {
             return false;
         }
@@ -81,18 +87,32 @@
     void request(
             final TrackedServer server, final Duration remaining, final Consumer<Permit> listener) {
         final int capacity = Math.max(1, server.entry().capacity());
-        final PermitTerms terms = new PermitTerms(capacity, route.objective(), lease(remaining));
+        // No request may wait at a brittle server.
+        final Duration objective = isBrittle(server) ? Duration.ZERO : route.objective();
+        final PermitTerms terms = new PermitTerms(capacity, objective, lease(remaining));
         gateway.permits()
                 .request(
                         server.entry(),
                         terms,
-                        route.objective().dividedBy(TIMEOUT_DIVISOR),
+                        replyTimeout(),
                         permit -> onReply(server, permit, listener));
     }
 
+    private boolean isBrittle(final TrackedServer server) {
+        return gateway.state().brittleServices().isBrittle(server.entry().service());
+    }
+
+    private Duration replyTimeout() {
+        return route.objective().isZero()
+                ? DEFAULT_REPLY_TIMEOUT
+                : route.objective().dividedBy(TIMEOUT_DIVISOR);
+    }
+
     private Duration lease(final Duration remaining) {
         final long maxMillis = route.objective().toMillis() * MAX_LEASE_OBJECTIVES;
-        return Duration.ofMillis(Math.max(0, Math.min(remaining.toMillis(), maxMillis)));
+        final long leaseMillis =
+                maxMillis == 0 ? remaining.toMillis() : Math.min(remaining.toMillis(), maxMillis);
+        return Duration.ofMillis(Math.max(0, leaseMillis));
     }
 
     private void onReply(
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ResponseHead.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ResponseHead.java
@@ -20,6 +20,7 @@
  *     given
  * @param limit the rate of requests that the backend server accepts from all VMs together, empty if
  *     it reports none
+ * @param brittle whether the backend server reports that it stops after too many rejections
  */
 public record ResponseHead(
         int status,
@@ -28,7 +29,8 @@
         OptionalInt confidence,
         boolean draining,
         Optional<Duration> rejectsFor,
-        Optional<RateLimit> limit) {
+        Optional<RateLimit> limit,
+        boolean brittle) {
 
     /** What a response proves about the request. */
     public enum Trust {
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -85,6 +85,8 @@
             4027,
             Level.INFO,
             "request forwarded to another VM, since no backend server is reachable"),
+    SERVICE_BRITTLE(
+            4028, Level.INFO, "backend servers of a service changed whether they are brittle"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
