The time at the server that a permit's holder reports starts with the request's bytes

Requests that may run once open a connection each. The time now starts when the request is written; opening the connection counts as transit.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -425,9 +425,8 @@
         markPromptRead();
         server.end();
         if (permit instanceof Permit.Granted granted) {
-            final Duration total = Duration.ofMillis(now() - sentMillis);
-            granted.giveBack()
-                    .run(served ? Optional.of(granted.atServer(total)) : Optional.empty());
+            final Optional<Duration> sinceWritten = served ? call.sinceWritten() : Optional.empty();
+            granted.giveBack().run(sinceWritten.map(granted::atServer));
         }
         return true;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Permit.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Permit.java
@@ -73,7 +73,7 @@
          * the response, the share of its own delay is estimated from the reply to the permit, which
          * both VMs handled with such a delay.
          *
-         * @param total the time from sending the request to handling the end of the response
+         * @param total the time from writing the request to handling the end of the response
          */
         Duration atServer(final Duration total) {
             final Duration ownDelay = replyTime.dividedBy(2);
--- a/fennelstage-http/src/main/java/org/fennelstage/http/Call.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/Call.java
@@ -1,6 +1,8 @@
 package org.fennelstage.http;
 
 import io.netty.channel.Channel;
+import java.time.Duration;
+import java.util.Optional;
 
 /**
  * A request in flight, as its sender controls it.
@@ -13,6 +15,7 @@
 public final class Call {
 
     private Channel channel;
+    private Optional<Long> writtenNanos = Optional.empty();
     private boolean cancelled;
     private boolean paused;
 
@@ -38,6 +41,19 @@
         }
     }
 
+    /**
+     * Returns how long ago the request was written, which is after its connection was opened.
+     *
+     * @return the time, empty if it was not written yet
+     */
+    public Optional<Duration> sinceWritten() {
+        return writtenNanos.map(written -> Duration.ofNanos(System.nanoTime() - written));
+    }
+
+    void onWritten() {
+        writtenNanos = Optional.of(System.nanoTime());
+    }
+
     boolean isCancelled() {
         return cancelled;
     }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -307,6 +307,7 @@
                 listener,
                 options,
                 keepAlive -> pool.put(address, channel, keepAlive, options.connection()));
+        call.onWritten();
         channel.writeAndFlush(request).addListener(f -> handler.requestWritten());
     }
 }
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -235,4 +236,43 @@
         server.close();
         assertThat(probe(address)).isEqualTo(ProbeResult.REFUSED);
     }
+
+    /** Sends a request; completes with the time between sending and writing it. */
+    private CompletableFuture<Duration> timeUntilWritten(final CallOptions options) {
+        final CompletableFuture<Duration> result = new CompletableFuture<>();
+        client.eventLoop().execute(() -> sendAndMeasure(options, result));
+        return result;
+    }
+
+    private void sendAndMeasure(
+            final CallOptions options, final CompletableFuture<Duration> result) {
+        final InetSocketAddress address =
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+        final DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        final AtomicReference<Call> call = new AtomicReference<>();
+        final long sentNanos = System.nanoTime();
+        final ResponseListener listener =
+                Responses.collecting(
+                        whole -> {
+                            final Duration sinceWritten = call.get().sinceWritten().orElseThrow();
+                            final Duration total = Duration.ofNanos(System.nanoTime() - sentNanos);
+                            result.complete(total.minus(sinceWritten));
+                        },
+                        failure -> result.completeExceptionally(new IOException("" + failure)));
+        call.set(client.send(address, request, options, listener));
+    }
+
+    /** Guards against taking the time to open a connection for time at the server. */
+    @Test
+    void theTimeSinceTheRequestWasWrittenExcludesTheDelayOfANewConnection() throws Exception {
+        final Duration delay = Duration.ofMillis(200);
+        final ConnectionPolicy policy = new ConnectionPolicy(Duration.ZERO, 0, delay);
+        final CompletableFuture<Duration> untilWritten =
+                timeUntilWritten(new CallOptions(TIMEOUT, TIMEOUT, policy, headers -> true));
+        final Socket socket = accept();
+        readHead(socket);
+        socket.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.US_ASCII));
+        assertThat(untilWritten.get(10, TimeUnit.SECONDS)).isGreaterThanOrEqualTo(delay);
+    }
 }
