--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -203,7 +203,7 @@
         if (decoded.draining()) {
             execution.gateway().onServerDraining(server);
         }
-        execution.gateway().onResponseOf(execution.service(), decoded.brittle());
+        execution.gateway().onBrittleReported(execution.service(), decoded.brittle());
         decoded.rejectsFor().ifPresent(time -> execution.gateway().onRejecting(server, time));
         if (decoded.limit().isPresent()) {
             execution.gateway().onLimitReported(server, decoded.limit().get());
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -358,7 +358,7 @@
     }
 
     /** Records whether the backend servers of a service say that they are brittle. */
-    void onResponseOf(final ServiceName service, final boolean brittle) {
+    void onBrittleReported(final ServiceName service, final boolean brittle) {
         if (state.brittleServices().onResponse(service, brittle)) {
             EventLog.write(Event.SERVICE_BRITTLE, "service", service, "brittle", brittle);
         }
