One way to end a failed attempt, whether sent directly or through another VM

onFailed and onForwardingFailed recorded, logged and retried in the same steps. They share them now and differ in when another attempt may be made.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.AttemptLog;
 import org.fennelstage.attempt.LatencyEstimator;
@@ -258,13 +259,21 @@
      * @param fallback what to do if the request is not retried
      */
     void onFailed(final AttemptEnd end, final String detail, final Runnable fallback) {
+        afterFailure(end, detail, this::mayRetry, fallback);
+    }
+
+    private void afterFailure(
+            final AttemptEnd end,
+            final String detail,
+            final Predicate<AttemptEnd> mayRetry,
+            final Runnable fallback) {
         openAttempt = Optional.empty();
         attempts.end(end);
         log.attemptFailed(end, detail, elapsedMillis());
         if (ended) {
             return;
         }
-        if (mayRetry(end)) {
+        if (mayRetry.test(end)) {
             startAttempt();
         } else {
             fallback.run();
@@ -297,22 +306,15 @@
      * @param fallback what to do if the request is not retried
      */
     void onForwardingFailed(final AttemptEnd end, final String detail, final Runnable fallback) {
-        openAttempt = Optional.empty();
-        attempts.end(end);
         gateway.metrics().attempt(service.value(), "FORWARDED_" + end.name());
-        log.attemptFailed(end, detail, elapsedMillis());
-        if (ended) {
-            return;
-        }
-        final boolean retry =
-                end == AttemptEnd.NOT_SENT
-                        ? attempts.maySend() && !remaining().isNegative()
-                        : mayRetry(end);
-        if (retry) {
-            startAttempt();
-        } else {
-            fallback.run();
-        }
+        afterFailure(end, detail, this::mayRetryAfterForwarding, fallback);
+    }
+
+    /** Another VM that did not send the request says nothing about this VM's own connections. */
+    private boolean mayRetryAfterForwarding(final AttemptEnd end) {
+        return end == AttemptEnd.NOT_SENT
+                ? attempts.maySend() && !remaining().isNegative()
+                : mayRetry(end);
     }
 
     /**
