Logs name the shared parts of a request's prompt and the requests that a crash hit

The incident's logs could not tell whether the crashing requests share a part, nor which requests a crashed server had. FS4012 and the rejection of a quarantined request now carry the fingerprints of the parts that other requests may share; FS4017 names the contents that may have caused a crash. No decision reads them.

--- a/fennelstage-core/src/main/java/org/fennelstage/crash/Fingerprint.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/Fingerprint.java
@@ -7,8 +7,8 @@
 import java.util.regex.Pattern;
 
 /**
- * A 64-bit hash of a request's content and caller. It identifies equal requests at every VM, each
- * of which arrives with a request id of its own.
+ * A 64-bit hash of a request's content and caller, or of a part of a prompt. It identifies equal
+ * requests, or requests with the same part, at every VM; each arrives with a request id of its own.
  *
  * <p>Invariants: equal content gives equal fingerprints at every VM; {@code parse(f.toString())}
  * equals {@code f}. Immutable and thread-safe.
@@ -40,6 +40,18 @@
         return new Fingerprint(stream.putByteArray(body).getAsLong());
     }
 
+    /**
+     * Returns the fingerprint of a part of a prompt.
+     *
+     * @param id identifies the content of the part
+     * @return the fingerprint
+     */
+    public static Fingerprint ofPromptPart(final String id) {
+        Objects.requireNonNull(id, "id is null");
+        return new Fingerprint(
+                Hashing.komihash5_0().hashStream().putString("part").putString(id).getAsLong());
+    }
+
     /**
      * Parses a fingerprint.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Prompt.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Prompt.java
@@ -16,16 +16,22 @@
         parts = List.copyOf(parts);
     }
 
+    /**
+     * Returns all parts but the request's own.
+     *
+     * @return the parts that other requests may share, in order
+     */
+    public List<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /**
      * Returns the length of all parts but the request's own.
      *
      * @return tokens
      */
     public int sharedTokens() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .mapToInt(PromptPart::tokens)
-                .sum();
+        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CallerRequest.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CallerRequest.java
@@ -2,9 +2,11 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import org.fennelstage.crash.Fingerprint;
+import org.fennelstage.crash.RequestFingerprints;
 import org.fennelstage.placement.Prompt;
 
 /**
@@ -36,6 +38,9 @@
         Optional<Prompt> prompt,
         Optional<String> session) {
 
+    /** Number of parts that are recognised, so that reports fit into datagrams. */
+    private static final int MAX_PARTS = 16;
+
     public CallerRequest {
         Objects.requireNonNull(id, "id is null");
         Objects.requireNonNull(method, "method is null");
@@ -46,13 +51,19 @@
     }
 
     /**
-     * Returns the fingerprint of host, URI, key and body. A retry by the caller has the same
-     * fingerprint.
+     * Returns the fingerprint of host, URI, key and body, which a retry by the caller shares, and
+     * those of the parts of the prompt that other requests may share.
      *
-     * @return the fingerprint
+     * @return the fingerprints
      */
-    public Fingerprint fingerprint() {
-        return Fingerprint.of(host, uri, key.orElse(""), body);
+    public RequestFingerprints fingerprints() {
+        return new RequestFingerprints(
+                Fingerprint.of(host, uri, key.orElse(""), body),
+                prompt.map(Prompt::sharedParts).orElse(List.of()).stream()
+                        .map(part -> Fingerprint.ofPromptPart(part.id()))
+                        .distinct()
+                        .limit(MAX_PARTS)
+                        .toList());
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.fennelstage.crash.ClearedCrashes;
 import org.fennelstage.crash.CrashLedger;
 import org.fennelstage.crash.CrashReport;
@@ -169,7 +170,9 @@
                 "result",
                 result,
                 "requests",
-                fingerprints.size());
+                fingerprints.size(),
+                "contents",
+                joined(fingerprints));
         final boolean onlyServerSilent =
                 result == ProbeResult.NO_RESPONSE
                         && server.health().isDataCentreReachable()
@@ -183,6 +186,10 @@
         reportListener.accept(report);
     }
 
+    private static String joined(final Set<Fingerprint> fingerprints) {
+        return fingerprints.stream().map(Fingerprint::toString).collect(Collectors.joining(","));
+    }
+
     /**
      * Records a crash of a backend server that this VM or another one detected.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -14,6 +14,7 @@
 import org.fennelstage.canary.Canary;
 import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.crash.Fingerprint;
+import org.fennelstage.crash.RequestFingerprints;
 import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.ServerExchange;
@@ -99,8 +100,9 @@
                 AttemptLog.of(
                         route.retryable(),
                         Math.min(route.maxServers(), forwardedServers.orElse(route.maxServers())));
-        this.fingerprint = request.fingerprint();
-        this.log = new RequestLog(request, fingerprint, route, configuration.version(), attempts);
+        final RequestFingerprints fingerprints = request.fingerprints();
+        this.fingerprint = fingerprints.content();
+        this.log = new RequestLog(request, fingerprints, route, configuration.version(), attempts);
         this.models = ModelChoice.of(route, gateway);
         this.waitEstimator = new WaitEstimator(gateway, request);
         this.permits = new PermitCheck(gateway, route, log);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.stream.Collectors;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.AttemptLog;
 import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.crash.Fingerprint;
+import org.fennelstage.crash.RequestFingerprints;
 import org.fennelstage.fleet.Eligibility;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.ModelId;
@@ -30,7 +32,7 @@
     private static final String NONE = "-";
 
     private final CallerRequest request;
-    private final Fingerprint fingerprint;
+    private final RequestFingerprints fingerprints;
     private final String route;
     private final long objectiveMillis;
     private final long configurationVersion;
@@ -39,12 +41,12 @@
 
     RequestLog(
             final CallerRequest request,
-            final Fingerprint fingerprint,
+            final RequestFingerprints fingerprints,
             final Route route,
             final long configurationVersion,
             final AttemptLog attempts) {
         this.request = request;
-        this.fingerprint = fingerprint;
+        this.fingerprints = fingerprints;
         this.route = route.name();
         this.objectiveMillis = route.objective().toMillis();
         this.configurationVersion = configurationVersion;
@@ -62,7 +64,9 @@
                 "request",
                 request.id(),
                 "content",
-                fingerprint,
+                fingerprints.content(),
+                "parts",
+                parts(),
                 "route",
                 route,
                 "service",
@@ -101,6 +105,14 @@
                 metadata.remaining().toMillis());
     }
 
+    private String parts() {
+        return fingerprints.parts().isEmpty()
+                ? NONE
+                : fingerprints.parts().stream()
+                        .map(Fingerprint::toString)
+                        .collect(Collectors.joining(","));
+    }
+
     void waitTooLong(final long waitMillis, final long remainingMillis) {
         rejected(
                 GatewayError.OVERLOADED,
@@ -138,7 +150,9 @@
                 "request",
                 request.id(),
                 "content",
-                fingerprint,
+                fingerprints.content(),
+                "parts",
+                parts(),
                 "route",
                 route,
                 "service",
@@ -187,7 +201,9 @@
                 "request",
                 request.id(),
                 "content",
-                fingerprint,
+                fingerprints.content(),
+                "parts",
+                parts(),
                 "route",
                 route,
                 "reason",
@@ -221,7 +237,7 @@
                 "request",
                 request.id(),
                 "content",
-                fingerprint,
+                fingerprints.content(),
                 "end",
                 end,
                 "detail",
