--- a/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.time.MonotonicClock;
 
@@ -25,8 +26,9 @@
  *   <li>A part has to be present at the crashes of several different requests. One sound request
  *       that is retried beside the cause is not enough.
  *   <li>A part is not taken for the cause while a later part of the prompt, which fewer requests
- *       share, explains the same crashes.
- *   <li>Crashes at which a known cause was present count against nothing else.
+ *       share, or parts with more crashes explain its crashes.
+ *   <li>Crashes at which a known cause was present do not count against a content, nor against an
+ *       earlier part or one with no more crashes than the cause.
  * </ul>
  *
  * <p>Invariants: the crash of an incarnation counts once for a content or part, however often it is
@@ -113,6 +115,25 @@
         return found;
     }
 
+    /**
+     * Returns whether all of a report is recorded already.
+     *
+     * @param report the report
+     * @return true if {@link #onCrash} would change nothing
+     */
+    public boolean contains(final CrashReport report) {
+        return report.requests().stream()
+                .allMatch(request -> request.all().allMatch(f -> contains(f, report, request)));
+    }
+
+    private boolean contains(
+            final Fingerprint fingerprint,
+            final CrashReport report,
+            final RequestFingerprints request) {
+        final Suspect suspect = suspects.get(fingerprint);
+        return suspect != null && suspect.contains(report.server(), request.content());
+    }
+
     private void record(
             final Fingerprint fingerprint,
             final Incarnation server,
@@ -142,18 +163,27 @@
         if (!suspect.isPart()) {
             return crashes(fingerprint) >= MAX_CRASHES;
         }
-        final Set<Incarnation> servers = unexplained(fingerprint, suspect.servers().size() - 1);
-        return suspect.servers().size() >= MAX_PART_CRASHES
-                && servers.size() >= MIN_UNEXPLAINED
+        final int count = suspect.count();
+        if (count < MAX_PART_CRASHES) {
+            return false;
+        }
+        final Set<Incarnation> servers =
+                unexplained(suspect, cause -> isLater(cause, suspect) || cause.count() >= count);
+        return servers.size() >= MIN_UNEXPLAINED
                 && suspect.requests(servers) >= MIN_REQUESTS
                 && !laterPartExplains(suspect, servers)
                 && !isOutranked(suspect, servers);
     }
 
+    /** Returns whether a part stands later in prompts than another one. */
+    private static boolean isLater(final Suspect part, final Suspect other) {
+        return part.position() > other.position();
+    }
+
     /** Returns whether a part that stands later in prompts was present at nearly all crashes. */
     private boolean laterPartExplains(final Suspect part, final Set<Incarnation> servers) {
         return suspects.values().stream()
-                .filter(other -> other.position() > part.position())
+                .filter(other -> isLater(other, part))
                 .anyMatch(
                         other ->
                                 servers.stream().filter(other::wasAt).count()
@@ -162,11 +192,10 @@
 
     /** Returns whether parts with more crashes were present at too many of these crashes. */
     private boolean isOutranked(final Suspect part, final Set<Incarnation> servers) {
-        final int count = part.servers().size();
+        final int count = part.count();
         final List<Suspect> likelier =
                 suspects.values().stream()
-                        .filter(other -> other.position() >= part.position())
-                        .filter(other -> other.servers().size() > count)
+                        .filter(other -> !isLater(part, other) && other.count() > count)
                         .toList();
         final long remaining =
                 servers.stream()
@@ -175,31 +204,17 @@
         return remaining < MIN_UNEXPLAINED;
     }
 
-    /** Returns the crashes that count and at which no known cause was present. */
-    private Set<Incarnation> unexplained(final Fingerprint fingerprint) {
-        return unexplained(fingerprint, Integer.MIN_VALUE);
-    }
-
     /**
-     * Returns the crashes that count and at which no known cause was present that has more than a
-     * given number of crashes.
+     * Returns the crashes that count and at which no known cause was present that explains them.
      */
-    private Set<Incarnation> unexplained(final Fingerprint fingerprint, final int moreThan) {
-        final Suspect suspect = suspects.get(fingerprint);
-        if (suspect == null) {
-            return Set.of();
-        }
-        suspect.removeOlderThan(clock.millis() - LIFETIME_MILLIS);
+    private Set<Incarnation> unexplained(
+            final Suspect suspect, final Predicate<Suspect> explainsCrashes) {
         final Set<Incarnation> servers = suspect.servers();
-        for (final Fingerprint cause : causes) {
-            final Suspect known = suspects.get(cause);
-            if (known != null
-                    && known != suspect
-                    && known.isPart()
-                    && known.servers().size() > moreThan) {
-                servers.removeIf(known::wasAt);
-            }
-        }
+        causes.stream()
+                .map(suspects::get)
+                .filter(cause -> cause != null && cause != suspect && cause.isPart())
+                .filter(explainsCrashes)
+                .forEach(cause -> servers.removeIf(cause::wasAt));
         return servers;
     }
 
@@ -263,11 +278,12 @@
 
     private boolean isExplained(final Fingerprint fingerprint) {
         final Suspect suspect = suspects.get(fingerprint);
-        if (suspect == null || suspect.servers().isEmpty()) {
+        if (suspect == null || suspect.count() == 0) {
             return false;
         }
-        final int moreThan = suspect.isPart() ? suspect.servers().size() : 0;
-        return unexplained(fingerprint, moreThan).isEmpty();
+        final int count = suspect.count();
+        return unexplained(suspect, cause -> isLater(cause, suspect) || cause.count() > count)
+                .isEmpty();
     }
 
     /**
@@ -277,7 +293,12 @@
      * @return the number of crashes
      */
     public int crashes(final Fingerprint fingerprint) {
-        return unexplained(fingerprint).size();
+        final Suspect suspect = suspects.get(fingerprint);
+        if (suspect == null) {
+            return 0;
+        }
+        suspect.removeOlderThan(clock.millis() - LIFETIME_MILLIS);
+        return unexplained(suspect, cause -> true).size();
     }
 
     @Override
--- a/fennelstage-core/src/main/java/org/fennelstage/crash/Suspect.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/Suspect.java
@@ -58,6 +58,11 @@
         crashes.values().removeIf(crash -> crash.atMillis < oldestMillis);
     }
 
+    /** Returns the number of crashes that count. */
+    int count() {
+        return (int) crashes.values().stream().filter(crash -> !crash.cleared).count();
+    }
+
     /** Returns the incarnations whose crashes count. */
     Set<Incarnation> servers() {
         final Set<Incarnation> counted = new HashSet<>();
@@ -76,6 +81,12 @@
         return crash != null && !crash.cleared;
     }
 
+    /** Returns whether it is recorded that a request was hit by a crash. */
+    boolean contains(final Incarnation server, final Fingerprint content) {
+        final Crash crash = crashes.get(server);
+        return crash != null && crash.contents.contains(content);
+    }
+
     /** Returns how many different requests were hit by the given crashes. */
     int requests(final Set<Incarnation> servers) {
         final Set<Fingerprint> contents = new HashSet<>();
--- a/fennelstage-core/src/test/java/org/fennelstage/crash/CrashLedgerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/crash/CrashLedgerTest.java
@@ -144,6 +144,14 @@
         assertThat(ledger.crashes(OTHER_SECOND)).isZero();
     }
 
+    /** Guards against rejecting a first part that has more crashes than the cause behind it. */
+    @Test
+    void crashesWithAKnownLaterCauseDoNotCountAgainstAnEarlierPart() {
+        crashAll(1, 5, FIRST, SECOND);
+        assertThat(crash(6, request(6, FIRST, OTHER_SECOND))).isEmpty();
+        assertThat(crash(7, request(7, FIRST, new Fingerprint(202)))).isEmpty();
+    }
+
     /** Guards against a part that stays rejected though another one was at all its crashes. */
     @Test
     void aPartThatAPartWithMoreCrashesExplainsIsNamed() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
@@ -266,6 +266,9 @@
      * @param report the crash
      */
     public void onReport(final CrashReport report) {
+        if (ledger.contains(report)) {
+            return;
+        }
         final Set<Fingerprint> causes = ledger.onCrash(report);
         report.requests().stream()
                 .flatMap(RequestFingerprints::all)
