--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Objects;
 import java.util.Optional;
@@ -62,6 +63,7 @@
     private final ServerFeed serverFeed;
     private final RolloutFeed rolloutFeed;
     private final QuarantineFeed quarantineFeed;
+    private final OverloadDetector overload;
     private final EvacuationFeed evacuationFeed;
     private final CrashBroadcast crashBroadcast;
     private final LoadReports loadReports;
@@ -130,6 +132,12 @@
         this.evacuationFeed = new EvacuationFeed(state, readiness::onEvacuationsListed);
         this.callerListener =
                 HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
+        this.overload =
+                new OverloadDetector(
+                        Duration.ofMillis(PERIODIC_TASK_MILLIS),
+                        callerListener::acceptDelay,
+                        clock);
+        callerListener.refuseConnectionsWhile(overload::isOverloaded);
         startInternalListeners(storeClient, store, serverClient);
         final PeerMessenger messenger =
                 PeerMessenger.start(
@@ -370,8 +378,22 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void checkOverload() {
+        if (overload.onPeriodicTask()) {
+            EventLog.write(
+                    Event.OVERLOAD_CHANGED,
+                    "overloaded",
+                    overload.isOverloaded(),
+                    "in_flight",
+                    gateway.inFlight(),
+                    "connections",
+                    callerListener.openConnections());
+        }
+    }
+
     private void runPeriodicTasks() {
         try {
+            checkOverload();
             gateway.checkInactivity();
             if (settings.policy().uses(Mechanism.LOAD_REPORTS)) {
                 loadReports.sendDue();
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -17,10 +18,13 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -30,6 +34,9 @@
  */
 public final class HttpServer implements AutoCloseable {
 
+    /** Connections that are accepted at a time, before open ones are read again. */
+    private static final int MAX_ACCEPTED = 16;
+
     /** Bounds the reads of one connection in a row, so that it does not delay the others. */
     private static final int MAX_CONSECUTIVE_READS = 16;
 
@@ -45,12 +52,20 @@
     private final Channel listener;
     private final ChannelGroup connections;
     private final AtomicBoolean closing;
+    private final AtomicReference<BooleanSupplier> refusing;
+    private final AcceptQueueMonitor acceptQueue;
 
     private HttpServer(
-            final Channel listener, final ChannelGroup connections, final AtomicBoolean closing) {
+            final Channel listener,
+            final ChannelGroup connections,
+            final AtomicBoolean closing,
+            final AtomicReference<BooleanSupplier> refusing,
+            final AcceptQueueMonitor acceptQueue) {
         this.listener = listener;
         this.connections = connections;
         this.closing = closing;
+        this.refusing = refusing;
+        this.acceptQueue = acceptQueue;
     }
 
     /**
@@ -92,6 +107,8 @@
             throws IOException {
         Objects.requireNonNull(handler, "handler is null");
         final AtomicBoolean closing = new AtomicBoolean();
+        final AtomicReference<BooleanSupplier> refusing = new AtomicReference<>(() -> false);
+        final AcceptQueueMonitor acceptQueue = new AcceptQueueMonitor(MAX_ACCEPTED);
         final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         final ServerBootstrap bootstrap =
                 new ServerBootstrap()
@@ -99,12 +116,21 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, 1024)
+                        .option(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new ServerChannelRecvByteBufAllocator()
+                                        .maxMessagesPerRead(MAX_ACCEPTED))
+                        .handler(acceptQueue)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.RCVBUF_ALLOCATOR, READ_UNTIL_EMPTY)
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(final SocketChannel channel) {
+                                        if (refusing.get().getAsBoolean()) {
+                                            channel.close();
+                                            return;
+                                        }
                                         connections.add(channel);
                                         final ConnectionHandler connection =
                                                 new ConnectionHandler(handler, closing::get);
@@ -115,7 +141,7 @@
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + address, bound.cause());
         }
-        return new HttpServer(bound.channel(), connections, closing);
+        return new HttpServer(bound.channel(), connections, closing, refusing, acceptQueue);
     }
 
     /**
@@ -127,6 +153,24 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
+    /**
+     * Closes new connections, without reading from them, while a condition holds.
+     *
+     * @param condition called for each new connection, on its event loop
+     */
+    public void refuseConnectionsWhile(final BooleanSupplier condition) {
+        refusing.set(Objects.requireNonNull(condition, "condition is null"));
+    }
+
+    /**
+     * Returns for how long new connections have been waiting to be accepted.
+     *
+     * @return the time since none was waiting
+     */
+    public Duration acceptDelay() {
+        return acceptQueue.delay();
+    }
+
     /**
      * From now on, closes each connection after the response to its current or next request, with
      * {@code Connection: close}. Idle connections stay open.
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -10,6 +11,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -76,4 +79,34 @@
             assertThat(new String(status, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 200 OK");
         }
     }
+
+    /** Guards against reading a request that a server will not handle in time. */
+    @Test
+    void refusedConnectionsAreClosedUnread() throws Exception {
+        final AtomicBoolean refusing = new AtomicBoolean(true);
+        final AtomicInteger handled = new AtomicInteger();
+        try (HttpServer server =
+                start(
+                        exchange -> {
+                            handled.incrementAndGet();
+                            exchange.respond(200, "text/plain", "ok");
+                        })) {
+            server.refuseConnectionsWhile(refusing::get);
+            assertThat(isAnswered(server)).isFalse();
+            assertThat(handled).hasValue(0);
+            refusing.set(false);
+            assertThat(isAnswered(server)).isTrue();
+        }
+    }
+
+    private static boolean isAnswered(final HttpServer server) {
+        try (Socket socket = send(server)) {
+            socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+            return socket.getInputStream().read() >= 0;
+        } catch (final IOException e) {
+            return false;
+        } catch (final Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -87,6 +87,10 @@
             "request forwarded to another VM, since no backend server is reachable"),
     SERVICE_BRITTLE(
             4028, Level.INFO, "backend servers of a service changed whether they are brittle"),
+    OVERLOAD_CHANGED(
+            4030,
+            Level.INFO,
+            "event loop began or ceased to be overloaded; meanwhile new connections are closed"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
