Whole responses without a length do not count as broken while their server is probed

Such a response now counts once the server is known to have crashed. HEAD, 204 and 304 have no body that could be cut. A stream that ended within an event counts as a failure of its server, as one that was reset does; before, as a success.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -191,7 +191,8 @@
         latencyEstimator.onFirstByte(now() - sentMillis, promptTokens());
         final ResponseHead decoded = codec().decodeResponse(status, headers);
         head = Optional.of(decoded);
-        endsWithConnection = Framing.endsWithConnection(headers);
+        endsWithConnection =
+                Framing.endsWithConnection(execution.request().method(), status, headers);
         applyServerState(decoded);
         headMillis = now();
         setFlowing(true);
@@ -265,12 +266,17 @@
             return;
         }
         brokenReported = true;
-        if (head.isEmpty()
-                || lastByteMillis - headMillis < CrashDetector.MAX_SUSPECT_RESPONSE_MILLIS) {
+        if (isSuspectOfCrash()) {
             execution.gateway().crashes().onBrokenResponse(server, execution.fingerprints());
         }
     }
 
+    /** Returns whether the response has not begun, or had just begun at its last byte. */
+    private boolean isSuspectOfCrash() {
+        return head.isEmpty()
+                || lastByteMillis - headMillis < CrashDetector.MAX_SUSPECT_RESPONSE_MILLIS;
+    }
+
     /** Returns the time since the backend server started to respond; milliseconds. */
     private long millisSinceHead() {
         return now() - headMillis;
@@ -345,6 +351,7 @@
 
     private void onSigned(final ResponseHead response) {
         if (isStreaming() && isStreamBroken()) {
+            recordHealth(true);
             reportBroken();
             fail(AttemptEnd.UNKNOWN, "stream ended within an event");
             return;
@@ -355,9 +362,8 @@
         execution
                 .canary()
                 .onResponse(server.entry().id(), server.entry().version(), failed, latencyMillis());
-        if (endsWithConnection) {
-            // A crash that closes the connection looks the same.
-            reportBroken();
+        if (endsWithConnection && isSuspectOfCrash()) {
+            execution.gateway().crashes().onEndedWithConnection(server, execution.fingerprints());
         }
         if (failed) {
             final byte[] content = body.toByteArray();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
@@ -58,6 +58,7 @@
     private final CrashLedger ledger;
     private final Quarantine quarantine;
     private final SuspectedCrashes suspected = SuspectedCrashes.empty();
+    private final SuspectedCrashes endedWithConnection = SuspectedCrashes.empty();
     private Consumer<TrackedServer> crashListener = server -> {};
     private Consumer<Fingerprint> quarantineListener = fingerprint -> {};
     private Consumer<CrashReport> reportListener = report -> {};
@@ -216,6 +217,16 @@
         }
     }
 
+    /**
+     * Handles a response that ended with its connection, as it also does when the backend server
+     * crashes. Unlike a broken response it does not count before the crash is known.
+     */
+    void onEndedWithConnection(final TrackedServer server, final RequestFingerprints request) {
+        if (endedWithConnection.add(server.entry().incarnation(), request)) {
+            probe.run(server, result -> onFirstProbe(server, result));
+        }
+    }
+
     /**
      * Probes a second time if the connection was closed at once: the backend server is at its
      * connection limit or about to crash.
@@ -230,7 +241,8 @@
 
     private void onProbed(final TrackedServer server, final ProbeResult result) {
         final Incarnation incarnation = server.entry().incarnation();
-        final Set<RequestFingerprints> requests = suspected.take(incarnation);
+        final Set<RequestFingerprints> requests = new HashSet<>(suspected.take(incarnation));
+        requests.addAll(endedWithConnection.take(incarnation));
         EventLog.write(
                 Event.SERVER_PROBED,
                 "server",
@@ -249,6 +261,9 @@
             return;
         }
         crashListener.accept(server);
+        if (requests.isEmpty()) {
+            return;
+        }
         final CrashReport report = new CrashReport(incarnation, requests);
         onReport(report);
         reportListener.accept(report);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
@@ -102,7 +102,8 @@
     public void onHead(final int status, final HttpHeaders headers) {
         final ResponseHead decoded = codec().decodeResponse(status, headers);
         head = Optional.of(decoded);
-        endsWithConnection = Framing.endsWithConnection(headers);
+        endsWithConnection =
+                Framing.endsWithConnection(execution.request().method(), status, headers);
         // A backend server may send any header; what it has signed has run.
         notReached =
                 decoded.trust() != ResponseHead.Trust.SIGNED
