--- a/fennelstage-core/src/test/java/org/fennelstage/crash/CrashingPartSimulationTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/crash/CrashingPartSimulationTest.java
@@ -5,6 +5,7 @@
 import org.fennelstage.crash.CrashingPartSimulation.Outcome;
 import org.fennelstage.crash.CrashingPartSimulation.Setup;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -70,6 +71,13 @@
         check(setup(vms, servers, crashingPerSecond, 3, position, 0), seeds);
     }
 
+    @Test
+    void whereOnlyContentsAreRecognisedTheBoundDoesNotHold() {
+        final Setup contentsOnly = new Setup(9, 16, 16 * SOUND_PER_SERVER, 1.5, 1, 1, 0, false);
+        assertThat(CrashingPartSimulation.run(contentsOnly, 0).lateAttempts())
+                .isGreaterThan(MAX_LATE_ATTEMPTS);
+    }
+
     private static Setup setup(
             final int vms,
             final int servers,
