Comments of the crash ledger and the quarantine say what they hold now

Read in the last review: MAX_CRASHES spoke of parts, which have a bound of their own; explainedCauses claimed more crashes of the other part, which holds for parts only where it stands no later; Quarantine spoke of requests alone.

--- a/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
@@ -39,7 +39,7 @@
 public final class CrashLedger {
 
     /**
-     * Number of crashes from which a content or part is a cause. Lower values would reject harmless
+     * Number of crashes from which a content is a cause. Lower values would reject harmless
      * requests that are retried while several servers crash for other reasons.
      */
     public static final int MAX_CRASHES = 3;
@@ -267,8 +267,8 @@
     }
 
     /**
-     * Returns the contents and parts that were taken for causes before parts were known that were
-     * present at all their crashes and at others.
+     * Returns the contents and parts that were taken for causes, and whose crashes are all
+     * explained by parts that were found since.
      *
      * @return their fingerprints
      */
--- a/fennelstage-core/src/main/java/org/fennelstage/crash/Quarantine.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/Quarantine.java
@@ -11,10 +11,11 @@
 import org.fennelstage.time.MonotonicClock;
 
 /**
- * Requests that are rejected because they crash backend servers.
+ * Contents and parts of prompts with which requests are rejected, because they crash backend
+ * servers.
  *
- * <p>Invariant: a request stays in quarantine for {@link #LIFETIME} unless it is released earlier.
- * Not thread-safe.
+ * <p>Invariant: a content or part stays in quarantine for {@link #LIFETIME} unless it is released
+ * earlier. Not thread-safe.
  */
 public final class Quarantine {
 
