Logs of a request name its priority and objective

The lines of permits and rejections did not tell whose requests a saturated server takes: FS4011, FS4012 and FS4024 carry priority (the team's, else the route's) and objective_ms now. No change of logic.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -50,6 +50,7 @@
     private final CallerRequest request;
     private final Route route;
     private final Optional<TeamAccess> access;
+    private final int priority;
     private final AttemptLog attempts;
     private final RequestFingerprints fingerprints;
     private final RequestLog log;
@@ -103,7 +104,12 @@
                         route.retryable(),
                         Math.min(route.maxServers(), forwardedServers.orElse(route.maxServers())));
         this.fingerprints = request.fingerprints();
-        this.log = new RequestLog(request, fingerprints, route, configuration.version(), attempts);
+        this.priority =
+                route.effectivePriority(
+                        access.map(TeamAccess::priority).orElse(OptionalInt.empty()));
+        this.log =
+                new RequestLog(
+                        request, fingerprints, route, priority, configuration.version(), attempts);
         this.models = ModelChoice.of(route, gateway);
         this.waitEstimator = new WaitEstimator(gateway, request);
         this.permits = new PermitCheck(gateway, route, log);
@@ -493,7 +499,7 @@
                         server.entry(),
                         remaining(),
                         access.map(TeamAccess::team),
-                        priority(),
+                        sentPriority(),
                         models.model(),
                         response.lastEventId().or(request::lastEventId));
         final long expectedMillis = Math.round(gateway.placement().waitMillis(server, job));
@@ -522,13 +528,11 @@
     }
 
     /** Returns the priority to send; requests without a prompt have none. */
-    private OptionalInt priority() {
+    private OptionalInt sentPriority() {
         if (request.prompt().isEmpty() || !gateway.policy().uses(Mechanism.URGENCY)) {
             return OptionalInt.empty();
         }
-        final OptionalInt teamPriority =
-                access.map(TeamAccess::priority).orElse(OptionalInt.empty());
-        return OptionalInt.of(route.effectivePriority(teamPriority));
+        return OptionalInt.of(priority);
     }
 
     private LatencyEstimator latencyEstimator() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -35,6 +35,7 @@
     private final RequestFingerprints fingerprints;
     private final String route;
     private final long objectiveMillis;
+    private final int priority;
     private final long configurationVersion;
     private final AttemptLog attempts;
     private long firstByteMillis;
@@ -43,12 +44,14 @@
             final CallerRequest request,
             final RequestFingerprints fingerprints,
             final Route route,
+            final int priority,
             final long configurationVersion,
             final AttemptLog attempts) {
         this.request = request;
         this.fingerprints = fingerprints;
         this.route = route.name();
         this.objectiveMillis = route.objective().toMillis();
+        this.priority = priority;
         this.configurationVersion = configurationVersion;
         this.attempts = attempts;
     }
@@ -77,6 +80,10 @@
                 request.session().orElse(NONE),
                 "team",
                 metadata.team().map(TeamId::value).orElse(NONE),
+                "priority",
+                priority,
+                "objective_ms",
+                objectiveMillis,
                 "server",
                 server.entry().id(),
                 "version",
@@ -128,6 +135,10 @@
                 Event.PERMIT_REQUESTED,
                 "request",
                 request.id(),
+                "priority",
+                priority,
+                "objective_ms",
+                objectiveMillis,
                 "server",
                 server.entry().id(),
                 "result",
@@ -223,6 +234,10 @@
                                 request.id(),
                                 "route",
                                 route,
+                                "priority",
+                                priority,
+                                "objective_ms",
+                                objectiveMillis,
                                 "reason",
                                 error.reason(),
                                 "status",
