--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -21,6 +21,7 @@
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class PlacementTest {
@@ -116,6 +117,31 @@
                 .contains(servers.get(0));
     }
 
+    /** Guards against requests that find no room and are lost at a server that fails. */
+    @Test
+    @Tag("known-red")
+    void aServerThatFailsMostRequestsIsNoAlternativeToAnExcludedOne() {
+        final List<TrackedServer> servers = servers(2);
+        for (int i = 0; i < 10; i++) {
+            servers.get(1).health().onEnd(true, 0);
+        }
+        assertThat(
+                        placement.choose(
+                                servers, job(Optional.empty()), false, s -> s == servers.get(0)))
+                .contains(servers.get(0));
+    }
+
+    @Test
+    void aServerThatFailsFewerRequestsIsAnAlternativeToAnExcludedOne() {
+        final List<TrackedServer> servers = servers(2);
+        servers.get(1).health().onEnd(true, 0);
+        servers.get(1).health().onEnd(true, 0);
+        assertThat(
+                        placement.choose(
+                                servers, job(Optional.empty()), false, s -> s == servers.get(0)))
+                .contains(servers.get(1));
+    }
+
     /** Guards against probing an unreachable server with requests that cannot afford a failure. */
     @Test
     void unreachableServerIsProbedOnlyByRequestsThatMayProbe() {
