Failing tests: servers that fail requests beside two that do not, in a large fleet

Five scenarios hold already and must go on to hold: a server that fails no longer gets its share again, also after a short fault; servers keep theirs if the route fails now and then, or if all of them fail alike, in part or always.

--- a/fennelstage-core/src/test/java/org/fennelstage/placement/FailingServerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/FailingServerTest.java
@@ -2,124 +2,115 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Random;
-import java.util.concurrent.atomic.AtomicLong;
-import org.fennelstage.fleet.Incarnation;
-import org.fennelstage.fleet.Load;
-import org.fennelstage.fleet.LoadBoard;
-import org.fennelstage.fleet.Reachability;
-import org.fennelstage.fleet.ServerAddress;
-import org.fennelstage.fleet.ServerEntry;
-import org.fennelstage.fleet.TrackedServer;
-import org.fennelstage.history.Position;
-import org.fennelstage.id.BackendServerId;
-import org.fennelstage.id.DataCentreId;
-import org.fennelstage.id.ServiceName;
-import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
-/** Simulates a fleet that sends short requests to three backend servers, of which one fails all. */
+/** Fleets that send short requests to a few backend servers, some of which fail. */
 class FailingServerTest {
 
     private static final int SERVERS = 3;
-    private static final int REQUESTS_PER_SECOND = 165;
 
     /** Time in which the VMs may find out; not counted. */
     private static final long FIRST_MILLIS = 1_000;
 
     private static final long END_MILLIS = 7_500;
-    private static final long REPORT_PERIOD_MILLIS = 500;
-    private static final long REPORT_AGE_MILLIS = 250;
-
-    /** Requests that all VMs together have at a backend server that does not fail. */
-    private static final int RUNNING = 4;
-
-    private final Random random = new Random(7);
-    private final AtomicLong clock = new AtomicLong(1_000_000);
-
-    private double shareOfFailingServer(final int vms) {
-        final List<List<TrackedServer>> servers = new ArrayList<>();
-        final List<Placement> placements = new ArrayList<>();
-        final List<LoadBoard> boards = new ArrayList<>();
-        for (int vm = 0; vm < vms; vm++) {
-            final LoadBoard board = LoadBoard.of(clock::get, () -> 1);
-            boards.add(board);
-            servers.add(servers());
-            placements.add(
-                    Placement.of(DataCentreId.of("dc-" + vm % SERVERS), new Random(vm), board));
-        }
-        final long start = clock.get();
-        long nextReport = start;
-        int requests = 0;
-        int failed = 0;
-        while (clock.get() < start + END_MILLIS) {
-            clock.addAndGet(1_000 / REQUESTS_PER_SECOND);
-            if (clock.get() >= nextReport) {
-                boards.forEach(FailingServerTest::report);
-                nextReport += REPORT_PERIOD_MILLIS;
-            }
-            final int vm = random.nextInt(vms);
-            final boolean fails = !serve(placements.get(vm), servers.get(vm));
-            if (clock.get() >= start + FIRST_MILLIS) {
-                requests++;
-                failed += fails ? 1 : 0;
-            }
-        }
-        return failed / (double) requests;
-    }
 
-    /** Reports the loads of the other VMs; a server that fails at once has none. */
-    private static void report(final LoadBoard board) {
-        final Map<BackendServerId, Load> loads = new HashMap<>();
-        for (int i = 1; i < SERVERS; i++) {
-            loads.put(BackendServerId.of("s-" + i), new Load(RUNNING, 0));
-        }
-        board.onReport(VmId.of("others"), 0, loads, REPORT_AGE_MILLIS);
+    private static FailingServerSimulation failingAll(final int vms) {
+        return new FailingServerSimulation(vms, SERVERS).failing(0, 1);
     }
 
-    private boolean serve(final Placement placement, final List<TrackedServer> servers) {
-        final Job job = new Job(Optional.empty(), Optional.empty(), false, 0, 43);
-        final TrackedServer server =
-                placement.choose(servers, job, false, s -> false).orElseThrow();
-        final boolean succeeds = server != servers.get(0);
-        server.health().onBytesReceived();
-        server.health().onEnd(!succeeds, 0);
-        return succeeds;
-    }
-
-    private List<TrackedServer> servers() {
-        final List<TrackedServer> servers = new ArrayList<>();
-        for (int i = 0; i < SERVERS; i++) {
-            final ServerEntry entry =
-                    new ServerEntry(
-                            Incarnation.of(BackendServerId.of("s-" + i)),
-                            ServiceName.of("portal"),
-                            new ServerAddress("127.0.0.1", 9000 + i),
-                            DataCentreId.of("dc-" + i),
-                            "v1",
-                            6,
-                            false,
-                            Position.of(0, 1));
-            servers.add(TrackedServer.of(entry, clock::get, Reachability.of(clock::get)));
-        }
-        return servers;
+    private static double shareOfFailingServer(final FailingServerSimulation fleet) {
+        fleet.run(FIRST_MILLIS);
+        return fleet.run(END_MILLIS - FIRST_MILLIS).get(0);
     }
 
     @Test
     void aSmallFleetSendsFewRequestsToAServerThatFailsAll() {
-        assertThat(shareOfFailingServer(7)).isLessThan(0.1);
+        assertThat(shareOfFailingServer(failingAll(7))).isLessThan(0.1);
     }
 
     /** Guards against evidence that has decayed before a VM with few requests can use it. */
     @Test
     @Tag("known-red")
     void aLargeFleetSendsFewRequestsToAServerThatFailsAll() {
-        assertThat(shareOfFailingServer(90)).isLessThan(0.1);
+        assertThat(shareOfFailingServer(failingAll(90))).isLessThan(0.1);
+    }
+
+    /** Guards against a failing server that gets most requests because it never has any load. */
+    @Test
+    @Tag("known-red")
+    void aServerThatFailsAllAttractsNoRequestsWhileTheOthersAreBusy() {
+        final FailingServerSimulation fleet = failingAll(90).busy(8, 400);
+        assertThat(shareOfFailingServer(fleet)).isLessThan(0.1);
+    }
+
+    /** Guards against a server that keeps its share because it serves a request now and then. */
+    @Test
+    @Tag("known-red")
+    void aServerThatFailsManyRequestsGetsLessThanHalfOfItsShare() {
+        final FailingServerSimulation fleet =
+                new FailingServerSimulation(90, SERVERS).failing(0, 0.45);
+        assertThat(shareOfFailingServer(fleet)).isLessThan(0.5 / SERVERS);
+    }
+
+    /**
+     * Guards against a service that loses half of its requests while a data centre is evacuated.
+     */
+    @Test
+    @Tag("known-red")
+    void theLastOtherServerGetsMostRequestsOfOneThatFailsAll() {
+        final FailingServerSimulation fleet = new FailingServerSimulation(90, 2).failing(0, 1);
+        assertThat(shareOfFailingServer(fleet)).isLessThan(0.1);
+    }
+
+    /** Guards against a server that gets no requests and so can never show that it recovered. */
+    @Test
+    void aServerThatFailsNoLongerGetsItsShareAgain() {
+        final FailingServerSimulation fleet = failingAll(90);
+        fleet.run(END_MILLIS);
+        fleet.failing(0, 0).run(4_500);
+        assertThat(fleet.run(500).get(0)).isGreaterThan(0.25);
+    }
+
+    /** Guards against a server excluded for long after a fault that was short. */
+    @Test
+    void aServerThatFailedForAMomentGetsItsShareAgain() {
+        final FailingServerSimulation fleet = new FailingServerSimulation(90, SERVERS);
+        fleet.run(FIRST_MILLIS);
+        fleet.failing(0, 1).run(1_500);
+        fleet.failing(0, 0).run(4_500);
+        assertThat(fleet.run(500).get(0)).isGreaterThan(0.25);
+    }
+
+    /** Guards against sound servers excluded for requests that fail everywhere. */
+    @Test
+    void serversKeepTheirShareIfTheRouteFailsNowAndThen() {
+        final FailingServerSimulation fleet =
+                new FailingServerSimulation(90, SERVERS).usualFailureRate(0.14);
+        fleet.run(FIRST_MILLIS);
+        assertThat(fleet.run(20_000)).allSatisfy(share -> assertThat(share).isGreaterThan(0.25));
+    }
+
+    /** Guards against load that moves between servers that are all the same. */
+    @Test
+    void serversThatFailAlikeKeepTheirShare() {
+        final FailingServerSimulation fleet =
+                new FailingServerSimulation(90, SERVERS)
+                        .failing(0, 0.45)
+                        .failing(1, 0.45)
+                        .failing(2, 0.45);
+        fleet.run(FIRST_MILLIS);
+        for (int second = 0; second < 20; second++) {
+            assertThat(fleet.run(1_000))
+                    .allSatisfy(share -> assertThat(share).isBetween(0.15, 0.6));
+        }
+    }
+
+    @Test
+    void serversThatAllFailKeepTheirShare() {
+        final FailingServerSimulation fleet = failingAll(90).failing(1, 1).failing(2, 1);
+        fleet.run(FIRST_MILLIS);
+        assertThat(fleet.run(END_MILLIS))
+                .allSatisfy(share -> assertThat(share).isGreaterThan(0.25));
     }
 }
