Requests without room elsewhere are rejected as not run instead of lost at a server that fails most

A server that fails at least half of its requests, by this VM's own responses or by the pooled ones, now has the tier FAILING: it is used only if no usable server is left, with room or without; a rejected caller may return. The wait estimate and the search for another server skip it as well. PlacementTest.aServerThatFailsMostRequestsIsNoAlternativeToAnExcludedOne failed before.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Outcomes.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Outcomes.java
@@ -98,6 +98,15 @@
         return rest <= 0 ? NONE : new Outcomes(startMillis, rest, excess - part.excess);
     }
 
+    /**
+     * Returns the excess failure rate.
+     *
+     * @return the excess for each response, 0 without responses
+     */
+    double excessRate() {
+        return responses == 0 ? 0 : excess / responses;
+    }
+
     /**
      * Returns these outcomes with another weight.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/OutlierDetection.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/OutlierDetection.java
@@ -105,7 +105,7 @@
                 (server, outcomes) -> {
                     final double lowestRate = lowestRate(group, server);
                     if (reported && failsMore(outcomes, lowestRate)) {
-                        server.health().onOutlier(random.getAsDouble());
+                        server.health().onOutlier(outcomes.excessRate(), random.getAsDouble());
                     }
                     final boolean outlier = server.health().isOutlier();
                     if (outlier ? outliers.add(server) : outliers.remove(server)) {
@@ -132,7 +132,7 @@
         for (final Map.Entry<TrackedServer, Outcomes> other : group.entrySet()) {
             final Outcomes outcomes = other.getValue();
             if (other.getKey() != server && outcomes.responses() >= MIN_RESPONSES) {
-                lowest = Math.min(lowest, outcomes.excess() / outcomes.responses());
+                lowest = Math.min(lowest, outcomes.excessRate());
             }
         }
         return Math.max(0, lowest);
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -20,10 +20,21 @@
     public enum Tier {
         /** Nothing indicates a failure. */
         HEALTHY,
-        /** Fails more often than others; used when no healthy backend server is left. */
+        /** Fails more often than others; used when no healthy backend server has room. */
         SUSPECT,
+        /** Fails most requests; used only when no other one is left, with room or without. */
+        FAILING,
         /** Could not be reached; used only for probes, or when no other one is left. */
-        UNREACHABLE
+        UNREACHABLE;
+
+        /**
+         * Returns whether a request is more likely to succeed than not.
+         *
+         * @return false for {@link #FAILING} and {@link #UNREACHABLE}
+         */
+        public boolean isUsable() {
+            return this == HEALTHY || this == SUSPECT;
+        }
     }
 
     /**
@@ -35,6 +46,9 @@
     /** Excess failure rate from which a backend server is suspect. */
     static final double SUSPECT_RATE = 0.3;
 
+    /** Excess failure rate from which a request is lost more likely than not. */
+    private static final double FAILING_RATE = 0.5;
+
     /** Half-life of the excess failure rate, so that a recovered server gets requests again. */
     private static final double HALF_LIFE_MILLIS = 3_000;
 
@@ -74,6 +88,7 @@
     private long excessAtMillis;
     private Outcomes outcomes = Outcomes.NONE;
     private long outcomesAtMillis;
+    private double outlierRate;
     private long outlierUntilMillis = Long.MIN_VALUE;
     private int consecutiveUnreachable;
     private long pausedUntilMillis;
@@ -112,11 +127,15 @@
         if (paused || dataCentre.isUnreachable()) {
             return Tier.UNREACHABLE;
         }
+        final double failureRate = Math.max(decayedExcessRate(), isOutlier() ? outlierRate : 0);
+        if (failureRate >= FAILING_RATE) {
+            return Tier.FAILING;
+        }
         final boolean suspect =
                 clock.millis() < suspectUntilMillis
                         || isUnconfirmed()
                         || isOutlier()
-                        || decayedExcessRate() >= SUSPECT_RATE;
+                        || failureRate >= SUSPECT_RATE;
         return suspect ? Tier.SUSPECT : Tier.HEALTHY;
     }
 
@@ -242,9 +261,11 @@
     /**
      * Records that the backend server fails more often than others, by the responses to all VMs.
      *
+     * @param excessRate its excess failure rate
      * @param draw random number in [0, 1) that spreads the end of the suspicion over the VMs
      */
-    void onOutlier(final double draw) {
+    void onOutlier(final double excessRate, final double draw) {
+        outlierRate = excessRate;
         outlierUntilMillis =
                 clock.millis() + OUTLIER_MILLIS + (long) (OUTLIER_SPREAD_MILLIS * draw);
     }
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -34,7 +34,8 @@
  * LoadLevelling}.
  *
  * <p>Invariant: a backend server of a worse {@link ServerHealth.Tier} is chosen only if there is
- * none of a better one. Not thread-safe.
+ * none of a better one, and one that is not usable only if there is no usable one at all. Not
+ * thread-safe.
  */
 public final class Placement {
 
@@ -89,7 +90,7 @@
      * @param candidates the backend servers that may get the request
      * @param job the request
      * @param mayProbe whether the request may probe a backend server that was unreachable
-     * @param excluded backend servers to avoid, used only if no other is left
+     * @param excluded backend servers to avoid, used only if no other usable one is left
      * @return the backend server, empty if there is no candidate
      */
     public Optional<TrackedServer> choose(
@@ -150,8 +151,7 @@
         final List<TrackedServer> best = new ArrayList<>();
         int bestRank = Integer.MAX_VALUE;
         for (final TrackedServer candidate : candidates) {
-            final int tier = candidate.health().tier().ordinal();
-            final int rank = excluded.test(candidate) ? tier + Integer.MAX_VALUE / 2 : tier;
+            final int rank = rank(candidate.health().tier(), excluded.test(candidate));
             if (rank < bestRank) {
                 best.clear();
                 bestRank = rank;
@@ -163,6 +163,13 @@
         return best;
     }
 
+    /** A request is rather sent to an excluded server, or rejected, than lost at one that fails. */
+    private static int rank(final ServerHealth.Tier tier, final boolean excluded) {
+        final int tiers = ServerHealth.Tier.values().length;
+        final int order = tier.isUsable() ? 0 : 2;
+        return (order + (excluded ? 1 : 0)) * tiers + tier.ordinal();
+    }
+
     private TrackedServer shortestWait(final List<TrackedServer> servers, final Job job) {
         final List<TrackedServer> cached = likelyCached(servers, job);
         final Set<TrackedServer> compared = new LinkedHashSet<>(cached);
@@ -200,19 +207,19 @@
     }
 
     /**
-     * Returns the shortest expected wait at any reachable backend server if all slots are taken.
+     * Returns the shortest expected wait at any usable backend server if all slots are taken.
      *
      * <p>While a slot is free there is no estimate: the time to read a prompt is overestimated by a
      * VM that has just started or is slow itself, and requests would be rejected without need.
      *
      * @param candidates the backend servers that may get the request
      * @param job the request
-     * @return milliseconds, empty if a slot is free or no backend server is reachable
+     * @return milliseconds, empty if a slot is free or no backend server is usable
      */
     public OptionalDouble minWaitMillis(final List<TrackedServer> candidates, final Job job) {
         double min = Double.MAX_VALUE;
         for (final TrackedServer server : candidates) {
-            if (server.health().tier() == ServerHealth.Tier.UNREACHABLE) {
+            if (!server.health().tier().isUsable()) {
                 continue;
             }
             if (hasFreeSlot(server)) {
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/OutlierDetectionTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/OutlierDetectionTest.java
@@ -53,13 +53,22 @@
 
     @Test
     void serverThatFailsMoreOftenThanAnotherIsSuspect() {
-        report("vm-1", outcomes(20, 20), outcomes(20, 0));
+        report("vm-1", outcomes(20, 9), outcomes(20, 0));
         assertThat(update()).containsExactly(true);
         assertThat(a.health().tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
         assertThat(b.health().tier()).isEqualTo(ServerHealth.Tier.HEALTHY);
         assertThat(update()).isEmpty();
     }
 
+    @Test
+    void serverThatFailsMostRequestsIsFailing() {
+        report("vm-1", outcomes(20, 20), outcomes(20, 0));
+        assertThat(update()).containsExactly(true);
+        assertThat(a.health().tier()).isEqualTo(ServerHealth.Tier.FAILING);
+        assertThat(b.health().tier()).isEqualTo(ServerHealth.Tier.HEALTHY);
+        assertThat(update()).isEmpty();
+    }
+
     @Test
     void suspicionEndsAtARandomMomentAfterTheEvidence() {
         draw = 0.5;
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -21,7 +21,6 @@
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class PlacementTest {
@@ -119,7 +118,6 @@
 
     /** Guards against requests that find no room and are lost at a server that fails. */
     @Test
-    @Tag("known-red")
     void aServerThatFailsMostRequestsIsNoAlternativeToAnExcludedOne() {
         final List<TrackedServer> servers = servers(2);
         for (int i = 0; i < 10; i++) {
