--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -191,7 +191,7 @@
      "others.startMillis() == own.startMillis() ? own.plus(others) : own", "others.from(own.startMillis()).plus(own)",
      "OutlierDetectionTest"),
     ("outliers-are-looked-for", GATEWAY + "vm/GatewayVm.java",
-     "            checkOutliers();\n", "",
+     "outliers.update(state.servers().all())", "outliers.update(java.util.List.of())",
      "FailingServerPathTest"),
     ("own-outcomes-count-once", GATEWAY + "vm/LoadCollection.java",
      "others.outcomes());", "sum.outcomes());",
