Failing test: data centres disagree on the age of a rollout order

All VMs choose the version of a session by the time since the order. A VM counts it from when it reads the order, or, if the rollout is already in progress by then, from a wall clock. A data centre whose calls go through a VM that is silent or suspended reads the order late, all its VMs alike, and where there are 16 other VMs or more the age is sent within a data centre only. Nobody there has a better one, so the difference lasts as long as the rollout. This is the cause of sessions that changed their version at another VM, one level up: a fact of the fleet taken from the state of one data centre.

18 VMs in three data centres, a rollout of 20 s: relay suspended for 700 ms, all clocks right: 700 ms apart for good. Relay silent, the clocks of its data centre 2 s ahead: 2,000 ms apart, and sessions move to the new version in the first half.

--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/SimulatedFleet.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/SimulatedFleet.java
@@ -41,8 +41,8 @@
  * VMs in several data centres that follow one store through relays. Time and network are simulated.
  *
  * <p>Each VM is composed as {@link GatewayVm} composes it, without callers and backend servers. A
- * silent VM neither sends nor receives and closes no connection. Confined to the thread of its
- * test.
+ * silent VM neither sends nor receives and closes no connection; a suspended one does so when it is
+ * resumed. Confined to the thread of its test.
  */
 final class SimulatedFleet {
 
@@ -212,6 +212,7 @@
         private RolloutAges rolloutAges;
         private Duration clockError = Duration.ZERO;
         private boolean silent;
+        private long resumedMillis = Long.MIN_VALUE;
 
         private Vm(final VmEntry entry) {
             this.entry = entry;
@@ -252,8 +253,19 @@
         }
 
         private void runPeriodicTasks() {
-            rolloutAges.sendDue();
-            rolloutFeed.writeDue();
+            if (now.get() >= resumedMillis) {
+                rolloutAges.sendDue();
+                rolloutFeed.writeDue();
+            }
+        }
+
+        /** Handles what arrives at this VM, if it is silent never and if suspended later. */
+        private void handle(final Runnable task) {
+            if (now.get() < resumedMillis) {
+                later(resumedMillis - now.get(), () -> handle(task));
+            } else if (!silent) {
+                task.run();
+            }
         }
 
         private void send(final PeerMessage message, final List<InetSocketAddress> to) {
@@ -266,9 +278,7 @@
         }
 
         private void receive(final String text) {
-            if (!silent) {
-                onMessage(PeerMessage.parse(text).orElseThrow());
-            }
+            handle(() -> onMessage(PeerMessage.parse(text).orElseThrow()));
         }
 
         private void onMessage(final PeerMessage message) {
@@ -289,12 +299,12 @@
             started.callbacks.add(callback);
             relayed.put(key, started);
             request.send(
-                    result -> {
-                        relayed.remove(key, started);
-                        if (!silent) {
-                            started.callbacks.forEach(c -> c.accept(result));
-                        }
-                    });
+                    result ->
+                            handle(
+                                    () -> {
+                                        relayed.remove(key, started);
+                                        started.callbacks.forEach(c -> c.accept(result));
+                                    }));
         }
 
         DataCentreId dataCentre() {
@@ -314,6 +324,11 @@
             return silent;
         }
 
+        /** Suspends this VM for some time. */
+        void suspend(final long millis) {
+            resumedMillis = now.get() + millis;
+        }
+
         /** Sets by how much the wall clock of this VM is ahead. */
         void setClockError(final Duration error) {
             clockError = error;
@@ -396,11 +411,13 @@
                 final Consumer<StoreResult<T>> callback) {
             final List<Consumer> pending = new ArrayList<>(List.of(callback));
             final Consumer<StoreResult<?>> once =
-                    result -> {
-                        if (!caller.silent && !pending.isEmpty()) {
-                            pending.remove(0).accept(result);
-                        }
-                    };
+                    result ->
+                            caller.handle(
+                                    () -> {
+                                        if (!pending.isEmpty()) {
+                                            pending.remove(0).accept(result);
+                                        }
+                                    });
             later(
                     timeout.toMillis(),
                     () -> once.accept(new StoreResult.Unavailable<>(true, "timeout")));
@@ -415,8 +432,8 @@
                 final String key, final Request request, final Consumer<StoreResult<?>> response) {
             if (relay.isEmpty()) {
                 request.send(response);
-            } else if (!relay.get().silent) {
-                relay.get().relay(key, request, response);
+            } else {
+                relay.get().handle(() -> relay.get().relay(key, request, response));
             }
         }
     }
