VMs report positions of changes, and read again what they do not receive

Configurations, evacuations and rollout orders reached a data centre 2,500 ms after the store had accepted them if the VM that calls the store for it fell silent just then (3,000 ms allowed).

Two VMs of each data centre now report the position of a change of these kinds to all others, in a datagram of some 30 bytes without content. A VM that has not read up to a reported position within a fifth of the time allowed lists that kind once more, beside its watch: through the VM that calls the store, and directly if that one does not respond. The watch is not ended, so a response that is under way on a thin link is not lost.

A fleet of one data centre, or one cut off from all others, gets no reports: 2,540 ms there as before, for draining backend servers too.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -68,6 +68,7 @@
     private final CrashBroadcast crashBroadcast;
     private final LoadReports loadReports;
     private final RolloutAges rolloutAges;
+    private final ChangeReports changeReports;
     private final PeerMessageDispatcher dispatcher;
     private final HttpServer callerListener;
     private final EraTracker eras = EraTracker.empty();
@@ -159,6 +160,13 @@
         gateway.onServerLimit(limitReports::onLimit);
         gateway.crashes().onDetected(crashBroadcast::onReport, crashBroadcast::onClearedCrashes);
         this.rolloutAges = new RolloutAges(state, peers::allPeers, messenger::send, random);
+        this.changeReports =
+                new ChangeReports(
+                        settings.vm(),
+                        peers,
+                        messenger::send,
+                        this::schedule,
+                        () -> this.settings.bounds().maxPropagationDelay());
         final LoadCollection collection =
                 new LoadCollection(settings.vm(), peers, loadBoard, messenger::send, clock);
         final PermitExchange permits =
@@ -166,8 +174,7 @@
                         settings.vm(),
                         peers,
                         messenger::send,
-                        (task, delay) ->
-                                loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS),
+                        this::schedule,
                         clock,
                         random.nextLong(MAX_FIRST_PERMIT));
         if (settings.policy().uses(Mechanism.PERMITS)) {
@@ -175,7 +182,13 @@
         }
         this.dispatcher =
                 new PeerMessageDispatcher(
-                        state, gateway.crashes(), collection, rolloutAges, limitReports, permits);
+                        state,
+                        gateway.crashes(),
+                        collection,
+                        rolloutAges,
+                        limitReports,
+                        permits,
+                        changeReports);
         this.loadReports =
                 new LoadReports(
                         settings.vm(), state.servers(), peers, collection, messenger::send, clock);
@@ -195,6 +208,10 @@
                 });
     }
 
+    private void schedule(final Runnable task, final Duration delay) {
+        loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void onMessage(final PeerMessage message, final double draw) {
         dispatcher.onMessage(message, draw);
     }
@@ -232,19 +249,24 @@
 
     private void follow(final StoreWatches watches, final Peers peers) {
         final Follower<RolloutOrder> rollouts =
-                watches.of(
+                changeReports.follow(
+                        watches,
                         StoreKind.ROLLOUTS,
                         () -> paceForRareChanges(StoreWatches.ROLLOUT_PACE, peers),
                         rolloutFeed);
         state.onOrdersNeeded(rollouts::refresh);
         if (settings.evacuations()) {
-            watches.of(
+            changeReports
+                    .follow(
+                            watches,
                             StoreKind.EVACUATIONS,
                             () -> paceForRareChanges(StoreWatches.EVACUATION_PACE, peers),
                             evacuationFeed)
                     .start();
         }
-        watches.of(
+        changeReports
+                .follow(
+                        watches,
                         StoreKind.CONFIGURATION,
                         () -> StoreWatches.CONFIGURATION_PACE,
                         new ConfigurationFeed(state))
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -24,6 +24,7 @@
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
+import org.fennelstage.store.StoreKind;
 
 /**
  * A message between VMs, sent as one line of text in a datagram.
@@ -35,6 +36,7 @@
         permits PeerMessage.Unreachable,
                 PeerMessage.Draining,
                 PeerMessage.Departed,
+                PeerMessage.Changed,
                 PeerMessage.Limit,
                 PeerMessage.Loads,
                 PeerMessage.LoadSums,
@@ -62,6 +64,13 @@
                     "departed ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18}) ([0-9]{1,18})"
                             + " ([0-9]{1,18}) (true|false)");
 
+    /** Kinds of objects whose changes VMs report to each other. */
+    List<StoreKind<?>> REPORTED_KINDS =
+            List.of(StoreKind.CONFIGURATION, StoreKind.ROLLOUTS, StoreKind.EVACUATIONS);
+
+    /** Kind of objects, era and revision. */
+    Pattern CHANGED = Pattern.compile("changed ([a-z]{1,20}) ([0-9]{1,18}) ([0-9]{1,18})");
+
     /** Id and start time of a backend server, and requests per second, or "-" for no limit. */
     Pattern LIMIT =
             Pattern.compile(
@@ -156,6 +165,25 @@
         }
     }
 
+    /**
+     * The store has a change.
+     *
+     * @param kind the kind of the changed object, one of {@link #REPORTED_KINDS}
+     * @param position the position of the change
+     */
+    record Changed(StoreKind<?> kind, Position position) implements PeerMessage {
+
+        public Changed {
+            Objects.requireNonNull(kind, "kind is null");
+            Objects.requireNonNull(position, "position is null");
+        }
+
+        @Override
+        public String text() {
+            return "changed %s %d %d".formatted(kind, position.era(), position.revision());
+        }
+    }
+
     /**
      * A backend server reported a rate limit in a response, or responded without the one that it
      * had.
@@ -330,6 +358,10 @@
         if (departed.matches()) {
             return Optional.of(new Departed(departure(departed)));
         }
+        final Matcher changed = CHANGED.matcher(text);
+        if (changed.matches()) {
+            return changed(changed);
+        }
         final Matcher limit = LIMIT.matcher(text);
         if (limit.matches()) {
             return Optional.of(
@@ -385,6 +417,15 @@
                 Boolean.parseBoolean(departed.group(5)));
     }
 
+    private static Optional<PeerMessage> changed(final Matcher changed) {
+        final Position position =
+                Position.of(Long.parseLong(changed.group(2)), Long.parseLong(changed.group(3)));
+        return REPORTED_KINDS.stream()
+                .filter(kind -> kind.toString().equals(changed.group(1)))
+                .findFirst()
+                .map(kind -> new Changed(kind, position));
+    }
+
     private static Optional<RateLimit> limit(final String rate) {
         return rate.equals(NO_LIMIT) ? Optional.empty() : RateLimit.of(Double.parseDouble(rate));
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
@@ -23,6 +23,7 @@
     private final RolloutAges rolloutAges;
     private final LimitReports limitReports;
     private final PermitExchange permits;
+    private final ChangeReports changeReports;
 
     PeerMessageDispatcher(
             final GatewayState state,
@@ -30,13 +31,15 @@
             final LoadCollection loads,
             final RolloutAges rolloutAges,
             final LimitReports limitReports,
-            final PermitExchange permits) {
+            final PermitExchange permits,
+            final ChangeReports changeReports) {
         this.state = Objects.requireNonNull(state, "state is null");
         this.crashes = Objects.requireNonNull(crashes, "crashes is null");
         this.loads = Objects.requireNonNull(loads, "loads is null");
         this.rolloutAges = Objects.requireNonNull(rolloutAges, "rolloutAges is null");
         this.limitReports = Objects.requireNonNull(limitReports, "limitReports is null");
         this.permits = Objects.requireNonNull(permits, "permits is null");
+        this.changeReports = Objects.requireNonNull(changeReports, "changeReports is null");
     }
 
     /**
@@ -60,6 +63,8 @@
             onDraining(draining.server());
         } else if (message instanceof PeerMessage.Departed departed) {
             onDeparted(departed.departure());
+        } else if (message instanceof PeerMessage.Changed changed) {
+            changeReports.onReported(changed);
         } else if (message instanceof PeerMessage.Limit limit) {
             onLimit(limit);
         } else if (message instanceof PeerMessage.Crash crash) {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -26,6 +26,7 @@
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
+import org.fennelstage.store.StoreKind;
 import org.junit.jupiter.api.Test;
 
 class PeerMessageTest {
@@ -62,6 +63,15 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
+    @Test
+    void changesRoundTrip() {
+        for (final StoreKind<?> kind : PeerMessage.REPORTED_KINDS) {
+            final PeerMessage message = new PeerMessage.Changed(kind, Position.of(2, 40));
+            assertThat(PeerMessage.parse(message.text())).contains(message);
+        }
+        assertThat(PeerMessage.parse("changed servers 2 40")).isEmpty();
+    }
+
     @Property(tries = 200)
     void limitRoundTrip(@ForAll @DoubleRange(max = 999_999) final double rate) {
         final Incarnation server = new Incarnation(BackendServerId.of("i-7"), 12);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/SimulatedFleet.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/SimulatedFleet.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,10 +19,13 @@
 import java.util.function.Consumer;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.canary.RolloutPhase;
+import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerAddress;
+import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.gateway.GatewayState;
 import org.fennelstage.gateway.Sockets;
 import org.fennelstage.history.Position;
+import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
@@ -47,6 +51,7 @@
 final class SimulatedFleet {
 
     static final Duration MAX_PROPAGATION_DELAY = Duration.ofSeconds(3);
+    static final String SERVER = "i-1";
     static final ServiceName SERVICE = ServiceName.of("models");
 
     private static final long STEP_MILLIS = 10;
@@ -79,6 +84,7 @@
         random = new Random(seed);
         channel.freezeTime();
         configure(1);
+        register(SERVER, false);
         for (int i = 0; i < dataCentres * vmsEach; i++) {
             final Vm vm = new Vm(entry(i, dataCentres));
             vms.add(vm);
@@ -119,6 +125,21 @@
         store.put(StoreKind.EVACUATIONS, dataCentre.value(), Optional.of(position -> dataCentre));
     }
 
+    /** Writes the entry of a backend server to the store. */
+    void register(final String server, final boolean draining) {
+        final ServerEntry entry =
+                new ServerEntry(
+                        Incarnation.of(BackendServerId.of(server)),
+                        SERVICE,
+                        new ServerAddress("10.1.0.1", 80),
+                        DataCentreId.of("dc-0"),
+                        "v1",
+                        4,
+                        draining,
+                        Position.NONE);
+        store.put(StoreKind.SERVERS, server, Optional.of(RestorableStore.server(entry)));
+    }
+
     /** Writes a rollout order to the store. */
     void order(final String target, final Duration duration) {
         final RolloutOrder order =
@@ -141,18 +162,22 @@
 
     /** Returns the VM through which a data centre calls the store. */
     Vm relay(final DataCentreId dataCentre) {
-        final Vm any =
-                vms.stream()
-                        .filter(vm -> vm.dataCentre().equals(dataCentre))
-                        .findFirst()
-                        .orElseThrow();
-        final VmId first = any.peers.dataCentreVms().get(0);
-        return vms.stream().filter(vm -> vm.entry.vm().equals(first)).findFirst().orElseThrow();
+        return relays(dataCentre).get(0);
+    }
+
+    /** Returns the VMs of a data centre in the order in which they are used as relays. */
+    List<Vm> relays(final DataCentreId dataCentre) {
+        final List<Vm> near =
+                vms.stream().filter(vm -> vm.dataCentre().equals(dataCentre)).toList();
+        final List<VmId> order = near.get(0).peers.dataCentreVms();
+        return near.stream()
+                .sorted(Comparator.comparingInt(vm -> order.indexOf(vm.entry.vm())))
+                .toList();
     }
 
-    /** Returns the number of lists and watches at the store so far. */
-    int reads() {
-        return store.reads();
+    /** Returns the store. */
+    SimulatedStore store() {
+        return store;
     }
 
     /** Lets time pass. */
@@ -210,6 +235,7 @@
         private final Map<String, Relayed> relayed = new HashMap<>();
         private RolloutFeed rolloutFeed;
         private RolloutAges rolloutAges;
+        private ChangeReports changeReports;
         private Duration clockError = Duration.ZERO;
         private boolean silent;
         private long resumedMillis = Long.MIN_VALUE;
@@ -233,17 +259,38 @@
             final InstantSource wallClock = () -> Instant.ofEpochMilli(now.get()).plus(clockError);
             rolloutFeed = new RolloutFeed(state, direct, wallClock, peers::rankFor, () -> {});
             rolloutAges = new RolloutAges(state, peers::allPeers, this::send, random);
-            watches.of(
+            final ServerFeed serverFeed = new ServerFeed(state, () -> {});
+            serverFeed.onDeparture(
+                    new DepartureReports(entry.vm(), peers, this::send)::onDeparture);
+            watches.of(StoreKind.SERVERS, () -> StoreWatches.SERVER_PACE, serverFeed).start();
+            changeReports =
+                    new ChangeReports(
+                            entry.vm(),
+                            peers,
+                            this::send,
+                            (task, delay) -> later(delay.toMillis(), () -> handle(task)),
+                            () -> MAX_PROPAGATION_DELAY);
+            changeReports
+                    .follow(
+                            watches,
                             StoreKind.CONFIGURATION,
                             () -> StoreWatches.CONFIGURATION_PACE,
                             new ConfigurationFeed(state))
                     .start();
-            watches.of(
+            changeReports
+                    .follow(
+                            watches,
                             StoreKind.EVACUATIONS,
                             () -> StoreWatches.EVACUATION_PACE,
                             new EvacuationFeed(state, () -> {}))
                     .start();
-            watches.of(StoreKind.ROLLOUTS, () -> StoreWatches.ROLLOUT_PACE, rolloutFeed).start();
+            changeReports
+                    .follow(
+                            watches,
+                            StoreKind.ROLLOUTS,
+                            () -> StoreWatches.ROLLOUT_PACE,
+                            rolloutFeed)
+                    .start();
             peers.start(loop, direct);
             loop.scheduleWithFixedDelay(
                     this::runPeriodicTasks,
@@ -284,6 +331,10 @@
         private void onMessage(final PeerMessage message) {
             if (message instanceof PeerMessage.Rollout rollout) {
                 rolloutAges.onAge(rollout.age());
+            } else if (message instanceof PeerMessage.Changed changed) {
+                changeReports.onReported(changed);
+            } else if (message instanceof PeerMessage.Departed departed) {
+                state.servers().onDeparture(departed.departure());
             }
         }
 
@@ -298,12 +349,18 @@
             final Relayed started = new Relayed();
             started.callbacks.add(callback);
             relayed.put(key, started);
-            request.send(
-                    result ->
+            final Runnable send = () -> request.send(result -> respond(key, started, result));
+            later(ONE_WAY_MILLIS, send);
+        }
+
+        private void respond(final String key, final Relayed shared, final StoreResult<?> result) {
+            later(
+                    ONE_WAY_MILLIS,
+                    () ->
                             handle(
                                     () -> {
-                                        relayed.remove(key, started);
-                                        started.callbacks.forEach(c -> c.accept(result));
+                                        relayed.remove(key, shared);
+                                        shared.callbacks.forEach(c -> c.accept(result));
                                     }));
         }
 
@@ -362,7 +419,7 @@
         @Override
         public <T> void listStale(
                 final StoreKind<T> kind, final Consumer<StoreResult<Page<T>>> callback) {
-            list(kind, Optional.empty(), callback);
+            call("list stale " + kind, CALL_TIMEOUT, c -> store.listStale(kind, c), callback);
         }
 
         @Override
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/SimulatedStore.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/SimulatedStore.java
@@ -31,7 +31,8 @@
     private final List<Change> history = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private long revision;
-    private int reads;
+    private int lists;
+    private int watchCalls;
 
     SimulatedStore(final EventLoop loop) {
         this.loop = Objects.requireNonNull(loop, "loop is null");
@@ -65,7 +66,12 @@
     }
 
     void list(final StoreKind<?> kind, final Consumer<StoreResult<?>> callback) {
-        reads++;
+        lists++;
+        listStale(kind, callback);
+    }
+
+    /** Lists without being counted. */
+    void listStale(final StoreKind<?> kind, final Consumer<StoreResult<?>> callback) {
         callback.accept(page(List.copyOf(current(kind).values())));
     }
 
@@ -74,7 +80,7 @@
             final Position since,
             final Duration wait,
             final Consumer<StoreResult<?>> callback) {
-        reads++;
+        watchCalls++;
         final Watch watch = new Watch(kind, since.revision(), callback);
         watches.add(watch);
         if (changes(watch).isEmpty()) {
@@ -84,9 +90,14 @@
         }
     }
 
+    /** Returns the number of lists so far. */
+    int lists() {
+        return lists;
+    }
+
     /** Returns the number of lists and watches so far. */
     int reads() {
-        return reads;
+        return lists + watchCalls;
     }
 
     private void end(final Watch watch) {
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -58,6 +58,10 @@
             2031,
             Level.INFO,
             "another VM reported that the store shows a backend server as draining or removed"),
+    REPORTED_CHANGE_MISSING(
+            2032,
+            Level.INFO,
+            "another VM reported a change that this VM has not received; reading the store again"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store may not have taken effect"),
 
     PEER_STATE_CHANGED(3001, Level.INFO, "state of another VM changed"),
