Crash reports say when the crash was and since when the server had each request

Whether crashes are independent of each other cannot be told from their number: a cut breaks connections to many servers at one moment, and what runs on all of them has as many crashes as a cause. The times tell: a cause arrives at the next server after it has crashed one; what a moment hits was at all of these servers before. So reports carry for how long the server had had each request when its connection broke, and how long ago that was (durations, since VMs share no clock); the ledger keeps both per suspect and crash. No decision uses them yet.

The message between VMs has these durations in addition; a VM of the version before does not read it, nor does this one read its messages, so while both run they count only the crashes that VMs of their own version report. The round trip in PeerMessageTest covers the durations; tests that need none use CrashReport.of.

--- a/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
@@ -99,9 +99,9 @@
     public Set<Fingerprint> onCrash(final CrashReport report) {
         final Set<Fingerprint> reported = new LinkedHashSet<>();
         for (final RequestFingerprints request : report.requests()) {
-            record(request.content(), report.server(), Suspect.CONTENT, request);
+            record(request.content(), report, Suspect.CONTENT, request);
             for (int i = 0; i < request.parts().size(); i++) {
-                record(request.parts().get(i), report.server(), i, request);
+                record(request.parts().get(i), report, i, request);
             }
             request.all().forEach(reported::add);
         }
@@ -136,10 +136,13 @@
 
     private void record(
             final Fingerprint fingerprint,
-            final Incarnation server,
+            final CrashReport report,
             final int position,
             final RequestFingerprints request) {
-        suspect(fingerprint).add(server, position, request.content(), clock.millis());
+        final long now = clock.millis();
+        final long end = now - report.age().toMillis();
+        final long start = end - report.attempts().get(request).toMillis();
+        suspect(fingerprint).add(report.server(), position, request.content(), start, end, now);
     }
 
     private Suspect suspect(final Fingerprint fingerprint) {
--- a/fennelstage-core/src/main/java/org/fennelstage/crash/Suspect.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/Suspect.java
@@ -16,9 +16,14 @@
     /** Position of a whole content, which has none in a prompt. */
     static final int CONTENT = -1;
 
-    /** One crash: when it became known, whether it is cleared, and the requests that were hit. */
+    /**
+     * One crash: when it became known and when it happened, since when the server had requests with
+     * the suspect, whether it is cleared, and the requests that were hit.
+     */
     private static final class Crash {
         private final long atMillis;
+        private long startMillis = Long.MAX_VALUE;
+        private long endMillis = Long.MAX_VALUE;
         private final Set<Fingerprint> contents = new HashSet<>();
         private boolean cleared;
 
@@ -39,14 +44,24 @@
         return position != CONTENT;
     }
 
-    /** Records that a request was hit by a crash. */
+    /**
+     * Records that a request was hit by a crash.
+     *
+     * @param startMillis the time at which the request was sent to the server
+     * @param endMillis the time of the crash
+     */
     void add(
             final Incarnation server,
             final int positionInPrompt,
             final Fingerprint content,
+            final long startMillis,
+            final long endMillis,
             final long nowMillis) {
         position = Math.max(position, positionInPrompt);
-        crash(server, nowMillis).contents.add(content);
+        final Crash crash = crash(server, nowMillis);
+        crash.contents.add(content);
+        crash.startMillis = Math.min(crash.startMillis, startMillis);
+        crash.endMillis = Math.min(crash.endMillis, endMillis);
     }
 
     /** Clears crashes, also those that are not known yet. */
--- a/fennelstage-core/src/test/java/org/fennelstage/crash/CrashLedgerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/crash/CrashLedgerTest.java
@@ -34,7 +34,7 @@
 
     /** Reports that a server crashed while it had the request, and returns its crashes. */
     private int crash(final int number) {
-        ledger.onCrash(new CrashReport(server(number), Set.of(REQUEST)));
+        ledger.onCrash(CrashReport.of(server(number), Set.of(REQUEST)));
         return ledger.crashes(CONTENT);
     }
 
@@ -43,7 +43,7 @@
     }
 
     private Set<Fingerprint> crash(final int server, final RequestFingerprints... requests) {
-        return ledger.onCrash(new CrashReport(server(server), Set.of(requests)));
+        return ledger.onCrash(CrashReport.of(server(server), Set.of(requests)));
     }
 
     @Test
@@ -56,8 +56,8 @@
     @Test
     void crashesOfTwoIncarnationsOfAServerCountSeparately() {
         final BackendServerId id = BackendServerId.of("i-1");
-        ledger.onCrash(new CrashReport(new Incarnation(id, 1), Set.of(REQUEST)));
-        ledger.onCrash(new CrashReport(new Incarnation(id, 2), Set.of(REQUEST)));
+        ledger.onCrash(CrashReport.of(new Incarnation(id, 1), Set.of(REQUEST)));
+        ledger.onCrash(CrashReport.of(new Incarnation(id, 2), Set.of(REQUEST)));
         assertThat(ledger.crashes(CONTENT)).isEqualTo(2);
     }
 
@@ -183,7 +183,7 @@
     private static void apply(final CrashLedger target, final int message) {
         final Incarnation server = server(message / 2);
         if (message % 2 == 0) {
-            target.onCrash(new CrashReport(server, Set.of(REQUEST)));
+            target.onCrash(CrashReport.of(server, Set.of(REQUEST)));
         } else {
             target.clear(new ClearedCrashes(CONTENT, Set.of(server)));
         }
--- a/fennelstage-core/src/test/java/org/fennelstage/crash/CrashingPartSimulation.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/crash/CrashingPartSimulation.java
@@ -1,11 +1,11 @@
 package org.fennelstage.crash;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +33,7 @@
      * @param crashingPosition the position of a crashing part in its prompts
      * @param otherCrashesPerSecond crashes per second that no request causes
      * @param outageServers the number of servers that end together, twice, through no request
+     * @param cut whether they go on behind a network that is cut, which refuses connections
      * @param usesParts whether requests are recognised by the parts of their prompts
      */
     record Setup(
@@ -44,6 +45,7 @@
             int crashingPosition,
             double otherCrashesPerSecond,
             int outageServers,
+            boolean cut,
             boolean usesParts) {}
 
     /**
@@ -100,12 +102,14 @@
     private static final class Attempt {
         private final Request request;
         private final Server server;
+        private final long sentMillis;
         private long startedMillis = Long.MAX_VALUE;
         private boolean ended;
 
-        Attempt(final Request request, final Server server) {
+        Attempt(final Request request, final Server server, final long sentMillis) {
             this.request = request;
             this.server = server;
+            this.sentMillis = sentMillis;
         }
     }
 
@@ -198,10 +202,16 @@
         for (final long at : OUTAGE_MILLIS) {
             servers.subList(0, setup.outageServers())
                     .forEach(
-                            server ->
-                                    schedule(
-                                            at + random.nextInt(OUTAGE_SPREAD_MILLIS),
-                                            () -> crash(server)));
+                            server -> {
+                                final long spread = random.nextInt(OUTAGE_SPREAD_MILLIS);
+                                if (setup.cut()) {
+                                    schedule(at, () -> server.up = false);
+                                    schedule(at + spread, () -> breakConnections(server));
+                                    schedule(at + DOWN_MILLIS, () -> server.up = true);
+                                } else {
+                                    schedule(at + spread, () -> crash(server));
+                                }
+                            });
         }
         while (!events.isEmpty()) {
             final Event next = events.poll();
@@ -320,7 +330,7 @@
                         ? preferred
                         : up.get(random.nextInt(up.size()));
         request.crashingPart.ifPresent(this::countLateAttempt);
-        final Attempt attempt = new Attempt(request, server);
+        final Attempt attempt = new Attempt(request, server, now);
         server.running.add(attempt);
         schedule(50 + random.nextInt(250), () -> onStarted(attempt));
     }
@@ -375,24 +385,35 @@
             return;
         }
         server.up = false;
+        breakConnections(server);
+        schedule(
+                DOWN_MILLIS,
+                () -> {
+                    server.up = true;
+                    server.incarnation = new Incarnation(server.id, now);
+                });
+    }
+
+    private void breakConnections(final Server server) {
         final Incarnation crashed = server.incarnation;
-        final Map<Vm, Set<RequestFingerprints>> atRisk = new LinkedHashMap<>();
+        final Map<Vm, Map<RequestFingerprints, Duration>> atRisk = new LinkedHashMap<>();
         for (final Attempt attempt : List.copyOf(server.running)) {
             attempt.ended = true;
             if (attempt.startedMillis > now - SUSPECT_MILLIS) {
-                atRisk.computeIfAbsent(attempt.request.vm, v -> new LinkedHashSet<>())
-                        .add(attempt.request.fingerprints);
+                atRisk.computeIfAbsent(attempt.request.vm, v -> new LinkedHashMap<>())
+                        .put(
+                                attempt.request.fingerprints,
+                                Duration.ofMillis(now - attempt.sentMillis));
             }
             schedule(1, () -> send(attempt.request));
         }
         server.running.clear();
-        atRisk.forEach((vm, requests) -> report(vm, new CrashReport(crashed, requests)));
-        schedule(
-                DOWN_MILLIS,
-                () -> {
-                    server.up = true;
-                    server.incarnation = new Incarnation(server.id, now);
-                });
+        atRisk.forEach(
+                (vm, attempts) ->
+                        report(
+                                vm,
+                                new CrashReport(
+                                        crashed, attempts, Duration.ofMillis(PROBE_MILLIS))));
     }
 
     private void report(final Vm vm, final CrashReport report) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -267,7 +267,10 @@
         }
         brokenReported = true;
         if (isSuspectOfCrash()) {
-            execution.gateway().crashes().onBrokenResponse(server, execution.fingerprints());
+            execution
+                    .gateway()
+                    .crashes()
+                    .onBrokenResponse(server, execution.fingerprints(), sentMillis);
         }
     }
 
@@ -363,7 +366,10 @@
                 .canary()
                 .onResponse(server.entry().id(), server.entry().version(), failed, latencyMillis());
         if (endsWithConnection && isSuspectOfCrash()) {
-            execution.gateway().crashes().onEndedWithConnection(server, execution.fingerprints());
+            execution
+                    .gateway()
+                    .crashes()
+                    .onEndedWithConnection(server, execution.fingerprints(), sentMillis);
         }
         if (failed) {
             final byte[] content = body.toByteArray();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -1,7 +1,9 @@
 package org.fennelstage.vm;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -85,13 +87,17 @@
                             + " ([0-9]{1,18}) ([0-9]{1,9})");
 
     /**
-     * Id and start time of a backend server, and requests: the fingerprints of the content and of
-     * the shared parts, of 16 hexadecimal digits each.
+     * Id and start time of a backend server, milliseconds since the crash, and requests: the
+     * fingerprints of the content and of the shared parts, of 16 hexadecimal digits each, and for
+     * how many milliseconds the server had the request.
      */
     Pattern CRASH =
             Pattern.compile(
-                    "crash ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})"
-                            + "((?: [0-9a-f]{16}(?:,[0-9a-f]{16})*)+)");
+                    "crash ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18}) ([0-9]{1,9})"
+                            + "((?: [0-9a-f]{16}(?:,[0-9a-f]{16})*@[0-9]{1,9})+)");
+
+    /** Longest duration in a message about a crash; milliseconds. */
+    long MAX_CRASH_MILLIS = 999_999_999;
 
     /** Fingerprint of 16 hexadecimal digits, and ids and start times of backend servers. */
     Pattern CRASHES_CLEARED =
@@ -257,15 +263,23 @@
             final StringBuilder text = new StringBuilder("crash ");
             text.append(report.server().server().value());
             text.append(' ').append(report.server().startMillis());
-            for (final RequestFingerprints request : report.requests()) {
-                final String fingerprints =
-                        request.all()
-                                .map(Fingerprint::toString)
-                                .collect(Collectors.joining(FINGERPRINT_SEPARATOR));
-                text.append(' ').append(fingerprints);
-            }
+            text.append(' ').append(millis(report.age()));
+            report.attempts()
+                    .forEach(
+                            (request, duration) -> {
+                                final String fingerprints =
+                                        request.all()
+                                                .map(Fingerprint::toString)
+                                                .collect(Collectors.joining(FINGERPRINT_SEPARATOR));
+                                text.append(' ').append(fingerprints);
+                                text.append('@').append(millis(duration));
+                            });
             return text.toString();
         }
+
+        private static long millis(final Duration duration) {
+            return Math.min(MAX_CRASH_MILLIS, duration.toMillis());
+        }
     }
 
     /**
@@ -338,7 +352,8 @@
         final Matcher crash = CRASH.matcher(text);
         if (crash.matches()) {
             final Incarnation server = incarnation(crash.group(1), crash.group(2));
-            return Optional.of(new Crash(new CrashReport(server, requests(crash.group(3)))));
+            final Duration age = Duration.ofMillis(Long.parseLong(crash.group(3)));
+            return Optional.of(new Crash(new CrashReport(server, attempts(crash.group(4)), age)));
         }
         final Matcher cleared = CRASHES_CLEARED.matcher(text);
         if (cleared.matches()) {
@@ -389,16 +404,20 @@
         return rate.equals(NO_LIMIT) ? Optional.empty() : RateLimit.of(Double.parseDouble(rate));
     }
 
-    private static Set<RequestFingerprints> requests(final String list) {
-        final Set<RequestFingerprints> requests = new HashSet<>();
+    private static Map<RequestFingerprints, Duration> attempts(final String list) {
+        final Map<RequestFingerprints, Duration> attempts = new LinkedHashMap<>();
         for (final String item : list.strip().split(" ")) {
+            final int at = item.indexOf('@');
             final List<Fingerprint> fingerprints =
-                    Stream.of(item.split(FINGERPRINT_SEPARATOR)).map(Fingerprint::parse).toList();
-            requests.add(
+                    Stream.of(item.substring(0, at).split(FINGERPRINT_SEPARATOR))
+                            .map(Fingerprint::parse)
+                            .toList();
+            attempts.put(
                     new RequestFingerprints(
-                            fingerprints.get(0), fingerprints.subList(1, fingerprints.size())));
+                            fingerprints.get(0), fingerprints.subList(1, fingerprints.size())),
+                    Duration.ofMillis(Long.parseLong(item.substring(at + 1))));
         }
-        return requests;
+        return attempts;
     }
 
     private static Set<Incarnation> incarnations(final String list) {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -2,12 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
@@ -87,13 +87,17 @@
     }
 
     @Property(tries = 200)
-    void crashRoundTrip(@ForAll @NotEmpty final Set<@NotEmpty List<Long>> requests) {
-        final Set<RequestFingerprints> fingerprints =
-                requests.stream().map(PeerMessageTest::request).collect(Collectors.toSet());
+    void crashRoundTrip(
+            @ForAll @NotEmpty final Set<@NotEmpty List<Long>> requests,
+            @ForAll @IntRange(max = 999_999_999) final int millis) {
+        final Map<RequestFingerprints, Duration> attempts = new HashMap<>();
+        requests.forEach(r -> attempts.put(request(r), Duration.ofMillis(millis / r.size())));
         final PeerMessage message =
                 new PeerMessage.Crash(
                         new CrashReport(
-                                new Incarnation(BackendServerId.of("i-7"), 12), fingerprints));
+                                new Incarnation(BackendServerId.of("i-7"), 12),
+                                attempts,
+                                Duration.ofMillis(millis / 2)));
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
