--- a/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/CrashLedger.java
@@ -23,8 +23,6 @@
  *
  * <ul>
  *   <li>A complete response to a request with a content or part clears it of the crashes so far.
- *   <li>Crashes of servers that had a content or part at the same time may have one other reason. A
- *       cause crashes servers one after the other too.
  *   <li>A part has to be present at the crashes of several different requests. One sound request
  *       that is retried beside the cause is not enough.
  *   <li>A part is not taken for the cause while a later part of the prompt, which fewer requests
@@ -52,15 +50,6 @@
     /** Number of these crashes at which no known cause was present. */
     static final int MIN_UNEXPLAINED = 3;
 
-    /**
-     * Number of moments at which the crashes of a content have to happen, so that a cut that breaks
-     * connections to many servers at once does not make a cause of what they all have.
-     */
-    private static final int MIN_MOMENTS = 2;
-
-    /** The same for the crashes of a part at which no known cause was present. */
-    private static final int MIN_PART_MOMENTS = 3;
-
     /** Number of different requests with a part that must have been hit by these crashes. */
     static final int MIN_REQUESTS = 2;
 
@@ -110,9 +99,9 @@
     public Set<Fingerprint> onCrash(final CrashReport report) {
         final Set<Fingerprint> reported = new LinkedHashSet<>();
         for (final RequestFingerprints request : report.requests()) {
-            record(request.content(), report, Suspect.CONTENT, request);
+            record(request.content(), report.server(), Suspect.CONTENT, request);
             for (int i = 0; i < request.parts().size(); i++) {
-                record(request.parts().get(i), report, i, request);
+                record(request.parts().get(i), report.server(), i, request);
             }
             request.all().forEach(reported::add);
         }
@@ -147,13 +136,10 @@
 
     private void record(
             final Fingerprint fingerprint,
-            final CrashReport report,
+            final Incarnation server,
             final int position,
             final RequestFingerprints request) {
-        final long now = clock.millis();
-        final long end = now - report.age().toMillis();
-        final long start = end - report.attempts().get(request).toMillis();
-        suspect(fingerprint).add(report.server(), position, request.content(), start, end, now);
+        suspect(fingerprint).add(server, position, request.content(), clock.millis());
     }
 
     private Suspect suspect(final Fingerprint fingerprint) {
@@ -184,7 +170,6 @@
         final Set<Incarnation> servers =
                 unexplained(suspect, cause -> isLater(cause, suspect) || cause.count() >= count);
         return servers.size() >= MIN_UNEXPLAINED
-                && suspect.moments(servers) >= MIN_PART_MOMENTS
                 && suspect.requests(servers) >= MIN_REQUESTS
                 && !laterPartExplains(suspect, servers)
                 && !isOutranked(suspect, servers);
@@ -302,8 +287,7 @@
     }
 
     /**
-     * Returns the number of crashes that count against a content or part. Those of a content are
-     * fewer than {@link #MAX_CRASHES} while all of them may have happened at one moment.
+     * Returns the number of crashes that count against a content or part.
      *
      * @param fingerprint the content or part
      * @return the number of crashes
@@ -314,10 +298,7 @@
             return 0;
         }
         suspect.removeOlderThan(clock.millis() - LIFETIME_MILLIS);
-        final Set<Incarnation> servers = unexplained(suspect, cause -> true);
-        return !suspect.isPart() && suspect.moments(servers) < MIN_MOMENTS
-                ? Math.min(servers.size(), MAX_CRASHES - 1)
-                : servers.size();
+        return unexplained(suspect, cause -> true).size();
     }
 
     @Override
--- a/fennelstage-core/src/main/java/org/fennelstage/crash/CrashReport.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/CrashReport.java
@@ -1,9 +1,5 @@
 package org.fennelstage.crash;
 
-import java.time.Duration;
-import java.util.Collections;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import org.fennelstage.fleet.Incarnation;
@@ -13,39 +9,12 @@
  * the crash. Immutable and thread-safe.
  *
  * @param server the incarnation that crashed
- * @param attempts the requests, each of which may have caused the crash, and how long each had been
- *     at the server when its connection broke
- * @param age the time since the first of these connections broke
+ * @param requests the requests, each of which may have caused the crash
  */
-public record CrashReport(
-        Incarnation server, Map<RequestFingerprints, Duration> attempts, Duration age) {
+public record CrashReport(Incarnation server, Set<RequestFingerprints> requests) {
 
     public CrashReport {
         Objects.requireNonNull(server, "server is null");
-        Objects.requireNonNull(age, "age is null");
-        attempts = Collections.unmodifiableMap(new LinkedHashMap<>(attempts));
-    }
-
-    /**
-     * Returns a report of a crash at which each request had just arrived.
-     *
-     * @param server the incarnation that crashed
-     * @param requests the requests
-     * @return the report
-     */
-    public static CrashReport of(
-            final Incarnation server, final Set<RequestFingerprints> requests) {
-        final Map<RequestFingerprints, Duration> attempts = new LinkedHashMap<>();
-        requests.forEach(request -> attempts.put(request, Duration.ZERO));
-        return new CrashReport(server, attempts, Duration.ZERO);
-    }
-
-    /**
-     * Returns the requests, each of which may have caused the crash.
-     *
-     * @return their fingerprints
-     */
-    public Set<RequestFingerprints> requests() {
-        return attempts.keySet();
+        requests = Set.copyOf(requests);
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/crash/Suspect.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/crash/Suspect.java
@@ -1,9 +1,7 @@
 package org.fennelstage.crash;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.fennelstage.fleet.Incarnation;
@@ -18,14 +16,9 @@
     /** Position of a whole content, which has none in a prompt. */
     static final int CONTENT = -1;
 
-    /**
-     * One crash: when it became known and when it happened, since when the server had requests with
-     * the suspect, whether it is cleared, and the requests that were hit.
-     */
+    /** One crash: when it became known, whether it is cleared, and the requests that were hit. */
     private static final class Crash {
         private final long atMillis;
-        private long startMillis = Long.MAX_VALUE;
-        private long endMillis = Long.MAX_VALUE;
         private final Set<Fingerprint> contents = new HashSet<>();
         private boolean cleared;
 
@@ -46,24 +39,14 @@
         return position != CONTENT;
     }
 
-    /**
-     * Records that a request was hit by a crash.
-     *
-     * @param startMillis the time at which the request was sent to the server
-     * @param endMillis the time of the crash
-     */
+    /** Records that a request was hit by a crash. */
     void add(
             final Incarnation server,
             final int positionInPrompt,
             final Fingerprint content,
-            final long startMillis,
-            final long endMillis,
             final long nowMillis) {
         position = Math.max(position, positionInPrompt);
-        final Crash crash = crash(server, nowMillis);
-        crash.contents.add(content);
-        crash.startMillis = Math.min(crash.startMillis, startMillis);
-        crash.endMillis = Math.min(crash.endMillis, endMillis);
+        crash(server, nowMillis).contents.add(content);
     }
 
     /** Clears crashes, also those that are not known yet. */
@@ -92,28 +75,6 @@
         return counted;
     }
 
-    /**
-     * Returns the number of moments at which some of the given crashes happened. Crashes of servers
-     * that had the suspect at the same time share a moment: something else may have ended them
-     * together, whereas a cause that is sent on after a crash arrives at the next server later.
-     */
-    int moments(final Set<Incarnation> servers) {
-        final List<Crash> byEnd =
-                servers.stream()
-                        .map(crashes::get)
-                        .sorted(Comparator.comparingLong(crash -> crash.endMillis))
-                        .toList();
-        int moments = 0;
-        long lastEndMillis = Long.MIN_VALUE;
-        for (final Crash crash : byEnd) {
-            if (crash.startMillis >= lastEndMillis) {
-                moments++;
-                lastEndMillis = crash.endMillis;
-            }
-        }
-        return moments;
-    }
-
     /** Returns whether it was present when a backend server crashed, and that crash counts. */
     boolean wasAt(final Incarnation server) {
         final Crash crash = crashes.get(server);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -267,10 +267,7 @@
         }
         brokenReported = true;
         if (isSuspectOfCrash()) {
-            execution
-                    .gateway()
-                    .crashes()
-                    .onBrokenResponse(server, execution.fingerprints(), sentMillis);
+            execution.gateway().crashes().onBrokenResponse(server, execution.fingerprints());
         }
     }
 
@@ -366,10 +363,7 @@
                 .canary()
                 .onResponse(server.entry().id(), server.entry().version(), failed, latencyMillis());
         if (endsWithConnection && isSuspectOfCrash()) {
-            execution
-                    .gateway()
-                    .crashes()
-                    .onEndedWithConnection(server, execution.fingerprints(), sentMillis);
+            execution.gateway().crashes().onEndedWithConnection(server, execution.fingerprints());
         }
         if (failed) {
             final byte[] content = body.toByteArray();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CrashDetector.java
@@ -2,11 +2,8 @@
 
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -56,17 +53,12 @@
     /** Retry time of a request while probes decide whether its backend servers have crashed. */
     private static final Duration PROBE_RETRY_AFTER = ConnectionProbe.TIMEOUT.multipliedBy(2);
 
-    /** When the request of a broken response was sent, and when its connection broke. */
-    private record AttemptTimes(long sentMillis, long brokenMillis) {}
-
-    private final MonotonicClock clock;
     private final BooleanSupplier reachesMost;
     private final ConnectionProbe probe;
     private final CrashLedger ledger;
     private final Quarantine quarantine;
     private final SuspectedCrashes suspected = SuspectedCrashes.empty();
     private final SuspectedCrashes endedWithConnection = SuspectedCrashes.empty();
-    private final Map<Incarnation, Map<RequestFingerprints, AttemptTimes>> times = new HashMap<>();
     private Consumer<TrackedServer> crashListener = server -> {};
     private Consumer<Fingerprint> quarantineListener = fingerprint -> {};
     private Consumer<CrashReport> reportListener = report -> {};
@@ -87,7 +79,6 @@
             final MonotonicClock clock,
             final HttpClient client,
             final BooleanSupplier reachesMost) {
-        this.clock = Objects.requireNonNull(clock, "clock is null");
         this.reachesMost = Objects.requireNonNull(reachesMost, "reachesMost is null");
         this.probe = new ConnectionProbe(client);
         this.ledger = CrashLedger.of(clock);
@@ -219,14 +210,8 @@
         parts.stream().filter(this::isQuarantined).forEach(trials::add);
     }
 
-    /**
-     * Handles a response that broke off or became inactive before its start or shortly after.
-     *
-     * @param sentMillis the time at which the request was sent to the server
-     */
-    void onBrokenResponse(
-            final TrackedServer server, final RequestFingerprints request, final long sentMillis) {
-        recordTimes(server, request, sentMillis);
+    /** Handles a response that broke off or became inactive before its start or shortly after. */
+    void onBrokenResponse(final TrackedServer server, final RequestFingerprints request) {
         if (suspected.add(server.entry().incarnation(), request)) {
             probe.run(server, result -> onFirstProbe(server, result));
         }
@@ -235,23 +220,13 @@
     /**
      * Handles a response that ended with its connection, as it also does when the backend server
      * crashes. Unlike a broken response it does not count before the crash is known.
-     *
-     * @param sentMillis the time at which the request was sent to the server
      */
-    void onEndedWithConnection(
-            final TrackedServer server, final RequestFingerprints request, final long sentMillis) {
-        recordTimes(server, request, sentMillis);
+    void onEndedWithConnection(final TrackedServer server, final RequestFingerprints request) {
         if (endedWithConnection.add(server.entry().incarnation(), request)) {
             probe.run(server, result -> onFirstProbe(server, result));
         }
     }
 
-    private void recordTimes(
-            final TrackedServer server, final RequestFingerprints request, final long sentMillis) {
-        times.computeIfAbsent(server.entry().incarnation(), i -> new LinkedHashMap<>())
-                .putIfAbsent(request, new AttemptTimes(sentMillis, clock.millis()));
-    }
-
     /**
      * Probes a second time if the connection was closed at once: the backend server is at its
      * connection limit or about to crash.
@@ -268,8 +243,6 @@
         final Incarnation incarnation = server.entry().incarnation();
         final Set<RequestFingerprints> requests = new HashSet<>(suspected.take(incarnation));
         requests.addAll(endedWithConnection.take(incarnation));
-        final Map<RequestFingerprints, AttemptTimes> attempts =
-                Objects.requireNonNullElse(times.remove(incarnation), Map.of());
         EventLog.write(
                 Event.SERVER_PROBED,
                 "server",
@@ -291,28 +264,11 @@
         if (requests.isEmpty()) {
             return;
         }
-        final CrashReport report = report(incarnation, attempts);
+        final CrashReport report = new CrashReport(incarnation, requests);
         onReport(report);
         reportListener.accept(report);
     }
 
-    private CrashReport report(
-            final Incarnation server, final Map<RequestFingerprints, AttemptTimes> attempts) {
-        final long crashMillis =
-                attempts.values().stream()
-                        .mapToLong(AttemptTimes::brokenMillis)
-                        .min()
-                        .orElseGet(clock::millis);
-        final Map<RequestFingerprints, Duration> durations = new LinkedHashMap<>();
-        attempts.forEach(
-                (request, attempt) ->
-                        durations.put(
-                                request,
-                                Duration.ofMillis(
-                                        Math.max(0, crashMillis - attempt.sentMillis()))));
-        return new CrashReport(server, durations, Duration.ofMillis(clock.millis() - crashMillis));
-    }
-
     private static String contents(final Set<RequestFingerprints> requests) {
         return requests.stream()
                 .map(request -> request.content().toString())
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/CrashBroadcast.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/CrashBroadcast.java
@@ -1,15 +1,14 @@
 package org.fennelstage.vm;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.fennelstage.crash.ClearedCrashes;
@@ -33,7 +32,7 @@
     private static final long PERIOD_MILLIS = 300;
 
     /** Fingerprints in one message, so that it fits into a datagram. */
-    private static final int MAX_FINGERPRINTS = 45;
+    private static final int MAX_FINGERPRINTS = 60;
 
     private record Transmission(PeerMessage message, long dueMillis, int remaining) {}
 
@@ -53,28 +52,23 @@
 
     /** Sends the report of a crash. */
     void onReport(final CrashReport report) {
-        final Map<RequestFingerprints, Duration> part = new LinkedHashMap<>();
+        final Set<RequestFingerprints> part = new HashSet<>();
         int fingerprints = 0;
-        for (final var attempt : report.attempts().entrySet()) {
-            final int size = 1 + attempt.getKey().parts().size();
+        for (final RequestFingerprints request : report.requests()) {
+            final int size = 1 + request.parts().size();
             if (fingerprints + size > MAX_FINGERPRINTS) {
-                send(report, part);
+                sendRepeatedly(new PeerMessage.Crash(new CrashReport(report.server(), part)));
                 part.clear();
                 fingerprints = 0;
             }
-            part.put(attempt.getKey(), attempt.getValue());
+            part.add(request);
             fingerprints += size;
         }
         if (!part.isEmpty()) {
-            send(report, part);
+            sendRepeatedly(new PeerMessage.Crash(new CrashReport(report.server(), part)));
         }
     }
 
-    private void send(final CrashReport report, final Map<RequestFingerprints, Duration> attempts) {
-        sendRepeatedly(
-                new PeerMessage.Crash(new CrashReport(report.server(), attempts, report.age())));
-    }
-
     /** Sends that the crashes of a content or part no longer count. */
     void onClearedCrashes(final ClearedCrashes cleared) {
         sendRepeatedly(new PeerMessage.CrashesCleared(cleared));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -1,9 +1,7 @@
 package org.fennelstage.vm;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -104,17 +102,13 @@
                             + " ([0-9]{1,18}) ([0-9]{1,9})");
 
     /**
-     * Id and start time of a backend server, milliseconds since the crash, and requests: the
-     * fingerprints of the content and of the shared parts, of 16 hexadecimal digits each, and for
-     * how many milliseconds the server had the request.
+     * Id and start time of a backend server, and requests: the fingerprints of the content and of
+     * the shared parts, of 16 hexadecimal digits each.
      */
     Pattern CRASH =
             Pattern.compile(
-                    "crash ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18}) ([0-9]{1,9})"
-                            + "((?: [0-9a-f]{16}(?:,[0-9a-f]{16})*@[0-9]{1,9})+)");
-
-    /** Longest duration in a message about a crash; milliseconds. */
-    long MAX_CRASH_MILLIS = 999_999_999;
+                    "crash ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})"
+                            + "((?: [0-9a-f]{16}(?:,[0-9a-f]{16})*)+)");
 
     /** Fingerprint of 16 hexadecimal digits, and ids and start times of backend servers. */
     Pattern CRASHES_CLEARED =
@@ -299,23 +293,15 @@
             final StringBuilder text = new StringBuilder("crash ");
             text.append(report.server().server().value());
             text.append(' ').append(report.server().startMillis());
-            text.append(' ').append(millis(report.age()));
-            report.attempts()
-                    .forEach(
-                            (request, duration) -> {
-                                final String fingerprints =
-                                        request.all()
-                                                .map(Fingerprint::toString)
-                                                .collect(Collectors.joining(FINGERPRINT_SEPARATOR));
-                                text.append(' ').append(fingerprints);
-                                text.append('@').append(millis(duration));
-                            });
+            for (final RequestFingerprints request : report.requests()) {
+                final String fingerprints =
+                        request.all()
+                                .map(Fingerprint::toString)
+                                .collect(Collectors.joining(FINGERPRINT_SEPARATOR));
+                text.append(' ').append(fingerprints);
+            }
             return text.toString();
         }
-
-        private static long millis(final Duration duration) {
-            return Math.min(MAX_CRASH_MILLIS, duration.toMillis());
-        }
     }
 
     /**
@@ -392,8 +378,7 @@
         final Matcher crash = CRASH.matcher(text);
         if (crash.matches()) {
             final Incarnation server = incarnation(crash.group(1), crash.group(2));
-            final Duration age = Duration.ofMillis(Long.parseLong(crash.group(3)));
-            return Optional.of(new Crash(new CrashReport(server, attempts(crash.group(4)), age)));
+            return Optional.of(new Crash(new CrashReport(server, requests(crash.group(3)))));
         }
         final Matcher cleared = CRASHES_CLEARED.matcher(text);
         if (cleared.matches()) {
@@ -465,20 +450,16 @@
         return rate.equals(NO_LIMIT) ? Optional.empty() : RateLimit.of(Double.parseDouble(rate));
     }
 
-    private static Map<RequestFingerprints, Duration> attempts(final String list) {
-        final Map<RequestFingerprints, Duration> attempts = new LinkedHashMap<>();
+    private static Set<RequestFingerprints> requests(final String list) {
+        final Set<RequestFingerprints> requests = new HashSet<>();
         for (final String item : list.strip().split(" ")) {
-            final int at = item.indexOf('@');
             final List<Fingerprint> fingerprints =
-                    Stream.of(item.substring(0, at).split(FINGERPRINT_SEPARATOR))
-                            .map(Fingerprint::parse)
-                            .toList();
-            attempts.put(
+                    Stream.of(item.split(FINGERPRINT_SEPARATOR)).map(Fingerprint::parse).toList();
+            requests.add(
                     new RequestFingerprints(
-                            fingerprints.get(0), fingerprints.subList(1, fingerprints.size())),
-                    Duration.ofMillis(Long.parseLong(item.substring(at + 1))));
+                            fingerprints.get(0), fingerprints.subList(1, fingerprints.size())));
         }
-        return attempts;
+        return requests;
     }
 
     private static Set<Incarnation> incarnations(final String list) {
