A server counts as failing only by enough pooled responses, and not where all servers fail alike

The rate now assumes the same prior responses as the suspicion, follows the outcomes only while there are enough, and keeps its value while the evidence of an outlier thins out. Where no server is usable, failing ones get requests as before, count for the wait estimate and for the repetition of a request at a silent server. The lowest rate of a group is found once.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/OutlierDetection.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/OutlierDetection.java
@@ -45,7 +45,8 @@
      * @param server the backend server
      * @param outlier whether it is one
      * @param outcomes its responses to all VMs
-     * @param lowestRate the lowest excess failure rate of the others, 1 if there is no such rate
+     * @param lowestRate the lowest excess failure rate in its service and version, 1 if none is
+     *     known
      */
     public record Change(
             TrackedServer server, boolean outlier, Outcomes outcomes, double lowestRate) {}
@@ -101,11 +102,12 @@
     private void compare(final Map<TrackedServer, Outcomes> group, final List<Change> changes) {
         final boolean reported = group.values().stream().anyMatch(o -> o.responses() > 0);
         group.replaceAll((server, others) -> pooled(server, others));
+        final double lowestRate = lowestRate(group.values());
         group.forEach(
                 (server, outcomes) -> {
-                    final double lowestRate = lowestRate(group, server);
                     if (reported && failsMore(outcomes, lowestRate)) {
-                        server.health().onOutlier(outcomes.excessRate(), random.getAsDouble());
+                        server.health().onOutlier(random.getAsDouble());
+                        updateRate(server, outcomes);
                     }
                     final boolean outlier = server.health().isOutlier();
                     if (outlier ? outliers.add(server) : outliers.remove(server)) {
@@ -125,16 +127,29 @@
         return excess / (outcomes.responses() + PRIOR_RESPONSES) >= ServerHealth.SUSPECT_RATE;
     }
 
-    /** Returns the lowest rate of the others; 1, which nothing exceeds, if none is known. */
-    private static double lowestRate(
-            final Map<TrackedServer, Outcomes> group, final TrackedServer server) {
-        double lowest = 1;
-        for (final Map.Entry<TrackedServer, Outcomes> other : group.entrySet()) {
-            final Outcomes outcomes = other.getValue();
-            if (other.getKey() != server && outcomes.responses() >= MIN_RESPONSES) {
-                lowest = Math.min(lowest, outcomes.excessRate());
-            }
+    /**
+     * Updates the failure rate of an outlier. Few responses change nothing, since an outlier gets
+     * few requests and its evidence thins out.
+     */
+    private static void updateRate(final TrackedServer server, final Outcomes outcomes) {
+        if (outcomes.responses() >= MIN_RESPONSES) {
+            server.health().onOutlierRate(cautiousRate(outcomes));
         }
+    }
+
+    /** Returns the excess failure rate with {@link #PRIOR_RESPONSES} responses without excess. */
+    private static double cautiousRate(final Outcomes outcomes) {
+        return outcomes.excess() / (outcomes.responses() + PRIOR_RESPONSES);
+    }
+
+    /** Returns the lowest excess failure rate; 1, which nothing exceeds, if none is known. */
+    private static double lowestRate(final Collection<Outcomes> group) {
+        final double lowest =
+                group.stream()
+                        .filter(outcomes -> outcomes.responses() >= MIN_RESPONSES)
+                        .mapToDouble(Outcomes::excessRate)
+                        .min()
+                        .orElse(1);
         return Math.max(0, lowest);
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -261,15 +261,22 @@
     /**
      * Records that the backend server fails more often than others, by the responses to all VMs.
      *
-     * @param excessRate its excess failure rate
      * @param draw random number in [0, 1) that spreads the end of the suspicion over the VMs
      */
-    void onOutlier(final double excessRate, final double draw) {
-        outlierRate = excessRate;
+    void onOutlier(final double draw) {
         outlierUntilMillis =
                 clock.millis() + OUTLIER_MILLIS + (long) (OUTLIER_SPREAD_MILLIS * draw);
     }
 
+    /**
+     * Records the excess failure rate of an outlier.
+     *
+     * @param rate the rate by the responses to all VMs; counts while the server is an outlier
+     */
+    void onOutlierRate(final double rate) {
+        outlierRate = rate;
+    }
+
     /**
      * Returns whether the backend server is suspect by the responses to all VMs.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -163,11 +163,14 @@
         return best;
     }
 
-    /** A request is rather sent to an excluded server, or rejected, than lost at one that fails. */
+    /**
+     * Returns the rank of a backend server, the lowest is chosen: usable ones, excluded usable
+     * ones, others, excluded others. A request is rather rejected for want of room at an excluded
+     * server than lost at one that fails.
+     */
     private static int rank(final ServerHealth.Tier tier, final boolean excluded) {
-        final int tiers = ServerHealth.Tier.values().length;
-        final int order = tier.isUsable() ? 0 : 2;
-        return (order + (excluded ? 1 : 0)) * tiers + tier.ordinal();
+        final int group = (tier.isUsable() ? 0 : 2) + (excluded ? 1 : 0);
+        return group * ServerHealth.Tier.values().length + tier.ordinal();
     }
 
     private TrackedServer shortestWait(final List<TrackedServer> servers, final Job job) {
@@ -207,19 +210,22 @@
     }
 
     /**
-     * Returns the shortest expected wait at any usable backend server if all slots are taken.
+     * Returns the shortest expected wait at any backend server that may get the request if all
+     * slots are taken.
      *
      * <p>While a slot is free there is no estimate: the time to read a prompt is overestimated by a
      * VM that has just started or is slow itself, and requests would be rejected without need.
      *
      * @param candidates the backend servers that may get the request
      * @param job the request
-     * @return milliseconds, empty if a slot is free or no backend server is usable
+     * @return milliseconds, empty if a slot is free or no backend server is reachable
      */
     public OptionalDouble minWaitMillis(final List<TrackedServer> candidates, final Job job) {
         double min = Double.MAX_VALUE;
+        final boolean anyUsable =
+                candidates.stream().anyMatch(server -> server.health().tier().isUsable());
         for (final TrackedServer server : candidates) {
-            if (!server.health().tier().isUsable()) {
+            if (!mayServe(server.health().tier(), anyUsable)) {
                 continue;
             }
             if (hasFreeSlot(server)) {
@@ -230,6 +236,10 @@
         return min == Double.MAX_VALUE ? OptionalDouble.empty() : OptionalDouble.of(min);
     }
 
+    private static boolean mayServe(final ServerHealth.Tier tier, final boolean anyUsable) {
+        return tier.isUsable() || (!anyUsable && tier == ServerHealth.Tier.FAILING);
+    }
+
     /**
      * Returns whether a backend server has a free slot, as far as this VM knows.
      *
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/OutlierDetectionTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/OutlierDetectionTest.java
@@ -69,6 +69,23 @@
         assertThat(update()).isEmpty();
     }
 
+    /** Guards against a server that serves most requests and gets none, for a few that failed. */
+    @Test
+    void fewFailuresMakeAServerSuspectButNotFailing() {
+        report("vm-1", outcomes(4, 4), outcomes(20, 0));
+        assertThat(update()).containsExactly(true);
+        assertThat(a.health().tier()).isEqualTo(ServerHealth.Tier.SUSPECT);
+    }
+
+    @Test
+    void failingServerStaysFailingWhileItsEvidenceThinsOut() {
+        report("vm-1", outcomes(20, 20), outcomes(20, 0));
+        update();
+        report("vm-1", outcomes(3, 3), outcomes(20, 0));
+        update();
+        assertThat(a.health().tier()).isEqualTo(ServerHealth.Tier.FAILING);
+    }
+
     @Test
     void suspicionEndsAtARandomMomentAfterTheEvidence() {
         draw = 0.5;
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -140,6 +140,29 @@
                 .contains(servers.get(1));
     }
 
+    /** Guards against rejections of all requests of a service whose servers fail alike. */
+    @Test
+    void aServerThatFailsMostRequestsIsChosenIfAllFail() {
+        final List<TrackedServer> servers = servers(2);
+        for (int i = 0; i < 10; i++) {
+            servers.forEach(server -> server.health().onEnd(true, 0));
+        }
+        assertThat(
+                        placement.choose(
+                                servers, job(Optional.empty()), false, s -> s == servers.get(0)))
+                .contains(servers.get(1));
+    }
+
+    @Test
+    void thereIsAMinWaitWhileASlotIsFreeAtAFailingServerOnly() {
+        final List<TrackedServer> servers = servers(2);
+        fill(servers.get(0), 0);
+        for (int i = 0; i < 10; i++) {
+            servers.get(1).health().onEnd(true, 0);
+        }
+        assertThat(placement.minWaitMillis(servers, job(Optional.empty()))).isPresent();
+    }
+
     /** Guards against probing an unreachable server with requests that cannot afford a failure. */
     @Test
     void unreachableServerIsProbedOnlyByRequestsThatMayProbe() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.fennelstage.fleet.Incarnation;
+import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.permit.PermitTerms;
 import org.fennelstage.placement.Job;
@@ -64,7 +65,7 @@
     /** Returns whether no backend server is left that may have room, given the best one. */
     boolean isExhausted(final TrackedServer best) {
         return denied.contains(best.entry().incarnation())
-                || (!denied.isEmpty() && !best.health().tier().isUsable());
+                || (!denied.isEmpty() && best.health().tier() == ServerHealth.Tier.UNREACHABLE);
     }
 
     /** Returns how long a request occupies a slot of the backend server that denied last. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -16,6 +16,7 @@
 import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.crash.RequestFingerprints;
+import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ModelId;
@@ -523,7 +524,7 @@
     private boolean hasOtherServer() {
         return candidates().stream()
                 .filter(s -> !attempts.tried(s.entry().id()))
-                .anyMatch(s -> s.health().tier().isUsable());
+                .anyMatch(s -> s.health().tier() != ServerHealth.Tier.UNREACHABLE);
     }
 
     /** Returns the priority to send; requests without a prompt have none. */
