--- a/fennelstage-core/src/main/java/org/fennelstage/policy/Mechanism.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/policy/Mechanism.java
@@ -26,7 +26,9 @@
     /** Requests to backend servers carry their priority. */
     URGENCY,
     /** Requests to a saturated backend server need a permit from the VM that counts them. */
-    PERMITS;
+    PERMITS,
+    /** Backend servers that fail more often than others by the responses to all VMs are avoided. */
+    OUTLIER_DETECTION;
 
     /**
      * Returns the name on the command line.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -436,7 +436,9 @@
     private void runPeriodicTasks() {
         try {
             checkOverload();
-            checkOutliers();
+            if (settings.policy().uses(Mechanism.OUTLIER_DETECTION)) {
+                checkOutliers();
+            }
             gateway.checkInactivity();
             if (settings.policy().uses(Mechanism.LOAD_REPORTS)) {
                 loadReports.sendDue();
