Follower: tests of refreshed lists beside a watch, known red

Found by a review: a list made by refresh() is delivered although the watch has brought a newer change meanwhile, and the watch goes on from the newer position, so nothing corrects it. The other direction is so too: after a list at 110 a watch that began at 100 delivers what it has up to 103, and a list of the follower itself at 101 replaces one refreshed at 110.

--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -18,6 +18,7 @@
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class FollowerTest implements Follower.Listener<VmEntry> {
@@ -181,9 +182,99 @@
         assertThat(received).containsExactly("all [a]");
     }
 
+    @Test
+    void refreshedListThatIsNotOlderIsPassedOn() throws InterruptedException {
+        follower.start();
+        complete("list -", page(Optional.empty(), 100));
+        final Pending watch = expect("watch 100");
+        refresh();
+        complete("list -", page(Optional.empty(), 100));
+        refresh();
+        complete("list -", page(Optional.empty(), 101, entry("a", 101)));
+        complete(watch, page(Optional.empty(), 103, entry("b", 103)));
+        expect("watch 103");
+        assertThat(received).containsExactly("all []", "all []", "all [a]", "put b");
+    }
+
+    /** Guards against an older list that replaces newer changes, which no watch repeats. */
+    @Test
+    @Tag("known-red")
+    void refreshedListOlderThanAChangeOfTheWatchIsNotDelivered() throws InterruptedException {
+        follower.start();
+        complete("list -", page(Optional.empty(), 100));
+        final Pending watch = expect("watch 100");
+        refresh();
+        final Pending list = expect("list -");
+        complete(watch, page(Optional.empty(), 103, entry("a", 103)));
+        complete(list, page(Optional.empty(), 101, entry("b", 101)));
+        expect("watch 103");
+        assertThat(received).containsExactly("all []", "put a");
+    }
+
+    /** Guards against a pending watch that repeats changes from before a refreshed list. */
+    @Test
+    @Tag("known-red")
+    void changesThatARefreshedListIncludesAreNotDelivered() throws InterruptedException {
+        follower.start();
+        complete("list -", page(Optional.empty(), 100));
+        final Pending watch = expect("watch 100");
+        refresh();
+        complete("list -", page(Optional.empty(), 110, entry("b", 110)));
+        complete(watch, page(Optional.empty(), 103, entry("a", 103)));
+        complete("watch 110", page(Optional.empty(), 111, deleted("b", 111)));
+        expect("watch 111");
+        assertThat(received).containsExactly("all []", "all [b]", "deleted b");
+    }
+
+    @Test
+    @Tag("known-red")
+    void changesAfterARefreshedListAreDeliveredOnceThoughAWatchBeganBeforeIt()
+            throws InterruptedException {
+        follower.start();
+        complete("list -", page(Optional.empty(), 100));
+        final Pending watch = expect("watch 100");
+        refresh();
+        complete("list -", page(Optional.empty(), 110));
+        complete(
+                watch,
+                page(
+                        Optional.empty(),
+                        112,
+                        entry("a", 103),
+                        deleted("a", 110),
+                        entry("b", 111),
+                        entry("c", 112)));
+        assertThat(received).doesNotContain("put a", "deleted a");
+        complete("watch 110", page(Optional.empty(), 112, entry("b", 111), entry("c", 112)));
+        expect("watch 112");
+        assertThat(received).containsExactly("all []", "all []", "put b", "put c");
+    }
+
+    /** Guards against a slow first list, or one after a failure, that undoes a refreshed list. */
+    @Test
+    @Tag("known-red")
+    void listOlderThanOneRefreshedMeanwhileIsRepeated() throws InterruptedException {
+        follower.start();
+        final Pending list = expect("list -");
+        refresh();
+        complete("list -", page(Optional.empty(), 110, entry("a", 110)));
+        complete(list, page(Optional.empty(), 101));
+        complete("list -", page(Optional.empty(), 111, entry("a", 110), entry("b", 111)));
+        expect("watch 111");
+        assertThat(received).containsExactly("all [a]", "all [a, b]");
+    }
+
+    private void refresh() throws InterruptedException {
+        loop.submit(follower::refresh).sync();
+    }
+
     private void complete(final String call, final StoreResult<Page<VmEntry>> result)
             throws InterruptedException {
-        final Pending pending = expect(call);
+        complete(expect(call), result);
+    }
+
+    private void complete(final Pending pending, final StoreResult<Page<VmEntry>> result)
+            throws InterruptedException {
         loop.submit(() -> pending.callback().accept(result)).sync();
     }
 
