Reported changes are read again while they are missing

A list for a reported change that failed, or that joined an older one, was not repeated until the next report. Now a VM that is still behind reads again after each pause of a fifth of the maximum propagation delay (0.6 s), four times for a report at most, so that all reads begin within that delay and a position which the store never returns makes no fleet list in a loop. A newer report begins the count anew.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/ChangeReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ChangeReports.java
@@ -27,9 +27,9 @@
  * do not depend on it. They hold no content: what is read comes from the store.
  *
  * <p>Invariants: a VM reads a kind again at most once for each time allowed for the regular
- * response, and not if that arrives within it; the messages about one change do not grow with the
- * number of VMs per data centre other than by their recipients. Not thread-safe; confined to the
- * event loop.
+ * response, not if that arrives within it, and a limited number of times for each report; the
+ * messages about one change do not grow with the number of VMs per data centre other than by their
+ * recipients. Not thread-safe; confined to the event loop.
  */
 final class ChangeReports {
 
@@ -43,6 +43,12 @@
      */
     private static final int RESPONSE_PART = 5;
 
+    /**
+     * Number of times that a kind is read for one report. They fit into the maximum propagation
+     * delay; after it the store may never return the change, and the regular calls remain.
+     */
+    private static final int MAX_READS = RESPONSE_PART - 1;
+
     /** Forwards what a follower receives, and compares its positions with the reported ones. */
     private final class Tracked<T> implements Follower.Listener<T> {
         private final StoreKind<T> kind;
@@ -52,6 +58,7 @@
         private Position newestChange = Position.NONE;
         private Position newestReported = Position.NONE;
         private boolean awaitingResponse;
+        private int reads;
 
         private Tracked(final StoreKind<T> kind, final Follower.Listener<T> listener) {
             this.kind = Objects.requireNonNull(kind, "kind is null");
@@ -112,7 +119,10 @@
         }
 
         private void onReported(final Position position) {
-            newestReported = newer(newestReported, position);
+            if (position.isAfter(newestReported)) {
+                newestReported = position;
+                reads = 0;
+            }
             if (!awaitingResponse) {
                 awaitResponse();
             }
@@ -139,9 +149,12 @@
                         readUpTo,
                         "reported",
                         awaited);
+                reads++;
                 refresh.run();
-            } else {
-                // Changes reported meanwhile have not had the whole time yet.
+            }
+            // The read may fail or return an older state, and changes reported meanwhile have not
+            // had the whole time yet.
+            if (reads < MAX_READS) {
                 awaitResponse();
             }
         }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/ChangeReportsTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/ChangeReportsTest.java
@@ -65,6 +65,11 @@
             store.complete(page(5));
         }
 
+        /** Completes the list that is pending beside the watch. */
+        private void completeList(final StoreResult<Page<DataCentreId>> result) {
+            store.pending().remove(1).accept(result);
+        }
+
         private void report(final long era, final long revision) {
             reports.onReported(
                     new PeerMessage.Changed(StoreKind.EVACUATIONS, Position.of(era, revision)));
@@ -172,4 +177,57 @@
         vms.get(0).report(1, 2);
         assertThat(checks).as("later era").hasSize(1);
     }
+
+    /**
+     * Guards against one failed or outdated list that leaves the VM behind until its next watch.
+     */
+    @Test
+    void readingIsRepeatedAfterEachTimeToArriveWhileTheChangeIsMissing() {
+        startFleet();
+        final Vm vm = vms.get(0);
+        vm.report(0, 7);
+        checks.remove(0).run();
+        vm.completeList(new StoreResult.Unavailable<>(false, "503"));
+        assertThat(vm.store.pending()).as("watch").hasSize(1);
+        checks.remove(0).run();
+        assertThat(vm.store.pending()).as("watch and list after a failure").hasSize(2);
+        vm.completeList(page(6));
+        checks.remove(0).run();
+        assertThat(vm.store.pending()).as("watch and list after an older list").hasSize(2);
+        vm.completeList(page(7, change(7, Optional.of(EVACUATED))));
+        checks.remove(0).run();
+        assertThat(vm.store.pending()).as("watch").hasSize(1);
+        assertThat(checks).isEmpty();
+        assertThat(delays).hasSize(4).containsOnly(Duration.ofMillis(600));
+    }
+
+    @Test
+    void pendingListIsNotRepeated() {
+        startFleet();
+        final Vm vm = vms.get(0);
+        vm.report(0, 7);
+        checks.remove(0).run();
+        checks.remove(0).run();
+        assertThat(vm.store.pending()).as("watch and list").hasSize(2);
+    }
+
+    /** Guards against a fleet that lists in a loop for a change that the store never returns. */
+    @Test
+    void readingForOneReportEndsWithinTheMaximumPropagationDelay() {
+        startFleet();
+        final Vm vm = vms.get(0);
+        for (int report = 0; report < 2; report++) {
+            delays.clear();
+            vm.report(0, 7 + report);
+            int lists = 0;
+            while (!checks.isEmpty() && lists < 100) {
+                checks.remove(0).run();
+                vm.completeList(page(5));
+                lists++;
+            }
+            assertThat(lists).isEqualTo(4);
+            assertThat(delays.stream().reduce(Duration.ZERO, Duration::plus))
+                    .isLessThan(Duration.ofSeconds(3));
+        }
+    }
 }
