Tests: load reports and sums that are too long, a small service without outcomes, an excess of one VM

Reports of 40 busy and 12 idle servers are too long with ids of 16, 24 and 96 characters, sums of 24 servers with 24 and 96. Outcomes go to the 12 servers with the most responses, so that 13 servers of one service hide another service. The cap on the excess of one VM stands in the sender only.

--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
@@ -25,7 +25,10 @@
 import org.fennelstage.store.StoreResult;
 import org.fennelstage.store.VmEntry;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class LoadCollectionTest {
 
@@ -233,4 +236,65 @@
         startFleet(6);
         assertThat(collector().collection.isInUse()).isFalse();
     }
+
+    /** Guards against a collector that seems dead because its sums are too long to be sent. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {16, 24, 96})
+    void sumsAreCompleteAndFitIntoDatagramsWhateverTheLengthOfTheIds(final int idLength) {
+        startFleet(VMS);
+        final Load load = new Load(2, 9_999, new Outcomes(1_700_000_000_000L, 20, -9.99));
+        final Map<BackendServerId, Load> few = new HashMap<>();
+        for (int i = 0; i < 8; i++) {
+            final String id = "backend-" + i;
+            few.put(BackendServerId.of(id + "x".repeat(idLength - id.length())), load);
+        }
+        final Map<BackendServerId, Load> many = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            final String id = "backend-" + i;
+            many.put(BackendServerId.of(id + "x".repeat(idLength - id.length())), load);
+        }
+        vms.values().forEach(vm -> vm.loads = many);
+        periods(3);
+        assertThat(longestSums).isPositive().isLessThanOrEqualTo(PeerMessenger.MAX_BYTES);
+        assertEachKnowsAllOthers(many, load);
+        vms.values().forEach(vm -> vm.loads = few);
+        periods(2);
+        assertEachKnowsAllOthers(few, load);
+    }
+
+    private void assertEachKnowsAllOthers(final Map<BackendServerId, Load> loads, final Load each) {
+        for (final Vm vm : vms.values()) {
+            final Map<BackendServerId, Load> sums = vm.board.sums();
+            sums.values().removeIf(sum -> sum.equals(Load.NONE));
+            assertThat(sums.keySet()).isEqualTo(loads.keySet());
+            assertThat(sums.values())
+                    .allSatisfy(
+                            sum -> {
+                                assertThat(sum.running()).isEqualTo((VMS - 1) * each.running());
+                                assertThat(sum.unreadMillis())
+                                        .isEqualTo((VMS - 1) * each.unreadMillis());
+                                assertThat(sum.outcomes().responseUnits())
+                                        .isEqualTo((VMS - 1) * each.outcomes().responseUnits());
+                            });
+        }
+    }
+
+    /** Guards against an outlier that is made by the report of one VM alone. */
+    @Tag("known-red")
+    @Test
+    void excessThatOneVmReportsIsLimitedOnReceipt() {
+        startFleet(2);
+        final Vm vm = vms.values().iterator().next();
+        vm.receive(
+                PeerMessage.parse("loads vm-2 i-1,3,40/12/2000/2000 i-2,0,0/12/2000/200")
+                        .orElseThrow());
+        final Map<BackendServerId, Load> expected =
+                Map.of(
+                        SERVER,
+                        new Load(3, 40, new Outcomes(12, 2, 2)),
+                        BackendServerId.of("i-2"),
+                        new Load(0, 0, new Outcomes(12, 20, 2)));
+        assertThat(vm.board.sums()).isEqualTo(expected);
+    }
 }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadReportsTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadReportsTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.fleet.LoadBoard;
@@ -25,7 +26,10 @@
 import org.fennelstage.store.VmEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class LoadReportsTest {
 
@@ -74,11 +78,15 @@
     }
 
     private TrackedServer addServer(final String id) {
+        return addServer(id, "portal");
+    }
+
+    private TrackedServer addServer(final String id, final String service) {
         final BackendServerId server = BackendServerId.of(id);
         servers.put(
                 new ServerEntry(
                         new Incarnation(server, START_MILLIS),
-                        ServiceName.of("portal"),
+                        ServiceName.of(service),
                         new ServerAddress("10.0.1.1", 9_000),
                         DataCentreId.of("dc"),
                         "v1",
@@ -133,4 +141,67 @@
         }
         assertThat(report().text().length()).isLessThanOrEqualTo(PeerMessenger.MAX_BYTES);
     }
+
+    private static String id(final String prefix, final int number, final int length) {
+        final String id = prefix + number;
+        return id + "x".repeat(length - id.length());
+    }
+
+    /** Guards against reports that are dropped because of the ids of the servers in them. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {16, 24, 96})
+    void reportFitsIntoADatagramAndKeepsTheMostUnreadPrompts(final int idLength) {
+        final List<TrackedServer> busy = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            final TrackedServer server = addServer(id("busy-", i, idLength));
+            server.begin(i < 5 ? 0 : 1_000L + i);
+            server.health().onEnd(i % 2 == 0, 0.3);
+            busy.add(server);
+        }
+        for (int i = 0; i < 12; i++) {
+            final TrackedServer idle = addServer(id("idle-", i, idLength));
+            idle.health().onEnd(true, 0);
+            idle.health().onEnd(false, 0);
+        }
+        final PeerMessage.Loads report = report();
+        assertThat(report.text().length()).isLessThanOrEqualTo(PeerMessenger.MAX_BYTES);
+        final List<Integer> reportedBusy =
+                IntStream.range(0, busy.size())
+                        .filter(i -> report.loads().containsKey(busy.get(i).entry().id()))
+                        .boxed()
+                        .toList();
+        final long unread = reportedBusy.stream().filter(i -> i >= 5).count();
+        assertThat(reportedBusy)
+                .containsAll(IntStream.range(40 - (int) unread, 40).boxed().toList());
+        if (reportedBusy.size() < report.loads().size()) {
+            assertThat(reportedBusy).hasSize(40);
+        }
+        if (unread < 35) {
+            assertThat(reportedBusy).hasSize((int) unread);
+        }
+        final int longestEntry = idLength + " ,1,1039/1700000000000/200/200".length();
+        final boolean complete = report.loads().size() == 52;
+        assertThat(complete || report.text().length() > PeerMessenger.MAX_BYTES - longestEntry)
+                .as("nothing that fits is left out")
+                .isTrue();
+    }
+
+    /** Guards against failures that stay unknown in a service with few requests. */
+    @Tag("known-red")
+    @Test
+    void outcomesOfASmallServiceAreReportedBesideThoseOfABusyOne() {
+        for (int i = 0; i < 13; i++) {
+            final TrackedServer server = addServer("busy-" + i, "models");
+            for (int request = 0; request < 10; request++) {
+                server.health().onEnd(false, 0);
+            }
+        }
+        final TrackedServer failing = addServer("i-1");
+        failing.health().onEnd(true, 0);
+        final TrackedServer sound = addServer("i-2");
+        sound.health().onEnd(false, 0);
+        final Map<BackendServerId, Load> loads = report().loads();
+        assertThat(loads).containsKeys(failing.entry().id(), sound.entry().id()).hasSize(12);
+    }
 }
