--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -88,7 +88,7 @@
     /**
      * Id of a backend server, its requests, and milliseconds of unread prompts; then, if there are
      * outcomes, its start time and hundredths of responses and of excess failures. Outcomes contain
-     * no comma, so that VMs of an earlier version ignore them.
+     * no comma: a pattern without them finds the same id, requests and milliseconds.
      */
     Pattern LOAD =
             Pattern.compile(
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -61,10 +61,10 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
-    /** Guards against VMs of the earlier version that read outcomes as loads. */
+    /** Guards against outcomes that a pattern for loads alone would take for loads. */
     @Test
-    void earlierPatternFindsOnlyTheLoadsBesideOutcomes() {
-        final Pattern earlier =
+    void patternWithoutOutcomesFindsOnlyTheLoadsBesideThem() {
+        final Pattern withoutOutcomes =
                 Pattern.compile("([A-Za-z0-9][A-Za-z0-9._-]{0,95}),([0-9]{1,6}),([0-9]{1,9})");
         final Load load = new Load(2, 30, Outcomes.ofUnits(1_700_000_000_000L, 450, -63));
         final String text =
@@ -74,7 +74,7 @@
                                         BackendServerId.of("i-1"), load,
                                         BackendServerId.of("i-2"), load))
                         .text();
-        assertThat(earlier.matcher(text).results().map(MatchResult::group))
+        assertThat(withoutOutcomes.matcher(text).results().map(MatchResult::group))
                 .containsExactlyInAnyOrder("i-1,2,30", "i-2,2,30");
     }
 
