The excess failures that one VM reports are limited on receipt too

The limit stood in the sender only, so the invariant that one VM makes no outlier for others rested on what that VM sent. The sums of a collector are not limited.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Load.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Load.java
@@ -56,6 +56,19 @@
                 outcomes.minus(other.outcomes));
     }
 
+    /**
+     * Returns this load as one VM may report it.
+     *
+     * @return the load, with outcomes whose weight is limited for the invariant of {@link
+     *     OutlierDetection}
+     */
+    public Load reportedByOneVm() {
+        return new Load(
+                running,
+                unreadMillis,
+                outcomes.withExcessAtMost(OutlierDetection.MAX_REPORTED_EXCESS));
+    }
+
     Load withoutOutcomes() {
         return new Load(running, unreadMillis);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
@@ -90,7 +90,9 @@
 
     /** Stores the loads of a VM. */
     void onLoads(final PeerMessage.Loads loads) {
-        board.onReport(loads.vm(), loads.loads());
+        final Map<BackendServerId, Load> limited = new HashMap<>();
+        loads.loads().forEach((server, load) -> limited.put(server, load.reportedByOneVm()));
+        board.onReport(loads.vm(), limited);
         lastReportMillis.put(loads.vm(), clock.millis());
     }
 
