--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadCollectionTest.java
@@ -26,6 +26,8 @@
 import org.fennelstage.store.VmEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class LoadCollectionTest {
 
@@ -39,6 +41,7 @@
     private final Set<Vm> stopped = new HashSet<>();
     private int datagrams;
     private int longestSums;
+    private final Set<Integer> sentParts = new HashSet<>();
 
     @AfterEach
     void stopLoop() {
@@ -60,7 +63,8 @@
         }
 
         private void send(final PeerMessage message, final List<InetSocketAddress> to) {
-            if (message instanceof PeerMessage.LoadSums) {
+            if (message instanceof PeerMessage.LoadSums sums) {
+                sentParts.add(sums.part());
                 longestSums = Math.max(longestSums, message.text().length());
             }
             for (final InetSocketAddress address : to) {
@@ -189,11 +193,12 @@
     void sumsOfManyServersAreSentInParts() {
         startFleet(VMS);
         final Map<BackendServerId, Load> many = new HashMap<>();
-        for (int i = 0; i < 3 * LoadCollection.MAX_SERVERS; i++) {
-            many.put(BackendServerId.of("i-" + i), new Load(1, 10));
+        for (int i = 0; i < 72; i++) {
+            many.put(BackendServerId.of("a-long-name-of-a-backend-server-" + i), new Load(1, 10));
         }
         vms.values().forEach(vm -> vm.loads = many);
         periods(3);
+        assertThat(sentParts).containsExactlyInAnyOrder(0, 1, 2);
         for (final BackendServerId server : many.keySet()) {
             assertThat(vms.values())
                     .allSatisfy(
@@ -220,7 +225,7 @@
         startFleet(VMS);
         final Load load = new Load(9, 99_999, new Outcomes(1_700_000_000_000L, 99, -9.99));
         final Map<BackendServerId, Load> many = new HashMap<>();
-        for (int i = 0; i < 3 * LoadCollection.MAX_SERVERS; i++) {
+        for (int i = 0; i < 72; i++) {
             many.put(BackendServerId.of("backend-%03d".formatted(i)), load);
         }
         vms.values().forEach(vm -> vm.loads = many);
@@ -233,4 +238,63 @@
         startFleet(6);
         assertThat(collector().collection.isInUse()).isFalse();
     }
+
+    /** Guards against a collector that seems dead because its sums are too long to be sent. */
+    @ParameterizedTest
+    @ValueSource(ints = {16, 24, 96})
+    void sumsAreCompleteAndFitIntoDatagramsWhateverTheLengthOfTheIds(final int idLength) {
+        startFleet(VMS);
+        final Load load = new Load(2, 9_999, new Outcomes(1_700_000_000_000L, 20, -9.99));
+        final Map<BackendServerId, Load> few = new HashMap<>();
+        for (int i = 0; i < 8; i++) {
+            final String id = "backend-" + i;
+            few.put(BackendServerId.of(id + "x".repeat(idLength - id.length())), load);
+        }
+        final Map<BackendServerId, Load> many = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            final String id = "backend-" + i;
+            many.put(BackendServerId.of(id + "x".repeat(idLength - id.length())), load);
+        }
+        vms.values().forEach(vm -> vm.loads = many);
+        periods(3);
+        assertThat(longestSums).isPositive().isLessThanOrEqualTo(PeerMessenger.MAX_BYTES);
+        assertEachKnowsAllOthers(many, load);
+        vms.values().forEach(vm -> vm.loads = few);
+        periods(2);
+        assertEachKnowsAllOthers(few, load);
+    }
+
+    private void assertEachKnowsAllOthers(final Map<BackendServerId, Load> loads, final Load each) {
+        for (final Vm vm : vms.values()) {
+            final Map<BackendServerId, Load> sums = vm.board.sums();
+            sums.values().removeIf(sum -> sum.equals(Load.NONE));
+            assertThat(sums.keySet()).isEqualTo(loads.keySet());
+            assertThat(sums.values())
+                    .allSatisfy(
+                            sum -> {
+                                assertThat(sum.running()).isEqualTo((VMS - 1) * each.running());
+                                assertThat(sum.unreadMillis())
+                                        .isEqualTo((VMS - 1) * each.unreadMillis());
+                                assertThat(sum.outcomes().responseUnits())
+                                        .isEqualTo((VMS - 1) * each.outcomes().responseUnits());
+                            });
+        }
+    }
+
+    /** Guards against an outlier that is made by the report of one VM alone. */
+    @Test
+    void excessThatOneVmReportsIsLimitedOnReceipt() {
+        startFleet(2);
+        final Vm vm = vms.values().iterator().next();
+        vm.receive(
+                PeerMessage.parse("loads vm-2 i-1,3,40/12/2000/2000 i-2,0,0/12/2000/200")
+                        .orElseThrow());
+        final Map<BackendServerId, Load> expected =
+                Map.of(
+                        SERVER,
+                        new Load(3, 40, new Outcomes(12, 2, 2)),
+                        BackendServerId.of("i-2"),
+                        new Load(0, 0, new Outcomes(12, 20, 2)));
+        assertThat(vm.board.sums()).isEqualTo(expected);
+    }
 }
