The time after which a rejected caller returns follows from the share of denied requests

A first draft told all callers to return when the next slot is free. The VM that counts now computes the time, since no other knows how many are denied, and sends it in its reply.

--- a/fennelstage-core/src/main/java/org/fennelstage/permit/PermitDecision.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/PermitDecision.java
@@ -10,24 +10,25 @@
  * @param requests the number of issued permits, this one included if it was issued
  * @param limit how many permits may be issued
  * @param slotTime how long a request occupies a slot of the backend server
+ * @param untilRoom the time after which a request that got no permit is likely to get one, or after
+ *     which it is no likelier to get one than now
  */
-public record PermitDecision(boolean issued, int requests, int limit, Duration slotTime) {
+public record PermitDecision(
+        boolean issued, int requests, int limit, Duration slotTime, Duration untilRoom) {
 
     public PermitDecision {
         Objects.requireNonNull(slotTime, "slotTime is null");
+        Objects.requireNonNull(untilRoom, "untilRoom is null");
     }
 
     /**
-     * Returns when a caller may return whose request got no permit: when the next slot is likely
-     * free, spread so that callers rejected together do not return together. A later return is not
-     * served more likely, but its response is late.
+     * Returns when a caller may return whose request got no permit, spread so that callers rejected
+     * together do not return together.
      *
-     * @param capacity the number of slots of the backend server, at least 1
      * @param draw random number in [0, 1)
      * @return the time until then, at least a millisecond
      */
-    public Duration retryAfter(final int capacity, final double draw) {
-        final double untilFreeMillis = slotTime.toMillis() / (double) capacity;
-        return Duration.ofMillis(Math.max(1, Math.round((0.5 + draw) * untilFreeMillis)));
+    public Duration retryAfter(final double draw) {
+        return Duration.ofMillis(Math.max(1, Math.round((0.5 + draw) * untilRoom.toMillis())));
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
@@ -21,6 +21,12 @@
     /** Weight of a new sample of the slot time; about the last fifty count. */
     private static final double WEIGHT = 0.02;
 
+    /** Weight of a new decision in the share of denied requests; about the last 200 count. */
+    private static final double DECISION_WEIGHT = 0.005;
+
+    /** Share of denied requests up to which a shortage of slots is taken to pass. */
+    private static final double FEW_DENIED = 0.25;
+
     /** Slot time before the first sample, as a part of the objective. */
     private static final int INITIAL_DIVISOR = 4;
 
@@ -33,6 +39,7 @@
     private record Issued(long atMillis, long leaseEndMillis, double aheadPerSlot) {}
 
     private final Map<PermitId, Issued> issued = new HashMap<>();
+    private double deniedShare;
     private int samples;
     private double slotMillis;
     private double heldMillis;
@@ -57,11 +64,23 @@
             final long leaseEndMillis = nowMillis + terms.lease().toMillis();
             issued.put(permit, new Issued(nowMillis, leaseEndMillis, ahead / terms.capacity()));
         }
+        deniedShare += DECISION_WEIGHT * ((mayIssue ? 0 : 1) - deniedShare);
         return new PermitDecision(
                 mayIssue,
                 mayIssue ? counted + 1 : counted,
                 limit,
-                Duration.ofMillis(Math.round(slot)));
+                Duration.ofMillis(Math.round(slot)),
+                untilRoom(slot, terms.capacity()));
+    }
+
+    /**
+     * Returns when a denied request may be repeated. Where few are denied, a shortage passes and
+     * there is room after a slot time. Where most are, a later repetition is no likelier to get a
+     * permit, but its response is later; so it is made when the next slot is free.
+     */
+    private Duration untilRoom(final double slot, final int capacity) {
+        final double slots = Math.min(1, 2 - deniedShare / FEW_DENIED);
+        return Duration.ofMillis(Math.round(slot * Math.max(1.0 / capacity, slots)));
     }
 
     /**
--- a/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
@@ -146,6 +146,24 @@
         assertThat(probe().limit()).isEqualTo(strict);
     }
 
+    @Test
+    void aDeniedRequestMayBeRepeatedAfterASlotTimeIfFewAreDenied() {
+        serve(60, 300);
+        issueAll(SERVER);
+        assertThat(ledger.issue(SERVER, next(), TERMS).untilRoom().toMillis()).isBetween(54L, 60L);
+    }
+
+    /** Guards against responses that are late because their requests were repeated late. */
+    @Test
+    void aDeniedRequestMayBeRepeatedWhenTheNextSlotIsFreeIfMostAreDenied() {
+        serve(60, 300);
+        issueAll(SERVER);
+        for (int i = 0; i < 300; i++) {
+            ledger.issue(SERVER, next(), TERMS);
+        }
+        assertThat(ledger.issue(SERVER, next(), TERMS).untilRoom()).hasMillis(10);
+    }
+
     @Test
     void requestsWithoutAResponseDoNotChangeTheSlotTime() {
         serve(40, 300);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
@@ -95,7 +95,7 @@
                         server.entry(),
                         terms,
                         replyTimeout(),
-                        permit -> onReply(server, capacity, permit, listener));
+                        permit -> onReply(server, permit, listener));
     }
 
     private boolean isBrittle(final TrackedServer server) {
@@ -116,15 +116,12 @@
     }
 
     private void onReply(
-            final TrackedServer server,
-            final int capacity,
-            final Permit permit,
-            final Consumer<Permit> listener) {
+            final TrackedServer server, final Permit permit, final Consumer<Permit> listener) {
         log.permit(server, permit);
         gateway.metrics().permit(server.entry().service().value(), permit);
         if (permit instanceof Permit.Denied denial) {
             denied.add(server.entry().incarnation());
-            retryAfter = denial.decision().retryAfter(capacity, gateway.random().nextDouble());
+            retryAfter = denial.decision().retryAfter(gateway.random().nextDouble());
         }
         listener.accept(permit);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitMessage.java
@@ -31,14 +31,14 @@
 
     /**
      * A permit, the issuing VM, whether it was issued, the number of issued permits, the limit, and
-     * the slot time in milliseconds.
+     * in milliseconds the slot time and the time until there is room.
      */
     Pattern REPLY =
             Pattern.compile(
                     "permit-reply"
                             + PERMIT
                             + " ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) (true|false)"
-                            + " ([0-9]{1,9}) ([0-9]{1,9}) ([0-9]{1,9})");
+                            + " ([0-9]{1,9}) ([0-9]{1,9}) ([0-9]{1,9}) ([0-9]{1,9})");
 
     /** Time at the backend server of a request that got no complete response. */
     String NOT_SERVED = "-";
@@ -106,7 +106,9 @@
                     + " "
                     + decision.limit()
                     + " "
-                    + decision.slotTime().toMillis();
+                    + decision.slotTime().toMillis()
+                    + " "
+                    + decision.untilRoom().toMillis();
         }
     }
 
@@ -163,7 +165,8 @@
                                     Boolean.parseBoolean(reply.group(6)),
                                     Integer.parseInt(reply.group(7)),
                                     Integer.parseInt(reply.group(8)),
-                                    millis(reply.group(9)))));
+                                    millis(reply.group(9)),
+                                    millis(reply.group(10)))));
         }
         final Matcher returned = RETURN.matcher(text);
         return returned.matches()
