Load reports carry the memory that requests hold and the pace of recent requests

Cause: placement knows neither how much memory the requests at a backend server hold nor how fast it is, since one VM of a large fleet sends to one server too rarely to see either. Change: Load and its text form get both fields, empty until the parts that fill them are in use; a VM of the previous version reads the fields that it knows. Mechanism gets the switches of the new parts.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Load.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Load.java
@@ -3,25 +3,28 @@
 import java.util.Objects;
 
 /**
- * Requests running at one backend server, and the outcomes of those that have ended. Immutable and
- * thread-safe.
+ * Requests running at one backend server, and the outcomes and the pace of the recent ones.
+ * Immutable and thread-safe.
  *
  * @param running the number of running requests
  * @param unreadMillis expected time to read (prefill) the prompts of those without a response yet;
  *     milliseconds
+ * @param heldTokens the memory that the running requests hold or will hold; tokens
  * @param outcomes the recent outcomes
+ * @param pace how long the recent requests took against what is usual
  */
-public record Load(int running, long unreadMillis, Outcomes outcomes) {
+public record Load(int running, long unreadMillis, long heldTokens, Outcomes outcomes, Pace pace) {
 
     /** No requests. */
     public static final Load NONE = new Load(0, 0);
 
     public Load {
         Objects.requireNonNull(outcomes, "outcomes is null");
+        Objects.requireNonNull(pace, "pace is null");
     }
 
     /**
-     * Creates a load without outcomes.
+     * Creates a load without outcomes that holds no memory.
      *
      * @param running the number of running requests
      * @param unreadMillis as in the record; milliseconds
@@ -30,6 +33,17 @@
         this(running, unreadMillis, Outcomes.NONE);
     }
 
+    /**
+     * Creates a load that holds no memory.
+     *
+     * @param running the number of running requests
+     * @param unreadMillis as in the record; milliseconds
+     * @param outcomes the recent outcomes
+     */
+    public Load(final int running, final long unreadMillis, final Outcomes outcomes) {
+        this(running, unreadMillis, 0, outcomes, Pace.NONE);
+    }
+
     /**
      * Returns the sum of two loads.
      *
@@ -40,7 +54,9 @@
         return new Load(
                 running + other.running,
                 unreadMillis + other.unreadMillis,
-                outcomes.plus(other.outcomes));
+                heldTokens + other.heldTokens,
+                outcomes.plus(other.outcomes),
+                pace.plus(other.pace));
     }
 
     /**
@@ -53,27 +69,53 @@
         return new Load(
                 running - other.running,
                 unreadMillis - other.unreadMillis,
-                outcomes.minus(other.outcomes));
+                heldTokens - other.heldTokens,
+                outcomes.minus(other.outcomes),
+                pace.minus(other.pace));
+    }
+
+    /**
+     * Returns this load with counts of at least zero; the difference of two loads of different ages
+     * may have lower ones.
+     *
+     * @return the load
+     */
+    public Load withoutNegatives() {
+        return new Load(
+                Math.max(0, running),
+                Math.max(0, unreadMillis),
+                Math.max(0, heldTokens),
+                outcomes,
+                pace);
     }
 
     /**
      * Returns this load as one VM may report it.
      *
      * @return the load, with outcomes whose weight is limited for the invariant of {@link
-     *     OutlierDetection}
+     *     OutlierDetection}, and with a pace of limited weight
      */
     public Load reportedByOneVm() {
         return new Load(
                 running,
                 unreadMillis,
-                outcomes.withExcessAtMost(OutlierDetection.MAX_REPORTED_EXCESS));
+                heldTokens,
+                outcomes.withExcessAtMost(OutlierDetection.MAX_REPORTED_EXCESS),
+                pace.withSamplesAtMost(Pace.MAX_REPORTED_SAMPLES));
     }
 
-    Load withoutOutcomes() {
-        return new Load(running, unreadMillis);
+    /** Returns this load without what is known of recent requests. */
+    Load withoutHistory() {
+        return new Load(running, unreadMillis, heldTokens, Outcomes.NONE, Pace.NONE);
     }
 
+    /** Returns the requests of this load times a factor, without what is known of recent ones. */
     Load times(final double factor) {
-        return new Load((int) Math.round(running * factor), Math.round(unreadMillis * factor));
+        return new Load(
+                (int) Math.round(running * factor),
+                Math.round(unreadMillis * factor),
+                Math.round(heldTokens * factor),
+                Outcomes.NONE,
+                Pace.NONE);
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/LoadBoard.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/LoadBoard.java
@@ -16,8 +16,8 @@
  * <p>A VM sees only its own requests, which are a fraction of the load of each backend server. The
  * VMs therefore report their load to each other several times a second.
  *
- * <p>They report the outcomes of their requests with them, which are read less often than the loads
- * and summed when they are.
+ * <p>They report the outcomes and the pace of their requests with them, which are read less often
+ * than the loads and summed when they are.
  *
  * <p>Invariant: the sum for a backend server is that of the latest report of each VM that is not
  * older than {@link #REPORT_TTL_MILLIS}. Not thread-safe.
@@ -108,14 +108,15 @@
         final long now = clock.millis();
         reports.put(source, new Report(now, now - ageMillis, Map.copyOf(loads)));
         oldestFirst.addLast(source);
-        loads.forEach((server, load) -> sums.merge(server, load.withoutOutcomes(), Load::plus));
+        loads.forEach((server, load) -> sums.merge(server, load.withoutHistory(), Load::plus));
     }
 
     /**
      * Returns the load of the other VMs at a backend server.
      *
      * @param server the backend server
-     * @return their load without outcomes, scaled up for VMs that do not report to this one
+     * @return their load without outcomes and pace, scaled up for VMs that do not report to this
+     *     one
      */
     public Load others(final BackendServerId server) {
         removeExpired();
@@ -172,8 +173,7 @@
                         (server, load) ->
                                 sums.computeIfPresent(
                                         server,
-                                        (s, sum) ->
-                                                emptyToNull(sum.minus(load.withoutOutcomes()))));
+                                        (s, sum) -> emptyToNull(sum.minus(load.withoutHistory()))));
     }
 
     private static Load emptyToNull(final Load load) {
--- a/fennelstage-core/src/main/java/org/fennelstage/policy/Mechanism.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/policy/Mechanism.java
@@ -28,7 +28,15 @@
     /** Requests to a saturated backend server need a permit from the VM that counts them. */
     PERMITS,
     /** Backend servers that fail more often than others by the responses to all VMs are avoided. */
-    OUTLIER_DETECTION;
+    OUTLIER_DETECTION,
+    /** Permits for a saturated backend server are shared by priority and team. */
+    FAIR_ADMISSION,
+    /** Placement considers that backend servers of one service differ in speed. */
+    SERVER_SPEEDS,
+    /** Placement considers the memory that the requests at a backend server hold. */
+    SERVER_MEMORY,
+    /** A VM that starts while the store is unavailable to it uses the state of another VM. */
+    STATE_COPIES;
 
     /**
      * Returns the name on the command line.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
@@ -110,11 +110,7 @@
     }
 
     private Load withoutOwn(final BackendServerId server, final Load sum) {
-        final Load others = sum.minus(lastSent.getOrDefault(server, Load.NONE));
-        return new Load(
-                Math.max(0, others.running()),
-                Math.max(0, others.unreadMillis()),
-                others.outcomes());
+        return sum.minus(lastSent.getOrDefault(server, Load.NONE)).withoutNegatives();
     }
 
     private void sendLoads(final Map<BackendServerId, Load> loads) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -20,6 +20,7 @@
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.fleet.Outcomes;
+import org.fennelstage.fleet.Pace;
 import org.fennelstage.fleet.RateLimit;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
@@ -87,13 +88,17 @@
 
     /**
      * Id of a backend server, its requests, and milliseconds of unread prompts; then, if there are
-     * outcomes, its start time and hundredths of responses and of excess failures. Outcomes contain
-     * no comma: a pattern without them finds the same id, requests and milliseconds.
+     * outcomes, its start time and hundredths of responses and of excess failures; then, if any,
+     * the tokens held; then, if there is a pace, the start time and hundredths of samples and of
+     * the sum of logarithms. What follows the milliseconds contains no comma: a pattern without it
+     * finds the same id, requests and milliseconds.
      */
     Pattern LOAD =
             Pattern.compile(
                     "([A-Za-z0-9][A-Za-z0-9._-]{0,95}),([0-9]{1,6}),([0-9]{1,9})"
-                            + "(?:/([0-9]{1,18})/([0-9]{1,9})/(-?[0-9]{1,9}))?");
+                            + "(?:/([0-9]{1,18})/([0-9]{1,9})/(-?[0-9]{1,9}))?"
+                            + "(?:\\+([0-9]{1,12}))?"
+                            + "(?:@([0-9]{1,18})/([0-9]{1,9})/(-?[0-9]{1,9}))?");
 
     /** Service, version, era and revision, and milliseconds since the order. */
     Pattern ROLLOUT =
@@ -415,7 +420,9 @@
                 + load.running()
                 + ","
                 + load.unreadMillis()
-                + outcomesText(load.outcomes());
+                + outcomesText(load.outcomes())
+                + (load.heldTokens() <= 0 ? "" : "+" + load.heldTokens())
+                + paceText(load.pace());
     }
 
     private static String loadsText(final Map<BackendServerId, Load> loads) {
@@ -435,6 +442,12 @@
                         + outcomes.excessUnits();
     }
 
+    private static String paceText(final Pace pace) {
+        return pace.sampleUnits() == 0
+                ? ""
+                : "@" + pace.startMillis() + "/" + pace.sampleUnits() + "/" + pace.logUnits();
+    }
+
     private static Incarnation incarnation(final String id, final String startMillis) {
         return new Incarnation(BackendServerId.of(id), Long.parseLong(startMillis));
     }
@@ -489,7 +502,9 @@
                     new Load(
                             Integer.parseInt(entry.group(2)),
                             Long.parseLong(entry.group(3)),
-                            outcomes(entry)));
+                            entry.group(7) == null ? 0 : Long.parseLong(entry.group(7)),
+                            outcomes(entry),
+                            pace(entry)));
         }
         return loads;
     }
@@ -502,4 +517,13 @@
                         Long.parseLong(entry.group(5)),
                         Long.parseLong(entry.group(6)));
     }
+
+    private static Pace pace(final Matcher entry) {
+        return entry.group(8) == null
+                ? Pace.NONE
+                : Pace.ofUnits(
+                        Long.parseLong(entry.group(8)),
+                        Long.parseLong(entry.group(9)),
+                        Long.parseLong(entry.group(10)));
+    }
 }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -24,6 +24,7 @@
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.Load;
 import org.fennelstage.fleet.Outcomes;
+import org.fennelstage.fleet.Pace;
 import org.fennelstage.fleet.RateLimit;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
@@ -34,6 +35,8 @@
 
 class PeerMessageTest {
 
+    private static final long START_MILLIS = 1_700_000_000_000L;
+
     @Property(tries = 200)
     void loadsRoundTrip(@ForAll final List<@IntRange(max = 999_999) Integer> counts) {
         final Map<BackendServerId, Load> loads = new HashMap<>();
@@ -48,7 +51,7 @@
     void loadsWithOutcomesRoundTrip(
             @ForAll @IntRange(min = 1, max = 999_999) final int responses,
             @ForAll @IntRange(min = -999_999, max = 999_999) final int excess) {
-        final Load load = new Load(2, 30, Outcomes.ofUnits(1_700_000_000_000L, responses, excess));
+        final Load load = new Load(2, 30, Outcomes.ofUnits(START_MILLIS, responses, excess));
         final PeerMessage message =
                 new PeerMessage.LoadSums(
                         VmId.of("edge-1"),
@@ -61,12 +64,39 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
-    /** Guards against outcomes that a pattern for loads alone would take for loads. */
+    @Property(tries = 200)
+    void loadsWithMemoryAndPaceRoundTrip(
+            @ForAll @IntRange(max = 999_999) final int heldTokens,
+            @ForAll @IntRange(min = 1, max = 999_999) final int samples,
+            @ForAll @IntRange(min = -999_999, max = 999_999) final int logSum,
+            @ForAll final boolean withOutcomes) {
+        final Outcomes outcomes =
+                withOutcomes ? Outcomes.ofUnits(START_MILLIS, 450, -63) : Outcomes.NONE;
+        final Load load =
+                new Load(2, 30, heldTokens, outcomes, Pace.ofUnits(START_MILLIS, samples, logSum));
+        final PeerMessage message =
+                new PeerMessage.Loads(
+                        VmId.of("edge-1"),
+                        Map.of(
+                                BackendServerId.of("i-1"),
+                                load,
+                                BackendServerId.of("i-2"),
+                                new Load(4, 5, heldTokens, outcomes, Pace.NONE)));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
+    /** Guards against later fields that a pattern for loads alone would take for loads. */
     @Test
-    void patternWithoutOutcomesFindsOnlyTheLoadsBesideThem() {
+    void patternWithoutLaterFieldsFindsOnlyTheLoadsBesideThem() {
         final Pattern withoutOutcomes =
                 Pattern.compile("([A-Za-z0-9][A-Za-z0-9._-]{0,95}),([0-9]{1,6}),([0-9]{1,9})");
-        final Load load = new Load(2, 30, Outcomes.ofUnits(1_700_000_000_000L, 450, -63));
+        final Load load =
+                new Load(
+                        2,
+                        30,
+                        45_000,
+                        Outcomes.ofUnits(START_MILLIS, 450, -63),
+                        Pace.ofUnits(START_MILLIS, 380, -12));
         final String text =
                 new PeerMessage.Loads(
                                 VmId.of("edge-1"),
