Compare servers and compute reports only where there is something to find

Cause: ten times a second each VM summed all reports to compare all servers, and computed the outcomes of each server twice. Change: no comparison while the excess failures of all reports and of this VM are too few for an outlier; one report for each server, only for servers with recent responses. FailingServerTest, OutlierDetectionTest, LoadReportsTest pass with their assertions unchanged, and three new tests.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/LoadBoard.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/LoadBoard.java
@@ -30,7 +30,8 @@
      */
     private static final long REPORT_TTL_MILLIS = 1_200;
 
-    private record Report(long atMillis, long madeMillis, Map<BackendServerId, Load> loads) {}
+    private record Report(
+            long atMillis, long madeMillis, Map<BackendServerId, Load> loads, double excess) {}
 
     /** The sender of a report: a VM and, for a report in several parts, the number of the part. */
     private record Source(VmId vm, int part) {}
@@ -106,7 +107,8 @@
         final Source source = new Source(vm, part);
         remove(source);
         final long now = clock.millis();
-        reports.put(source, new Report(now, now - ageMillis, Map.copyOf(loads)));
+        reports.put(
+                source, new Report(now, now - ageMillis, Map.copyOf(loads), positiveExcess(loads)));
         oldestFirst.addLast(source);
         loads.forEach((server, load) -> sums.merge(server, load.withoutHistory(), Load::plus));
     }
@@ -152,6 +154,28 @@
         return all;
     }
 
+    /**
+     * Returns a bound on the excess failures of each backend server in {@link #sums}.
+     *
+     * @return the sum of the excess failures of all reports, without those below 0
+     */
+    double maxExcess() {
+        removeExpired();
+        double excess = 0;
+        for (final Report report : reports.values()) {
+            excess += report.excess();
+        }
+        return excess;
+    }
+
+    private static double positiveExcess(final Map<BackendServerId, Load> loads) {
+        double excess = 0;
+        for (final Load load : loads.values()) {
+            excess += Math.max(0, load.outcomes().excess());
+        }
+        return excess;
+    }
+
     private void removeExpired() {
         while (!oldestFirst.isEmpty()) {
             final Source oldest = oldestFirst.peekFirst();
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/OutlierDetection.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/OutlierDetection.java
@@ -39,6 +39,12 @@
     /** Responses from which on the failure rate of a backend server is compared with. */
     private static final double MIN_RESPONSES = 5;
 
+    /**
+     * Excess failures below which no backend server is an outlier, however few its responses are;
+     * slightly less, so that rounding hides none.
+     */
+    private static final double MIN_EXCESS = ServerHealth.SUSPECT_RATE * PRIOR_RESPONSES - 1e-6;
+
     /**
      * A backend server that began or ceased to be an outlier for this VM.
      *
@@ -83,6 +89,9 @@
      * @return what has changed
      */
     public List<Change> update(final Collection<TrackedServer> servers) {
+        if (outliers.isEmpty() && !mayFindOutlier(servers)) {
+            return List.of();
+        }
         final Map<BackendServerId, Load> others = board.sums();
         final Map<Group, Map<TrackedServer, Outcomes>> groups = new HashMap<>();
         for (final TrackedServer server : servers) {
@@ -99,6 +108,18 @@
         return changes;
     }
 
+    /**
+     * Returns whether a comparison could find an outlier. Without this check, which needs no sums,
+     * the comparison is a large part of the processor time of an idle VM.
+     */
+    private boolean mayFindOutlier(final Collection<TrackedServer> servers) {
+        double ownExcess = 0;
+        for (final TrackedServer server : servers) {
+            ownExcess = Math.max(ownExcess, server.health().excessAtLastEnd());
+        }
+        return board.maxExcess() + ownExcess >= MIN_EXCESS;
+    }
+
     private void compare(final Map<TrackedServer, Outcomes> group, final List<Change> changes) {
         final boolean reported = group.values().stream().anyMatch(o -> o.responses() > 0);
         group.replaceAll((server, others) -> pooled(server, others));
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerHealth.java
@@ -58,6 +58,12 @@
      */
     private static final double OUTCOME_HALF_LIFE_MILLIS = 1_000;
 
+    /**
+     * Half-lives after which the outcomes of as many as 80,000 responses round to nothing in a
+     * report, since 0.005 * 2^24 is 83,886.
+     */
+    private static final double HALF_LIVES_TO_NOTHING = 24;
+
     /** How long an outlier stays suspect at least; longer than until it is compared again. */
     private static final long OUTLIER_MILLIS = 300;
 
@@ -261,6 +267,18 @@
         return outcomes.times(Math.pow(0.5, age / OUTCOME_HALF_LIFE_MILLIS));
     }
 
+    /** Returns whether a report may contain outcomes of this VM's requests. */
+    boolean hasRecentResponses() {
+        return outcomes.responses() > 0
+                && clock.millis() - outcomesAtMillis
+                        <= OUTCOME_HALF_LIFE_MILLIS * HALF_LIVES_TO_NOTHING;
+    }
+
+    /** Returns the excess of the outcomes when the last response ended, not less than it is now. */
+    double excessAtLastEnd() {
+        return Math.max(0, outcomes.excess());
+    }
+
     /**
      * Records that the backend server fails more often than others, by the responses to all VMs.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -130,6 +130,15 @@
         return health.outcomes().from(entry.incarnation().startMillis());
     }
 
+    /**
+     * Returns whether there may be outcomes to report; cheaper than {@link #report}.
+     *
+     * @return false if the last response is so old that its weight is 0 in a report
+     */
+    public boolean hasRecentResponses() {
+        return health.hasRecentResponses();
+    }
+
     /**
      * Returns what this VM reports to other VMs.
      *
--- a/fennelstage-core/src/test/java/org/fennelstage/fleet/OutlierDetectionTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/fleet/OutlierDetectionTest.java
@@ -172,4 +172,34 @@
         now.addAndGet(1_000);
         assertThat(a.outcomes()).isEqualTo(new Outcomes(START, 0.5, 0.5));
     }
+
+    /** Guards against a comparison that is skipped although it would find an outlier. */
+    @Test
+    void serverWithTheLeastExcessOfAnOutlierIsFound() {
+        report("vm-1", outcomes(0.1, 1.54), outcomes(20, 0));
+        assertThat(update()).containsExactly(true);
+    }
+
+    /** Guards against failures that are offset by the successes of other servers. */
+    @Test
+    void successesOfAnotherServerDoNotHideFailures() {
+        for (final String vm : List.of("vm-1", "vm-2", "vm-3")) {
+            report(vm, outcomes(1, 1), outcomes(20, -5));
+        }
+        assertThat(update()).containsExactly(true);
+    }
+
+    /** Guards against outcomes that are left out of a report although they have weight. */
+    @Test
+    void onlyResponsesWithoutWeightInAReportAreNotRecent() {
+        for (int i = 0; i < 100; i++) {
+            a.health().onEnd(i % 2 == 0, 0.1);
+        }
+        while (a.hasRecentResponses()) {
+            now.addAndGet(100);
+        }
+        assertThat(a.report().outcomes()).isEqualTo(Outcomes.NONE);
+        a.health().onEnd(true, 0);
+        assertThat(a.hasRecentResponses()).isTrue();
+    }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -53,7 +54,7 @@
     private static final int MAX_SERVERS_WITH_OUTCOMES = 12;
 
     /** A backend server and the weight of all its responses, however many of them failed. */
-    private record Responses(TrackedServer server, double weight) {
+    private record Responses(TrackedServer server, Load report, double weight) {
 
         private static final Comparator<Responses> MOST_FIRST =
                 Comparator.comparingDouble(Responses::weight)
@@ -116,12 +117,14 @@
         }
         busy.sort(
                 Comparator.comparingLong((TrackedServer s) -> s.load().unreadMillis()).reversed());
-        final Set<TrackedServer> withOutcomes = servers.reachesMost() ? withOutcomes() : Set.of();
+        final Map<TrackedServer, Load> withOutcomes =
+                servers.reachesMost() ? withOutcomes() : Map.of();
         final Set<TrackedServer> reported = new LinkedHashSet<>(busy);
-        reported.addAll(withOutcomes);
+        reported.addAll(withOutcomes.keySet());
         final LoadsInDatagram loads = new LoadsInDatagram(new PeerMessage.Loads(own, Map.of()));
         for (final TrackedServer server : reported) {
-            final Load load = withOutcomes.contains(server) ? server.report() : server.load();
+            final Load report = withOutcomes.get(server);
+            final Load load = report == null ? server.load() : report;
             // Shorter ones that follow would come before a server with more unread prompts.
             if (!loads.add(server.entry().id(), load)) {
                 break;
@@ -130,33 +133,39 @@
         return loads.loads();
     }
 
-    private Set<TrackedServer> withOutcomes() {
+    private Map<TrackedServer, Load> withOutcomes() {
+        final List<Responses> responses = new ArrayList<>();
+        for (final TrackedServer server : servers.all()) {
+            // Most servers have had no response lately, and computing a report is costly.
+            if (server.hasRecentResponses()) {
+                final Load report = server.report();
+                if (report.outcomes().responses() > 0) {
+                    responses.add(new Responses(server, report, server.outcomes().responses()));
+                }
+            }
+        }
+        if (responses.isEmpty()) {
+            return Map.of();
+        }
+        responses.sort(Responses.MOST_FIRST);
         final Map<ServiceName, List<Responses>> services = new HashMap<>();
-        servers.all().stream()
-                .filter(server -> server.report().outcomes().responses() > 0)
-                .map(server -> new Responses(server, server.outcomes().responses()))
-                .sorted(Responses.MOST_FIRST)
-                .forEach(
-                        r ->
-                                services.computeIfAbsent(
-                                                r.server().entry().service(),
-                                                s -> new ArrayList<>())
-                                        .add(r));
-        final Set<TrackedServer> chosen = new LinkedHashSet<>();
+        for (final Responses r : responses) {
+            services.computeIfAbsent(r.server().entry().service(), s -> new ArrayList<>()).add(r);
+        }
+        final Map<TrackedServer, Load> chosen = new LinkedHashMap<>();
         for (int turn = 0; chosen.size() < MAX_SERVERS_WITH_OUTCOMES; turn++) {
             final int index = turn;
-            final List<TrackedServer> next =
+            final List<Responses> next =
                     services.values().stream()
                             .filter(service -> index < service.size())
                             .map(service -> service.get(index))
                             .sorted(Responses.MOST_FIRST)
-                            .map(Responses::server)
                             .limit(MAX_SERVERS_WITH_OUTCOMES - chosen.size())
                             .toList();
             if (next.isEmpty()) {
                 break;
             }
-            chosen.addAll(next);
+            next.forEach(r -> chosen.put(r.server(), r.report()));
         }
         return chosen;
     }
