Show the processor time of a start; create random numbers without a search

Cause: an operator did not see what a start takes; RandomGenerator.of loads each algorithm of the JDK. Change: FS1002 has cpu_ms and since_start_ms, metric fennelstage_gateway_start_cpu_seconds; SplittableRandom.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -8,6 +8,7 @@
 import java.time.InstantSource;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
@@ -86,7 +87,8 @@
         this.group = new NioEventLoopGroup(1);
         this.loop = group.next();
         final MonotonicClock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-        final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+        // RandomGenerator.of would load every algorithm of the JDK during the start.
+        final RandomGenerator random = new SplittableRandom();
         this.state = new GatewayState(clock, settings.bounds());
         final HttpClient serverClient = new HttpClient(loop);
         final HttpClient storeClient = new HttpClient(loop);
@@ -236,7 +238,14 @@
                 ServerLimits.DEFAULT,
                 exchange -> handlePeer(exchange, relay));
         if (settings.metrics().isPresent()) {
-            final VmMetrics vmMetrics = new VmMetrics(metrics, state, gateway, eras, serverClient);
+            final VmMetrics vmMetrics =
+                    new VmMetrics(
+                            metrics,
+                            state,
+                            gateway,
+                            eras,
+                            serverClient,
+                            readiness::startProcessorSeconds);
             HttpServer.start(group, settings.metrics().get(), ServerLimits.DEFAULT, vmMetrics);
         }
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
@@ -1,5 +1,7 @@
 package org.fennelstage.vm;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Objects;
 import org.fennelstage.gateway.GatewayState;
 import org.fennelstage.http.RequestHandler;
@@ -19,6 +21,7 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final VmSettings settings;
     private final GatewayState state;
@@ -27,6 +30,7 @@
     private boolean quarantineListed;
     private boolean evacuationsListed;
     private boolean ready;
+    private Duration startProcessorTime = Duration.ZERO;
     private boolean stopping;
 
     Readiness(final VmSettings settings, final GatewayState state) {
@@ -74,6 +78,8 @@
                         && state.configuration().isPresent();
         if (knowsAll && !ready && !stopping) {
             ready = true;
+            final ProcessHandle.Info process = ProcessHandle.current().info();
+            startProcessorTime = process.totalCpuDuration().orElse(Duration.ZERO);
             EventLog.write(
                     Event.READY,
                     "vm",
@@ -81,10 +87,27 @@
                     "configuration",
                     state.configuration().get().version(),
                     "servers",
-                    state.servers().size());
+                    state.servers().size(),
+                    "cpu_ms",
+                    startProcessorTime.toMillis(),
+                    "since_start_ms",
+                    process.startInstant().map(Readiness::millisSince).orElse(0L));
         }
     }
 
+    private static long millisSince(final Instant start) {
+        return Duration.between(start, Instant.now()).toMillis();
+    }
+
+    /**
+     * Returns the processor time of the process until the VM was ready.
+     *
+     * @return seconds, 0 if the VM was never ready
+     */
+    double startProcessorSeconds() {
+        return startProcessorTime.toMillis() / MILLIS_PER_SECOND;
+    }
+
     @Override
     public void handle(final ServerExchange exchange) {
         if (!exchange.path().equals(settings.readinessPath())) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.DoubleSupplier;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
 import org.fennelstage.gateway.GatewayState;
@@ -28,12 +29,17 @@
             final GatewayState state,
             final Gateway gateway,
             final EraTracker eras,
-            final HttpClient serverClient) {
+            final HttpClient serverClient,
+            final DoubleSupplier startProcessorSeconds) {
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         metrics.gauge(
                 "fennelstage_gateway_worker_connections_opened",
                 "Connections opened to workers",
                 serverClient::connectionsOpened);
+        metrics.gauge(
+                "fennelstage_gateway_start_cpu_seconds",
+                "Processor time of the process until the VM was ready; 0 before",
+                startProcessorSeconds);
         metrics.gauge(
                 "fennelstage_log_lines_dropped",
                 "Log lines dropped because the queue was full",
