Fair shares of the permits of a saturated server, by priority and team

Cause: permits were issued first come, first served. Change: package admission computes shares from demand and capacity; ServerPermits issues by them when the ledger is made with fair shares (not yet wired into the VM).

--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/Admission.java
@@ -0,0 +1,38 @@
+package org.fennelstage.admission;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * What a request may use of a saturated backend server by the share of its class. Immutable and
+ * thread-safe.
+ *
+ * @param traffic the class as which the request counts
+ * @param standing how the class stands with its share
+ * @param admittedPart the part of the requests of the class that its share admits, in [0, 1]
+ * @param untilCredit the time until the credit of the class holds a permit; zero if it does
+ * @param metPart the part of the capacity that goes to classes within their share, in [0, 1]
+ */
+public record Admission(
+        TrafficClass traffic,
+        Standing standing,
+        double admittedPart,
+        Duration untilCredit,
+        double metPart) {
+
+    /** How a class stands with its share. */
+    public enum Standing {
+        /** The class gets all it asks for. */
+        WITHIN_SHARE,
+        /** The class asks for more than its share; this request is a part of the share. */
+        LIMITED,
+        /** The class asks for more than its share, and this request exceeds it. */
+        OVER_SHARE
+    }
+
+    public Admission {
+        Objects.requireNonNull(traffic, "traffic is null");
+        Objects.requireNonNull(standing, "standing is null");
+        Objects.requireNonNull(untilCredit, "untilCredit is null");
+    }
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/FairShares.java
@@ -0,0 +1,255 @@
+package org.fennelstage.admission;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import org.fennelstage.id.TeamId;
+
+/**
+ * Divides the capacity of a backend server between traffic classes: by priority, and within a
+ * priority by max-min fairness between teams.
+ *
+ * <p>Laws: without shortage each class gets its demand. With shortage the shares add up to the
+ * capacity; no class gets more than its demand, nor less than {@link #MIN_PART} times its demand at
+ * the average rate of admission. Immutable and thread-safe.
+ *
+ * <pre>{@code
+ * // capacity 10; urgent demand 4 of a team; two teams of the next priority ask for 2 and 8
+ * // shares: urgent 4, the small team 2, the large team 4
+ * }</pre>
+ */
+public final class FairShares {
+
+    /**
+     * Smallest rate of admission as a part of the average rate. Callers need some progress in each
+     * class; 0.3 leaves room above a quarter for chance over ten seconds.
+     */
+    static final double MIN_PART = 0.3;
+
+    /**
+     * How much a team may take before less urgent requests of others, in multiples of what it would
+     * get without priorities. A team that sends too much at an urgent priority would else take the
+     * capacity of all less urgent requests; 2 leaves urgent requests of large teams their priority.
+     */
+    private static final double MAX_URGENT = 2;
+
+    /** The demand and share of a class; requests per second. */
+    private static final class Claim {
+        private final TrafficClass traffic;
+        private final double demand;
+        private double share;
+
+        private Claim(final TrafficClass traffic, final double demand, final double minimum) {
+            this.traffic = traffic;
+            this.demand = demand;
+            this.share = minimum;
+        }
+    }
+
+    private final double capacity;
+    private final Map<TrafficClass, Double> limited;
+    private final double metPart;
+
+    private FairShares(final double capacity, final Map<TrafficClass, Double> limited) {
+        this(capacity, limited, 1);
+    }
+
+    private FairShares(
+            final double capacity, final Map<TrafficClass, Double> limited, final double metPart) {
+        this.capacity = capacity;
+        this.limited = limited;
+        this.metPart = metPart;
+    }
+
+    /**
+     * Returns the shares without shortage.
+     *
+     * @param capacity the requests per second that the backend server can complete, positive
+     * @return shares that limit no class
+     */
+    public static FairShares unlimited(final double capacity) {
+        return new FairShares(capacity, Map.of());
+    }
+
+    /**
+     * Computes the shares.
+     *
+     * @param capacity the requests per second that the backend server can complete, positive
+     * @param demands the requests per second of each class, not negative
+     * @return the shares
+     */
+    public static FairShares of(final double capacity, final Map<TrafficClass, Double> demands) {
+        Objects.requireNonNull(demands, "demands is null");
+        final double total = sum(demands.values());
+        if (total <= capacity) {
+            return unlimited(capacity);
+        }
+        final Map<Optional<TeamId>, Double> teams = new HashMap<>();
+        demands.forEach((traffic, demand) -> teams.merge(traffic.team(), demand, Double::sum));
+        final double teamLevel = level(capacity, teams.values());
+        final Map<Integer, List<Claim>> priorities = new TreeMap<>();
+        demands.forEach(
+                (traffic, demand) -> {
+                    // By the average rate alone, one team's demand would lower all minimums.
+                    final double teamRate = Math.min(1, teamLevel / teams.get(traffic.team()));
+                    final double minimum = MIN_PART * demand * Math.max(capacity / total, teamRate);
+                    priorities
+                            .computeIfAbsent(traffic.priority(), p -> new ArrayList<>())
+                            .add(new Claim(traffic, demand, minimum));
+                });
+        divide(capacity, priorities.values(), MAX_URGENT * teamLevel);
+        return of(capacity, priorities.values());
+    }
+
+    private static FairShares of(final double capacity, final Collection<List<Claim>> priorities) {
+        final Map<TrafficClass, Double> limited = new HashMap<>();
+        double met = 0;
+        for (final List<Claim> claims : priorities) {
+            for (final Claim claim : claims) {
+                if (claim.share < claim.demand) {
+                    limited.put(claim.traffic, claim.share);
+                } else {
+                    met += claim.share;
+                }
+            }
+        }
+        return new FairShares(capacity, Collections.unmodifiableMap(limited), met / capacity);
+    }
+
+    /** Raises the shares from the minimums until the capacity is used. */
+    private static void divide(
+            final double capacity,
+            final Collection<List<Claim>> priorities,
+            final double maxOfTeam) {
+        final Map<Optional<TeamId>, Double> shares = new HashMap<>();
+        double left = capacity;
+        for (final List<Claim> claims : priorities) {
+            for (final Claim claim : claims) {
+                shares.merge(claim.traffic.team(), claim.share, Double::sum);
+                left -= claim.share;
+            }
+        }
+        for (final List<Claim> claims : priorities) {
+            left -=
+                    raise(
+                            claims,
+                            left,
+                            c -> c.share + maxOfTeam - shares.get(c.traffic.team()),
+                            shares);
+        }
+        for (final List<Claim> claims : priorities) {
+            left -= raise(claims, left, c -> c.demand, shares);
+        }
+    }
+
+    /**
+     * Raises the shares of one priority to a common level.
+     *
+     * @return by how much the shares were raised in total
+     */
+    private static double raise(
+            final List<Claim> claims,
+            final double available,
+            final ToDoubleFunction<Claim> bound,
+            final Map<Optional<TeamId>, Double> shares) {
+        final double[] bounds = new double[claims.size()];
+        double high = 0;
+        for (int i = 0; i < bounds.length; i++) {
+            final Claim claim = claims.get(i);
+            bounds[i] = Math.max(claim.share, Math.min(claim.demand, bound.applyAsDouble(claim)));
+            high = Math.max(high, bounds[i]);
+        }
+        double level = high;
+        if (raised(claims, bounds, high) > available) {
+            // The total is piecewise linear in the level, with two kinds of bounds; halving is
+            // exact to a millionth of a rate and needs no case for each kind of segment.
+            double low = 0;
+            for (int i = 0; i < 30; i++) {
+                level = (low + high) / 2;
+                if (raised(claims, bounds, level) <= available) {
+                    low = level;
+                } else {
+                    high = level;
+                }
+            }
+            level = low;
+        }
+        double total = 0;
+        for (int i = 0; i < bounds.length; i++) {
+            final Claim claim = claims.get(i);
+            final double added = Math.max(0, Math.min(bounds[i], level) - claim.share);
+            claim.share = added > 0 ? Math.min(bounds[i], level) : claim.share;
+            shares.merge(claim.traffic.team(), added, Double::sum);
+            total += added;
+        }
+        return total;
+    }
+
+    private static double raised(
+            final List<Claim> claims, final double[] bounds, final double level) {
+        double total = 0;
+        for (int i = 0; i < bounds.length; i++) {
+            total += Math.max(0, Math.min(bounds[i], level) - claims.get(i).share);
+        }
+        return total;
+    }
+
+    /** Returns the max-min fair level of demands whose sum exceeds the capacity. */
+    private static double level(final double capacity, final Collection<Double> demands) {
+        final double[] sorted =
+                demands.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+        double left = capacity;
+        for (int i = 0; i < sorted.length; i++) {
+            final double level = left / (sorted.length - i);
+            if (sorted[i] >= level) {
+                return level;
+            }
+            left -= sorted[i];
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+
+    private static double sum(final Collection<Double> rates) {
+        return rates.stream().mapToDouble(Double::doubleValue).sum();
+    }
+
+    /**
+     * Returns the capacity that is divided.
+     *
+     * @return requests per second
+     */
+    public double capacity() {
+        return capacity;
+    }
+
+    /**
+     * Returns the share of a class that gets less than it asks for.
+     *
+     * @param traffic the class
+     * @return requests per second; infinite if the class is not limited
+     */
+    public double limit(final TrafficClass traffic) {
+        return limited.getOrDefault(traffic, Double.POSITIVE_INFINITY);
+    }
+
+    /**
+     * Returns which part of the capacity goes to classes that get all they ask for.
+     *
+     * @return the part, in [0, 1]
+     */
+    public double metPart() {
+        return metPart;
+    }
+
+    @Override
+    public String toString() {
+        return "FairShares[capacity=" + capacity + ", limited=" + limited + "]";
+    }
+}
--- a/fennelstage-core/src/main/java/org/fennelstage/permit/PermitLedger.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/PermitLedger.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.fennelstage.admission.AdmissionChange;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.time.MonotonicClock;
 
@@ -24,20 +26,32 @@
     private static final long MEMORY_MILLIS = 60_000;
 
     private final MonotonicClock clock;
+    private final boolean fair;
     private final Map<Incarnation, ServerPermits> servers = new HashMap<>();
 
-    private PermitLedger(final MonotonicClock clock) {
+    private PermitLedger(final MonotonicClock clock, final boolean fair) {
         this.clock = clock;
+        this.fair = fair;
     }
 
     /**
-     * Returns a ledger without permits.
+     * Returns a ledger without permits that issues them first come, first served.
      *
      * @param clock the clock
      * @return the ledger
      */
     public static PermitLedger empty(final MonotonicClock clock) {
-        return new PermitLedger(Objects.requireNonNull(clock, "clock is null"));
+        return new PermitLedger(Objects.requireNonNull(clock, "clock is null"), false);
+    }
+
+    /**
+     * Returns a ledger without permits that shares them by the priority and team of requests.
+     *
+     * @param clock the clock
+     * @return the ledger
+     */
+    public static PermitLedger emptyWithFairShares(final MonotonicClock clock) {
+        return new PermitLedger(Objects.requireNonNull(clock, "clock is null"), true);
     }
 
     /**
@@ -52,7 +66,8 @@
             final Incarnation server, final PermitId permit, final PermitTerms terms) {
         final long now = clock.millis();
         servers.values().removeIf(s -> s.lastRequestMillis() < now - MEMORY_MILLIS);
-        return servers.computeIfAbsent(server, s -> new ServerPermits()).issue(permit, terms, now);
+        return servers.computeIfAbsent(server, s -> new ServerPermits(fair))
+                .issue(permit, terms, now);
     }
 
     /**
@@ -71,6 +86,20 @@
         }
     }
 
+    /**
+     * Returns which priorities and teams began or ceased to be limited since the last call, by
+     * backend server.
+     *
+     * @return the changes; servers without any are missing
+     */
+    public Map<Incarnation, List<AdmissionChange>> admissionChanges() {
+        final long now = clock.millis();
+        final Map<Incarnation, List<AdmissionChange>> changes = new HashMap<>();
+        servers.forEach((server, permits) -> changes.put(server, permits.admissionChanges(now)));
+        changes.values().removeIf(List::isEmpty);
+        return changes;
+    }
+
     @Override
     public String toString() {
         return "PermitLedger[servers=" + servers.size() + "]";
--- a/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
@@ -2,8 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fennelstage.admission.Admission;
+import org.fennelstage.admission.AdmissionChange;
+import org.fennelstage.admission.ClassAdmission;
+import org.fennelstage.admission.TrafficClass;
 
 /**
  * The permits issued for one backend server, and its slot time as they show it.
@@ -36,9 +41,31 @@
     /** How long an objective counts after the last request that has it; milliseconds. */
     private static final long OBJECTIVE_MEMORY_MILLIS = 1_000;
 
+    /**
+     * Part of the waiting places that is kept free for classes within their share if the whole
+     * capacity goes to them, so that they do not get fewer permits by the chance of their arrival.
+     */
+    private static final double RESERVED_PART = 0.5;
+
+    /**
+     * Part of the waiting places that requests over their share may take. With none, slots whose
+     * permits are returned together stay unused until the next request arrives.
+     */
+    private static final double LENT_PART = 0.25;
+
+    /**
+     * Part of the objective after which a request over its share is repeated if most of its class
+     * are denied. Of four times as many callers that returned later, nearly all responses were
+     * late.
+     */
+    private static final double REPEAT_PART = 0.25;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private record Issued(long atMillis, long leaseEndMillis, double aheadPerSlot) {}
 
     private final Map<PermitId, Issued> issued = new HashMap<>();
+    private final Optional<ClassAdmission> shares;
     private double deniedShare;
     private int samples;
     private double slotMillis;
@@ -49,6 +76,15 @@
     private Optional<Duration> shortestObjective = Optional.empty();
     private long objectiveUntilMillis;
 
+    /**
+     * Creates an account without permits.
+     *
+     * @param fair whether permits are shared by priority and team, else first come, first served
+     */
+    ServerPermits(final boolean fair) {
+        this.shares = fair ? Optional.of(new ClassAdmission()) : Optional.empty();
+    }
+
     PermitDecision issue(final PermitId permit, final PermitTerms terms, final long nowMillis) {
         lastRequestMillis = nowMillis;
         issued.values().removeIf(i -> i.leaseEndMillis() <= nowMillis);
@@ -58,7 +94,10 @@
         final int limit =
                 QueueLimit.requests(terms.capacity(), Math.max(1, slot), transitMillis, objective);
         final int counted = counted(objective, nowMillis);
-        final boolean mayIssue = counted < limit;
+        final Optional<Admission> admission = admission(terms, slot, nowMillis);
+        final boolean mayIssue =
+                counted < admission.map(a -> limit(a, terms.capacity(), slot, limit)).orElse(limit);
+        onDecided(admission, mayIssue, counted < limit, nowMillis);
         if (mayIssue) {
             final double ahead = Math.max(0, atServer(counted) + 1 - terms.capacity());
             final long leaseEndMillis = nowMillis + terms.lease().toMillis();
@@ -70,7 +109,71 @@
                 mayIssue ? counted + 1 : counted,
                 limit,
                 Duration.ofMillis(Math.round(slot)),
-                untilRoom(slot, terms.capacity()));
+                untilRoom(admission, slot, terms.capacity(), objective),
+                admission);
+    }
+
+    private Optional<Admission> admission(
+            final PermitTerms terms, final double slot, final long nowMillis) {
+        final double perSecond = MILLIS_PER_SECOND * terms.capacity() / Math.max(1, slot);
+        return shares.map(
+                s ->
+                        s.onRequest(
+                                terms.traffic().orElse(TrafficClass.UNKNOWN),
+                                perSecond,
+                                nowMillis));
+    }
+
+    /** Returns how many permits may be issued for a request to get one. */
+    private int limit(
+            final Admission admission, final int capacity, final double slot, final int limit) {
+        // Without time to wait the limit is what keeps all slots in use.
+        final int busy =
+                QueueLimit.requests(capacity, Math.max(1, slot), transitMillis, Duration.ZERO);
+        final int waiting = Math.max(0, limit - busy);
+        return switch (admission.standing()) {
+            case WITHIN_SHARE -> limit;
+            case LIMITED -> limit - (int) (RESERVED_PART * admission.metPart() * waiting);
+            case OVER_SHARE -> limit - waiting + (int) (LENT_PART * waiting);
+        };
+    }
+
+    private void onDecided(
+            final Optional<Admission> admission,
+            final boolean issued,
+            final boolean wouldBeIssued,
+            final long nowMillis) {
+        if (issued) {
+            admission.ifPresent(a -> shares.orElseThrow().onIssued(a));
+        } else if (wouldBeIssued) {
+            admission.ifPresent(a -> shares.orElseThrow().onDenied(a, nowMillis));
+        }
+    }
+
+    /** Returns the classes that began or ceased to be limited since the last call. */
+    List<AdmissionChange> admissionChanges(final long nowMillis) {
+        return shares.map(s -> s.changes(nowMillis)).orElse(List.of());
+    }
+
+    /**
+     * Returns when a denied request of a class may be repeated. Over its share it is likely to get
+     * a permit when the class has credit again, unless most of the class are denied; then no later
+     * repetition is likelier to get one, and it is made while the response can still be in time.
+     */
+    private Duration untilRoom(
+            final Optional<Admission> admission,
+            final double slot,
+            final int capacity,
+            final Duration objective) {
+        final Duration room = untilRoom(slot, capacity);
+        if (admission.isEmpty()) {
+            return room;
+        }
+        final double creditMillis = admission.get().untilCredit().toMillis();
+        final double likely = Math.max(0, passing(1 - admission.get().admittedPart()));
+        final double inTimeMillis = objective.toMillis() * REPEAT_PART;
+        final double millis = Math.max(creditMillis * likely, Math.min(creditMillis, inTimeMillis));
+        return Duration.ofMillis(Math.max(room.toMillis(), Math.round(millis)));
     }
 
     /**
@@ -79,10 +182,15 @@
      * permit, but its response is later; so it is made when the next slot is free.
      */
     private Duration untilRoom(final double slot, final int capacity) {
-        final double slots = Math.min(1, 2 - deniedShare / FEW_DENIED);
+        final double slots = passing(deniedShare);
         return Duration.ofMillis(Math.round(slot * Math.max(1.0 / capacity, slots)));
     }
 
+    /** Returns 1 if a shortage passes by the share of denied requests, and 0 or less if not. */
+    private static double passing(final double denied) {
+        return Math.min(1, 2 - denied / FEW_DENIED);
+    }
+
     /**
      * Returns the shortest objective of recent requests. It applies to all, since those with a
      * longer one would fill the queue in which the others become late.
