Permits are shared by priority and team: messages, gateway, log, metrics, tests

Cause: the counting VM did not know for whom a permit is asked. Change: permit-request carries priority and team, GatewayVm makes the ledger with fair shares unless fair-admission is switched off, FS4035 and a counter show who is limited. Waiting places are kept free for classes in the measure in which more of them is admitted; a team's urgent requests go first up to 1.5 times its fair share.

--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
@@ -1,9 +1,13 @@
 package org.fennelstage.bench;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.fennelstage.admission.Admission;
+import org.fennelstage.admission.ClassAdmission;
+import org.fennelstage.admission.TrafficClass;
 import org.fennelstage.backend.ServerLoads;
 import org.fennelstage.backend.ServerSelector;
 import org.fennelstage.configuration.Configuration;
@@ -53,6 +57,9 @@
     private Team team;
     private Evidence evidence;
     private long prefix;
+    private final ClassAdmission admission = new ClassAdmission();
+    private final TrafficClass[] traffic = new TrafficClass[24 * 2];
+    private long admissionMillis;
 
     /** Prepares random loads, eleven model versions and evidence on a new version. */
     @Setup
@@ -78,6 +85,9 @@
                         1,
                         1,
                         false);
+        for (int i = 0; i < traffic.length; i++) {
+            traffic[i] = TrafficClass.of(i % 2, Optional.of(TeamId.of("t" + i / 2)));
+        }
         evidence = Evidence.of(900, new long[] {900, 300, 900, 900}, new long[] {9, 15, 0, 10});
     }
 
@@ -94,6 +104,17 @@
         return affinitySelector.choose(loads, prefix++);
     }
 
+    /**
+     * Decides on a request at a saturated backend server by the shares of 24 teams with two
+     * priorities each; the shares are computed for every one of them, not ten times a second.
+     */
+    @Benchmark
+    public Admission admission() {
+        admissionMillis += 100;
+        return admission.onRequest(
+                traffic[(int) (admissionMillis / 100 % traffic.length)], 5, admissionMillis);
+    }
+
     /** Chooses the model version of a request. */
     @Benchmark
     public VersionChooser.Choice version() {
--- a/fennelstage-core/src/main/java/org/fennelstage/admission/Admission.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/Admission.java
@@ -11,14 +11,15 @@
  * @param standing how the class stands with its share
  * @param admittedPart the part of the requests of the class that its share admits, in [0, 1]
  * @param untilCredit the time until the credit of the class holds a permit; zero if it does
- * @param metPart the part of the capacity that goes to classes within their share, in [0, 1]
+ * @param protectedPart the part of the capacity that goes to classes of which a larger part is
+ *     admitted, in [0, 1]
  */
 public record Admission(
         TrafficClass traffic,
         Standing standing,
         double admittedPart,
         Duration untilCredit,
-        double metPart) {
+        double protectedPart) {
 
     /** How a class stands with its share. */
     public enum Standing {
@@ -35,4 +36,14 @@
         Objects.requireNonNull(standing, "standing is null");
         Objects.requireNonNull(untilCredit, "untilCredit is null");
     }
+
+    /**
+     * Returns what a request may use whose class gets all it asks for.
+     *
+     * @param traffic the class as which the request counts
+     * @return all that the limit allows
+     */
+    static Admission withinShare(final TrafficClass traffic) {
+        return new Admission(traffic, Standing.WITHIN_SHARE, 1, Duration.ZERO, 0);
+    }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/admission/ClassAdmission.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/ClassAdmission.java
@@ -73,25 +73,28 @@
             nextUpdateMillis = nowMillis + UPDATE_MILLIS;
             update(capacityPerSecond, nowMillis);
         }
-        final double limit = shares.limit(traffic);
-        if (Double.isInfinite(limit)) {
-            return new Admission(
-                    traffic, Admission.Standing.WITHIN_SHARE, 1, Duration.ZERO, shares.metPart());
-        }
+        return shares.limit(traffic)
+                .map(limit -> limited(traffic, limit, nowMillis))
+                .orElse(Admission.withinShare(traffic));
+    }
+
+    private Admission limited(
+            final TrafficClass traffic, final FairShares.Limit limit, final long nowMillis) {
+        final double rate = limit.perSecond();
         final State state = state(traffic, nowMillis);
-        final double max = MAX_CREDIT_PERMITS + limit * MAX_CREDIT_SECONDS;
-        final double earned = limit * (nowMillis - state.creditAtMillis) / MILLIS_PER_SECOND;
+        final double max = MAX_CREDIT_PERMITS + rate * MAX_CREDIT_SECONDS;
+        final double earned = rate * (nowMillis - state.creditAtMillis) / MILLIS_PER_SECOND;
         state.credit = Math.min(max, state.credit + earned);
         state.creditAtMillis = nowMillis;
         final boolean hasCredit = state.credit >= 1;
         final double untilCredit =
-                hasCredit ? 0 : Math.ceil((1 - state.credit) / limit * MILLIS_PER_SECOND);
+                hasCredit ? 0 : Math.ceil((1 - state.credit) / rate * MILLIS_PER_SECOND);
         return new Admission(
                 traffic,
                 hasCredit ? Admission.Standing.LIMITED : Admission.Standing.OVER_SHARE,
-                limit / rates.get(traffic),
+                limit.admittedPart(),
                 Duration.ofMillis((long) untilCredit),
-                shares.metPart());
+                limit.protectedPart());
     }
 
     private State state(final TrafficClass traffic, final long nowMillis) {
@@ -166,7 +169,7 @@
                 limited,
                 state.denied,
                 rates.getOrDefault(traffic, 0.0),
-                shares.limit(traffic),
+                shares.perSecond(traffic),
                 shares.capacity());
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/admission/FairShares.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/FairShares.java
@@ -36,9 +36,10 @@
     /**
      * How much a team may take before less urgent requests of others, in multiples of what it would
      * get without priorities. A team that sends too much at an urgent priority would else take the
-     * capacity of all less urgent requests; 2 leaves urgent requests of large teams their priority.
+     * capacity of all less urgent requests; 1.5 leaves urgent requests of large teams their
+     * priority.
      */
-    private static final double MAX_URGENT = 2;
+    private static final double MAX_URGENT = 1.5;
 
     /** The demand and share of a class; requests per second. */
     private static final class Claim {
@@ -51,21 +52,28 @@
             this.demand = demand;
             this.share = minimum;
         }
+
+        private double admittedPart() {
+            return demand == 0 ? 1 : share / demand;
+        }
     }
 
-    private final double capacity;
-    private final Map<TrafficClass, Double> limited;
-    private final double metPart;
+    /**
+     * The share of a class that gets less than it asks for. Immutable.
+     *
+     * @param perSecond requests per second that are admitted
+     * @param admittedPart the part of its requests that are admitted
+     * @param protectedPart the part of the capacity that goes to classes of which a larger part is
+     *     admitted; those of which only a little more is admitted count little
+     */
+    record Limit(double perSecond, double admittedPart, double protectedPart) {}
 
-    private FairShares(final double capacity, final Map<TrafficClass, Double> limited) {
-        this(capacity, limited, 1);
-    }
+    private final double capacity;
+    private final Map<TrafficClass, Limit> limits;
 
-    private FairShares(
-            final double capacity, final Map<TrafficClass, Double> limited, final double metPart) {
+    private FairShares(final double capacity, final Map<TrafficClass, Limit> limits) {
         this.capacity = capacity;
-        this.limited = limited;
-        this.metPart = metPart;
+        this.limits = limits;
     }
 
     /**
@@ -109,18 +117,24 @@
     }
 
     private static FairShares of(final double capacity, final Collection<List<Claim>> priorities) {
-        final Map<TrafficClass, Double> limited = new HashMap<>();
-        double met = 0;
-        for (final List<Claim> claims : priorities) {
-            for (final Claim claim : claims) {
-                if (claim.share < claim.demand) {
-                    limited.put(claim.traffic, claim.share);
-                } else {
-                    met += claim.share;
-                }
+        final List<Claim> all = priorities.stream().flatMap(List::stream).toList();
+        final Map<TrafficClass, Limit> limits = new HashMap<>();
+        for (final Claim claim : all) {
+            if (claim.share < claim.demand) {
+                final double admitted = claim.admittedPart();
+                final double others = protectedShares(all, admitted);
+                limits.put(claim.traffic, new Limit(claim.share, admitted, others / capacity));
             }
         }
-        return new FairShares(capacity, Collections.unmodifiableMap(limited), met / capacity);
+        return new FairShares(capacity, Collections.unmodifiableMap(limits));
+    }
+
+    private static double protectedShares(final List<Claim> claims, final double admittedPart) {
+        double sum = 0;
+        for (final Claim claim : claims) {
+            sum += claim.share * Math.max(0, claim.admittedPart() - admittedPart);
+        }
+        return sum / (1 - admittedPart);
     }
 
     /** Raises the shares from the minimums until the capacity is used. */
@@ -233,23 +247,24 @@
      * Returns the share of a class that gets less than it asks for.
      *
      * @param traffic the class
-     * @return requests per second; infinite if the class is not limited
+     * @return the share; empty if the class is not limited
      */
-    public double limit(final TrafficClass traffic) {
-        return limited.getOrDefault(traffic, Double.POSITIVE_INFINITY);
+    Optional<Limit> limit(final TrafficClass traffic) {
+        return Optional.ofNullable(limits.get(traffic));
     }
 
     /**
-     * Returns which part of the capacity goes to classes that get all they ask for.
+     * Returns how many requests of a class are admitted.
      *
-     * @return the part, in [0, 1]
+     * @param traffic the class
+     * @return requests per second; infinite if the class is not limited
      */
-    public double metPart() {
-        return metPart;
+    public double perSecond(final TrafficClass traffic) {
+        return limit(traffic).map(Limit::perSecond).orElse(Double.POSITIVE_INFINITY);
     }
 
     @Override
     public String toString() {
-        return "FairShares[capacity=" + capacity + ", limited=" + limited + "]";
+        return "FairShares[capacity=" + capacity + ", limited=" + limits.keySet() + "]";
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
@@ -42,16 +42,18 @@
     private static final long OBJECTIVE_MEMORY_MILLIS = 1_000;
 
     /**
-     * Part of the waiting places that is kept free for classes within their share if the whole
-     * capacity goes to them, so that they do not get fewer permits by the chance of their arrival.
+     * Part of the waiting places that is kept free for classes of which a larger part is admitted
+     * if the whole capacity goes to them, so that they get no fewer permits by the chance of their
+     * arrival. With the whole of it 3% fewer requests were served in simulations.
      */
-    private static final double RESERVED_PART = 0.5;
+    private static final double RESERVED_PART = 0.75;
 
     /**
-     * Part of the waiting places that requests over their share may take. With none, slots whose
-     * permits are returned together stay unused until the next request arrives.
+     * Part of the waiting places that requests over their share may take if no class has a larger
+     * part admitted. With none, slots whose permits are returned together stay unused until the
+     * next request arrives.
      */
-    private static final double LENT_PART = 0.25;
+    private static final double LENT_PART = 0.5;
 
     /**
      * Part of the objective after which a request over its share is repeated if most of its class
@@ -133,8 +135,18 @@
         final int waiting = Math.max(0, limit - busy);
         return switch (admission.standing()) {
             case WITHIN_SHARE -> limit;
-            case LIMITED -> limit - (int) (RESERVED_PART * admission.metPart() * waiting);
-            case OVER_SHARE -> limit - waiting + (int) (LENT_PART * waiting);
+            case LIMITED -> limit - (int) (RESERVED_PART * admission.protectedPart() * waiting);
+            // Where none may wait, one permit is kept for the others unless it is the only one.
+            case OVER_SHARE ->
+                    Math.max(
+                            1,
+                            Math.min(
+                                    limit - 1,
+                                    busy
+                                            + (int)
+                                                    (LENT_PART
+                                                            * (1 - admission.protectedPart())
+                                                            * waiting)));
         };
     }
 
--- a/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
@@ -5,8 +5,12 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.admission.Admission;
+import org.fennelstage.admission.Admission.Standing;
+import org.fennelstage.admission.TrafficClass;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.TeamId;
 import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.Test;
 
@@ -164,6 +168,25 @@
         assertThat(ledger.issue(SERVER, next(), TERMS).untilRoom()).hasMillis(10);
     }
 
+    /** Guards against one time to return for all, which is wrong for those over their share. */
+    @Test
+    void theTimeToReturnFollowsFromTheShareOfThePriorityAndTeam() {
+        final PermitLedger fair = PermitLedger.emptyWithFairShares(now::get);
+        final PermitTerms small = TERMS.of(TrafficClass.of(2, Optional.of(TeamId.of("small"))));
+        PermitDecision lastOfSmall = fair.issue(SERVER, next(), small);
+        PermitDecision last = lastOfSmall;
+        for (int i = 0; i < 4_000; i++) {
+            now.addAndGet(2);
+            final Optional<TeamId> team = Optional.of(TeamId.of("large-" + i % 20));
+            last = fair.issue(SERVER, next(), TERMS.of(TrafficClass.of(2, team)));
+            lastOfSmall = i % 500 == 0 ? fair.issue(SERVER, next(), small) : lastOfSmall;
+        }
+        assertThat(last.admission().map(Admission::standing)).contains(Standing.OVER_SHARE);
+        assertThat(lastOfSmall.admission().map(Admission::standing))
+                .contains(Standing.WITHIN_SHARE);
+        assertThat(last.untilRoom()).isGreaterThan(lastOfSmall.untilRoom().multipliedBy(2));
+    }
+
     @Test
     void requestsWithoutAResponseDoNotChangeTheSlotTime() {
         serve(40, 300);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
@@ -6,6 +6,8 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.DoubleSupplier;
+import org.fennelstage.admission.TrafficClass;
+import org.fennelstage.id.TeamId;
 
 /** Prometheus metrics of the gateway. Thread-safe. */
 public final class GatewayMetrics {
@@ -33,6 +35,14 @@
                     .help("Requests for permits at saturated servers by service and result")
                     .labelNames("service", "result")
                     .register(registry);
+    private final Counter admissions =
+            Counter.builder()
+                    .name("fennelstage_gateway_admissions_total")
+                    .help(
+                            "Decisions of this VM on permits at saturated servers, by priority, team"
+                                    + " and result")
+                    .labelNames("priority", "team", "result")
+                    .register(registry);
     private final Counter sentToWarmingUp =
             Counter.builder()
                     .name("fennelstage_gateway_cold_server_requests_total")
@@ -98,6 +108,21 @@
         permits.labelValues(service, result.name()).inc();
     }
 
+    /**
+     * Counts a decision on a permit.
+     *
+     * @param traffic the priority and team of the request
+     * @param result the result of the decision
+     */
+    public void admission(final TrafficClass traffic, final String result) {
+        admissions
+                .labelValues(
+                        Integer.toString(traffic.priority()),
+                        traffic.team().map(TeamId::value).orElse("-"),
+                        result)
+                .inc();
+    }
+
     void attempt(final String service, final String end) {
         attempts.labelValues(service, end).inc();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.fennelstage.admission.TrafficClass;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
@@ -35,13 +37,27 @@
     private final Gateway gateway;
     private final Route route;
     private final RequestLog log;
+    private final Optional<TrafficClass> traffic;
     private final Set<Incarnation> denied = new HashSet<>();
     private Duration retryAfter = Duration.ZERO;
 
-    PermitCheck(final Gateway gateway, final Route route, final RequestLog log) {
+    /**
+     * Creates a check for a request without permits.
+     *
+     * @param gateway the gateway
+     * @param route the route of the request
+     * @param log the log of the request
+     * @param traffic the priority and team of the request; empty if permits are not shared by them
+     */
+    PermitCheck(
+            final Gateway gateway,
+            final Route route,
+            final RequestLog log,
+            final Optional<TrafficClass> traffic) {
         this.gateway = Objects.requireNonNull(gateway, "gateway is null");
         this.route = Objects.requireNonNull(route, "route is null");
         this.log = Objects.requireNonNull(log, "log is null");
+        this.traffic = Objects.requireNonNull(traffic, "traffic is null");
     }
 
     /**
@@ -87,9 +103,15 @@
     void request(
             final TrackedServer server, final Duration remaining, final Consumer<Permit> listener) {
         final int capacity = Math.max(1, server.entry().capacity());
-        // No request may wait at a brittle server.
-        final Duration objective = isBrittle(server) ? Duration.ZERO : route.objective();
-        final PermitTerms terms = new PermitTerms(capacity, objective, lease(remaining));
+        // No request may wait at a brittle server, and its permits are not shared: there are none
+        // for requests that wait, and its prompts are admitted by the expected wait.
+        final boolean brittle = isBrittle(server);
+        final PermitTerms terms =
+                new PermitTerms(
+                        capacity,
+                        brittle ? Duration.ZERO : route.objective(),
+                        lease(remaining),
+                        brittle ? Optional.empty() : traffic);
         gateway.permits()
                 .request(
                         server.entry(),
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.fennelstage.admission.TrafficClass;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.AttemptLog;
 import org.fennelstage.attempt.LatencyEstimator;
@@ -112,7 +113,7 @@
                         request, fingerprints, route, priority, configuration.version(), attempts);
         this.models = ModelChoice.of(route, gateway);
         this.waitEstimator = new WaitEstimator(gateway, request);
-        this.permits = new PermitCheck(gateway, route, log);
+        this.permits = new PermitCheck(gateway, route, log, traffic());
         this.forwarding = new Forwarding(this, !forwarded);
         this.errors = new ErrorResponder(gateway, exchange, request.id(), waitEstimator, log);
         this.arrivedMillis = now();
@@ -124,6 +125,13 @@
         this.response = new CallerResponse(exchange, this::onFirstByte);
     }
 
+    /** Returns the priority and team by which permits are shared, empty if they are not. */
+    private Optional<TrafficClass> traffic() {
+        return gateway.policy().uses(Mechanism.FAIR_ADMISSION)
+                ? Optional.of(TrafficClass.of(priority, access.map(TeamAccess::team)))
+                : Optional.empty();
+    }
+
     void start() {
         gateway.onRequestStarted();
         exchange.onClosed(this::onCallerDisconnected);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -27,6 +27,7 @@
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.log.LogSetup;
+import org.fennelstage.permit.PermitLedger;
 import org.fennelstage.placement.Placement;
 import org.fennelstage.policy.Mechanism;
 import org.fennelstage.serving.CallerLimits;
@@ -71,6 +72,7 @@
     private final LoadReports loadReports;
     private final RolloutAges rolloutAges;
     private final ChangeReports changeReports;
+    private final AdmissionMonitor admission;
     private final PeerMessageDispatcher dispatcher;
     private final HttpServer callerListener;
     private final EraTracker eras = EraTracker.empty();
@@ -172,6 +174,11 @@
                         () -> this.settings.bounds().maxPropagationDelay());
         final LoadCollection collection =
                 new LoadCollection(settings.vm(), peers, loadBoard, messenger::send, clock);
+        final PermitLedger ledger =
+                settings.policy().uses(Mechanism.FAIR_ADMISSION)
+                        ? PermitLedger.emptyWithFairShares(clock)
+                        : PermitLedger.empty(clock);
+        this.admission = new AdmissionMonitor(ledger, metrics);
         final PermitExchange permits =
                 new PermitExchange(
                         settings.vm(),
@@ -179,6 +186,8 @@
                         messenger::send,
                         this::schedule,
                         clock,
+                        ledger,
+                        admission::onDecision,
                         random.nextLong(MAX_FIRST_PERMIT));
         if (settings.policy().uses(Mechanism.PERMITS)) {
             gateway.usePermits(permits);
@@ -439,6 +448,7 @@
             if (settings.policy().uses(Mechanism.OUTLIER_DETECTION)) {
                 checkOutliers();
             }
+            admission.logChanges();
             gateway.checkInactivity();
             if (settings.policy().uses(Mechanism.LOAD_REPORTS)) {
                 loadReports.sendDue();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitExchange.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitExchange.java
@@ -49,19 +49,22 @@
     private final BiConsumer<Runnable, Duration> schedule;
     private final MonotonicClock clock;
     private final PermitLedger ledger;
+    private final Consumer<PermitDecision> onDecision;
     private final UnresponsiveVms unresponsive;
     private final Map<VmId, Integer> unanswered = new HashMap<>();
     private final Map<PermitId, Pending> pending = new HashMap<>();
     private long lastNumber;
 
     /**
-     * Creates an exchange without permits.
+     * Creates an exchange.
      *
      * @param own this VM
      * @param peers the VMs
      * @param send sends messages to other VMs
      * @param schedule runs an action after a time
      * @param clock the clock
+     * @param ledger the permits that this VM has issued
+     * @param onDecision is informed of each decision of this VM
      * @param firstNumber the number of the first permit; random, so that permits of this VM are not
      *     taken for those that it asked for before it was restarted
      */
@@ -71,13 +74,16 @@
             final BiConsumer<PeerMessage, List<InetSocketAddress>> send,
             final BiConsumer<Runnable, Duration> schedule,
             final MonotonicClock clock,
+            final PermitLedger ledger,
+            final Consumer<PermitDecision> onDecision,
             final long firstNumber) {
         this.own = Objects.requireNonNull(own, "own is null");
         this.peers = Objects.requireNonNull(peers, "peers is null");
         this.send = Objects.requireNonNull(send, "send is null");
         this.schedule = Objects.requireNonNull(schedule, "schedule is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
-        this.ledger = PermitLedger.empty(clock);
+        this.ledger = Objects.requireNonNull(ledger, "ledger is null");
+        this.onDecision = Objects.requireNonNull(onDecision, "onDecision is null");
         this.unresponsive = new UnresponsiveVms(clock);
         this.lastNumber = firstNumber - 1;
     }
@@ -92,7 +98,7 @@
         final Incarnation incarnation = server.incarnation();
         final VmId issuer = issuer(server);
         if (issuer.equals(own)) {
-            final PermitDecision decision = ledger.issue(incarnation, permit, terms);
+            final PermitDecision decision = issue(incarnation, permit, terms);
             listener.accept(
                     Permit.of(
                             decision,
@@ -148,14 +154,20 @@
     }
 
     private void onRequest(final PermitMessage.Request request) {
-        final PermitDecision decision =
-                ledger.issue(request.server(), request.permit(), request.terms());
+        final PermitDecision decision = issue(request.server(), request.permit(), request.terms());
 
         sendTo(
                 request.permit().holder(),
                 new PermitMessage.Reply(request.permit(), request.server(), own, decision));
     }
 
+    private PermitDecision issue(
+            final Incarnation server, final PermitId permit, final PermitTerms terms) {
+        final PermitDecision decision = ledger.issue(server, permit, terms);
+        onDecision.accept(decision);
+        return decision;
+    }
+
     private void onReply(final PermitMessage.Reply reply) {
         final Pending request = pending.remove(reply.permit());
         final Permit.GiveBack giveBack =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PermitMessage.java
@@ -5,8 +5,10 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.fennelstage.admission.TrafficClass;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.TeamId;
 import org.fennelstage.id.VmId;
 import org.fennelstage.permit.PermitDecision;
 import org.fennelstage.permit.PermitId;
@@ -24,10 +26,19 @@
             " ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})"
                     + " ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})";
 
-    /** A permit, the capacity, and the objective and the lease in milliseconds. */
+    /** Team of a request without one. */
+    String NO_TEAM = "-";
+
+    /**
+     * A permit, the capacity, and the objective and the lease in milliseconds; then the priority
+     * and the team of the request, if the VM that asks names them.
+     */
     Pattern REQUEST =
             Pattern.compile(
-                    "permit-request" + PERMIT + " ([1-9][0-9]{0,5}) ([0-9]{1,9}) ([0-9]{1,9})");
+                    "permit-request"
+                            + PERMIT
+                            + " ([1-9][0-9]{0,5}) ([0-9]{1,9}) ([0-9]{1,9})"
+                            + "(?: ([0-9]{1,2}) (-|[A-Za-z0-9][A-Za-z0-9._-]{0,95}))?");
 
     /**
      * A permit, the issuing VM, whether it was issued, the number of issued permits, the limit, and
@@ -71,7 +82,8 @@
                     + " "
                     + terms.objective().toMillis()
                     + " "
-                    + terms.lease().toMillis();
+                    + terms.lease().toMillis()
+                    + terms.traffic().map(PermitMessage::trafficText).orElse("");
         }
     }
 
@@ -152,7 +164,8 @@
                             new PermitTerms(
                                     Integer.parseInt(request.group(5)),
                                     millis(request.group(6)),
-                                    millis(request.group(7)))));
+                                    millis(request.group(7)),
+                                    traffic(request))));
         }
         final Matcher reply = REPLY.matcher(text);
         if (reply.matches()) {
@@ -180,6 +193,21 @@
                 : Optional.empty();
     }
 
+    private static String trafficText(final TrafficClass traffic) {
+        return " " + traffic.priority() + " " + traffic.team().map(TeamId::value).orElse(NO_TEAM);
+    }
+
+    private static Optional<TrafficClass> traffic(final Matcher request) {
+        return Optional.ofNullable(request.group(8))
+                .map(
+                        priority ->
+                                new TrafficClass(
+                                        Integer.parseInt(priority),
+                                        Optional.of(request.group(9))
+                                                .filter(team -> !team.equals(NO_TEAM))
+                                                .map(TeamId::of)));
+    }
+
     private static String permitText(final PermitId permit, final Incarnation server) {
         return " "
                 + permit.holder().value()
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PermitExchangeTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PermitExchangeTest.java
@@ -14,6 +14,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.admission.Admission;
+import org.fennelstage.admission.TrafficClass;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
@@ -22,7 +24,10 @@
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.DataCentreId;
 import org.fennelstage.id.ServiceName;
+import org.fennelstage.id.TeamId;
 import org.fennelstage.id.VmId;
+import org.fennelstage.permit.PermitDecision;
+import org.fennelstage.permit.PermitLedger;
 import org.fennelstage.permit.PermitTerms;
 import org.fennelstage.store.ManualStore;
 import org.fennelstage.store.Page;
@@ -49,6 +54,7 @@
     private final List<Runnable> timeouts = new ArrayList<>();
     private final List<Runnable> delayed = new ArrayList<>();
     private final List<Permit> replies = new ArrayList<>();
+    private final List<PermitDecision> decisions = new ArrayList<>();
     private boolean delaying;
 
     private final ServerEntry server = server("i-1", "dc-b");
@@ -69,6 +75,8 @@
                             this::send,
                             (task, delay) -> timeouts.add(task),
                             now::get,
+                            PermitLedger.emptyWithFairShares(now::get),
+                            decisions::add,
                             1);
         }
 
@@ -217,6 +225,21 @@
         assertThat(granted()).isEqualTo(2);
     }
 
+    /** Guards against requests of the previous version that get no reply, or more than others. */
+    @Test
+    void aRequestWithoutPriorityAndTeamIsDecidedAsTheLeastUrgent() {
+        vm(1).permits
+                .request(
+                        server,
+                        TERMS.of(TrafficClass.of(2, Optional.of(TeamId.of("t-1")))),
+                        TIMEOUT,
+                        replies::add);
+        vm(2).request();
+        assertThat(granted()).isEqualTo(2);
+        assertThat(decisions.get(1).admission().map(Admission::traffic))
+                .contains(TrafficClass.of(2, Optional.empty()));
+    }
+
     /** Guards against permits that count although the request was sent without. */
     @Test
     void aPermitThatArrivesAfterTheTimeoutIsReturned() {
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -101,6 +101,11 @@
             4032,
             Level.INFO,
             "backend server began or ceased to fail more often than others of its service"),
+    ADMISSION_LIMITED(
+            4035,
+            Level.INFO,
+            "requests of a priority and team at a saturated backend server began or ceased to be"
+                    + " limited to their share"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
