--- a/fennelstage-core/src/main/java/org/fennelstage/admission/ClassAdmission.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/ClassAdmission.java
@@ -26,8 +26,8 @@
     private static final long UPDATE_MILLIS = 100;
 
     /**
-     * Largest credit: permits, and seconds of the rate. So many more than on average arrive by
-     * chance in a slot time; a class that sent little before must not displace others for long.
+     * Largest credit: permits, and seconds of the rate. Requests of a class that arrive together by
+     * chance are admitted; a class that sent little before does not displace others for long.
      */
     private static final double MAX_CREDIT_PERMITS = 3;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/admission/FairShares.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/FairShares.java
@@ -41,6 +41,9 @@
      */
     private static final double MAX_URGENT = 1.5;
 
+    /** Part of a demand below which a difference is an error of the computation. */
+    private static final double PRECISION = 1e-6;
+
     /** The demand and share of a class; requests per second. */
     private static final class Claim {
         private final TrafficClass traffic;
@@ -120,7 +123,7 @@
         final List<Claim> all = priorities.stream().flatMap(List::stream).toList();
         final Map<TrafficClass, Limit> limits = new HashMap<>();
         for (final Claim claim : all) {
-            if (claim.share < claim.demand) {
+            if (claim.admittedPart() < 1 - PRECISION) {
                 final double admitted = claim.admittedPart();
                 final double others = protectedShares(all, admitted);
                 limits.put(claim.traffic, new Limit(claim.share, admitted, others / capacity));
--- a/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/permit/ServerPermits.java
@@ -44,7 +44,7 @@
     /**
      * Part of the waiting places that is kept free for classes of which a larger part is admitted
      * if the whole capacity goes to them, so that they get no fewer permits by the chance of their
-     * arrival. With the whole of it 3% fewer requests were served in simulations.
+     * arrival. With the whole of it 2 to 4% fewer requests were served in simulations.
      */
     private static final double RESERVED_PART = 0.75;
 
@@ -57,8 +57,8 @@
 
     /**
      * Part of the objective after which a request over its share is repeated if most of its class
-     * are denied. Of four times as many callers that returned later, nearly all responses were
-     * late.
+     * are denied, so that its response can be in time. When such requests waited for credit, 0.48
+     * instead of 0.55 of all responses were in time in a simulation.
      */
     private static final double REPEAT_PART = 0.25;
 
@@ -117,7 +117,11 @@
 
     private Optional<Admission> admission(
             final PermitTerms terms, final double slot, final long nowMillis) {
-        final double perSecond = MILLIS_PER_SECOND * terms.capacity() / Math.max(1, slot);
+        // Without a sample the rate of the server is unknown, and so is any shortage.
+        final double perSecond =
+                samples == 0
+                        ? Double.POSITIVE_INFINITY
+                        : MILLIS_PER_SECOND * terms.capacity() / Math.max(1, slot);
         return shares.map(
                 s ->
                         s.onRequest(
--- a/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
@@ -173,7 +173,10 @@
     void theTimeToReturnFollowsFromTheShareOfThePriorityAndTeam() {
         final PermitLedger fair = PermitLedger.emptyWithFairShares(now::get);
         final PermitTerms small = TERMS.of(TrafficClass.of(2, Optional.of(TeamId.of("small"))));
-        PermitDecision lastOfSmall = fair.issue(SERVER, next(), small);
+        final PermitId first = next();
+        PermitDecision lastOfSmall = fair.issue(SERVER, first, small);
+        now.addAndGet(50);
+        fair.onReturned(SERVER, first, Optional.of(Duration.ofMillis(50)));
         Duration longest = Duration.ZERO;
         for (int i = 0; i < 4_000; i++) {
             now.addAndGet(2);
@@ -188,6 +191,20 @@
         assertThat(longest).isGreaterThan(lastOfSmall.untilRoom().multipliedBy(2));
     }
 
+    /** Guards against denials by a rate of the server that no response has shown. */
+    @Test
+    void withoutAnyResponsePermitsAreNotShared() {
+        final PermitLedger fair = PermitLedger.emptyWithFairShares(now::get);
+        for (int i = 0; i < 4_000; i++) {
+            now.addAndGet(2);
+            final Optional<TeamId> team = Optional.of(TeamId.of(i % 9 == 0 ? "small" : "large"));
+            final PermitDecision decision =
+                    fair.issue(SERVER, next(), TERMS.of(TrafficClass.of(2, team)));
+            assertThat(decision.admission().map(Admission::standing))
+                    .contains(Standing.WITHIN_SHARE);
+        }
+    }
+
     @Test
     void requestsWithoutAResponseDoNotChangeTheSlotTime() {
         serve(40, 300);
