Shares are computed with fewer passes over the classes

Cause: a decision that computes the shares of 48 classes took 51 us of processor time, above the bound of 50. Change: a priority is not raised when nothing is left, and the loops run over arrays.

--- a/fennelstage-core/src/main/java/org/fennelstage/admission/FairShares.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/admission/FairShares.java
@@ -41,7 +41,7 @@
      */
     private static final double MAX_URGENT = 1.5;
 
-    /** Part of a demand below which a difference is an error of the computation. */
+    /** Rate, or part of a demand, below which a difference is an error of the computation. */
     private static final double PRECISION = 1e-6;
 
     /** The demand and share of a class; requests per second. */
@@ -121,21 +121,24 @@
 
     private static FairShares of(final double capacity, final Collection<List<Claim>> priorities) {
         final List<Claim> all = priorities.stream().flatMap(List::stream).toList();
+        final double[] shares = all.stream().mapToDouble(c -> c.share).toArray();
+        final double[] parts = all.stream().mapToDouble(Claim::admittedPart).toArray();
         final Map<TrafficClass, Limit> limits = new HashMap<>();
         for (final Claim claim : all) {
             if (claim.admittedPart() < 1 - PRECISION) {
                 final double admitted = claim.admittedPart();
-                final double others = protectedShares(all, admitted);
+                final double others = protectedShares(shares, parts, admitted);
                 limits.put(claim.traffic, new Limit(claim.share, admitted, others / capacity));
             }
         }
         return new FairShares(capacity, Collections.unmodifiableMap(limits));
     }
 
-    private static double protectedShares(final List<Claim> claims, final double admittedPart) {
+    private static double protectedShares(
+            final double[] shares, final double[] parts, final double admittedPart) {
         double sum = 0;
-        for (final Claim claim : claims) {
-            sum += claim.share * Math.max(0, claim.admittedPart() - admittedPart);
+        for (int i = 0; i < shares.length; i++) {
+            sum += shares[i] * Math.max(0, parts[i] - admittedPart);
         }
         return sum / (1 - admittedPart);
     }
@@ -176,6 +179,10 @@
             final double available,
             final ToDoubleFunction<Claim> bound,
             final Map<Optional<TeamId>, Double> shares) {
+        if (available <= PRECISION) {
+            return 0;
+        }
+        final double[] shared = claims.stream().mapToDouble(c -> c.share).toArray();
         final double[] bounds = new double[claims.size()];
         double high = 0;
         for (int i = 0; i < bounds.length; i++) {
@@ -184,13 +191,13 @@
             high = Math.max(high, bounds[i]);
         }
         double level = high;
-        if (raised(claims, bounds, high) > available) {
+        if (raised(shared, bounds, high) > available) {
             // The total is piecewise linear in the level, with two kinds of bounds; halving is
             // exact to a millionth of a rate and needs no case for each kind of segment.
             double low = 0;
             for (int i = 0; i < 30; i++) {
                 level = (low + high) / 2;
-                if (raised(claims, bounds, level) <= available) {
+                if (raised(shared, bounds, level) <= available) {
                     low = level;
                 } else {
                     high = level;
@@ -209,11 +216,10 @@
         return total;
     }
 
-    private static double raised(
-            final List<Claim> claims, final double[] bounds, final double level) {
+    private static double raised(final double[] shared, final double[] bounds, final double level) {
         double total = 0;
         for (int i = 0; i < bounds.length; i++) {
-            total += Math.max(0, Math.min(bounds[i], level) - claims.get(i).share);
+            total += Math.max(0, Math.min(bounds[i], level) - shared[i]);
         }
         return total;
     }
