--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/PermitCheck.java
@@ -103,8 +103,8 @@
     void request(
             final TrackedServer server, final Duration remaining, final Consumer<Permit> listener) {
         final int capacity = Math.max(1, server.entry().capacity());
-        // No request may wait at a brittle server, and its permits are not shared: there are none
-        // for requests that wait, and its prompts are admitted by the expected wait.
+        // No request may wait at a brittle server; its permits are not shared, since they are also
+        // for prompts, whose slot times differ too much to tell how many it completes.
         final boolean brittle = isBrittle(server);
         final PermitTerms terms =
                 new PermitTerms(
