--- a/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/permit/PermitLedgerTest.java
@@ -5,8 +5,12 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fennelstage.admission.Admission;
+import org.fennelstage.admission.Admission.Standing;
+import org.fennelstage.admission.TrafficClass;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.TeamId;
 import org.fennelstage.id.VmId;
 import org.junit.jupiter.api.Test;
 
@@ -164,6 +168,43 @@
         assertThat(ledger.issue(SERVER, next(), TERMS).untilRoom()).hasMillis(10);
     }
 
+    /** Guards against one time to return for all, which is wrong for those over their share. */
+    @Test
+    void theTimeToReturnFollowsFromTheShareOfThePriorityAndTeam() {
+        final PermitLedger fair = PermitLedger.emptyWithFairShares(now::get);
+        final PermitTerms small = TERMS.of(TrafficClass.of(2, Optional.of(TeamId.of("small"))));
+        final PermitId first = next();
+        PermitDecision lastOfSmall = fair.issue(SERVER, first, small);
+        now.addAndGet(50);
+        fair.onReturned(SERVER, first, Optional.of(Duration.ofMillis(50)));
+        Duration longest = Duration.ZERO;
+        for (int i = 0; i < 4_000; i++) {
+            now.addAndGet(2);
+            final Optional<TeamId> team = Optional.of(TeamId.of("large-" + i % 20));
+            final PermitDecision last =
+                    fair.issue(SERVER, next(), TERMS.of(TrafficClass.of(2, team)));
+            longest = last.untilRoom().compareTo(longest) > 0 ? last.untilRoom() : longest;
+            lastOfSmall = i % 500 == 0 ? fair.issue(SERVER, next(), small) : lastOfSmall;
+        }
+        assertThat(lastOfSmall.admission().map(Admission::standing))
+                .contains(Standing.WITHIN_SHARE);
+        assertThat(longest).isGreaterThan(lastOfSmall.untilRoom().multipliedBy(2));
+    }
+
+    /** Guards against denials by a rate of the server that no response has shown. */
+    @Test
+    void withoutAnyResponsePermitsAreNotShared() {
+        final PermitLedger fair = PermitLedger.emptyWithFairShares(now::get);
+        for (int i = 0; i < 4_000; i++) {
+            now.addAndGet(2);
+            final Optional<TeamId> team = Optional.of(TeamId.of(i % 9 == 0 ? "small" : "large"));
+            final PermitDecision decision =
+                    fair.issue(SERVER, next(), TERMS.of(TrafficClass.of(2, team)));
+            assertThat(decision.admission().map(Admission::standing))
+                    .contains(Standing.WITHIN_SHARE);
+        }
+    }
+
     @Test
     void requestsWithoutAResponseDoNotChangeTheSlotTime() {
         serve(40, 300);
