A VM that starts cut off from the store takes its state from another VM

Cause: a VM that starts while it reaches the store neither directly nor through a relay responds 503 not_configured until the partition ends. Change: VMs keep the responses of the store (copy.StateCopies), give them on list calls with x-fennelstage-accept-copy, and a starting VM asks (copy.CopyCollector); Follower.offerCopy delivers a copy until the first list. Retry-After of not_configured follows from the age of the process. FS2033, FS2034, four gauges, switch state-copies. PeerMessenger passes on the sender of a message, so PeerMessengerTest's listener has one more parameter; what it checks is unchanged.

--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/KeptCopy.java
@@ -0,0 +1,139 @@
+package org.fennelstage.copy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fennelstage.history.Position;
+import org.fennelstage.store.Page;
+import org.fennelstage.store.PageKeeper;
+import org.fennelstage.store.PageText;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * The responses of the store about one kind, from which a copy can be made.
+ *
+ * <p>Invariant: the texts together reflect the position, or there are none; the changes take at
+ * most {@link #MIN_MERGED_BYTES} or the length of the list plus one response. Not thread-safe;
+ * confined to the event loop.
+ */
+final class KeptCopy implements PageKeeper {
+
+    /** Length of changes below which they are not merged into the list, which costs a scan. */
+    private static final int MIN_MERGED_BYTES = 16_384;
+
+    /** Length below which compression saves too little to be worth its time; bytes. */
+    private static final int MIN_COMPRESSED_BYTES = 16_384;
+
+    /**
+     * Time without a change after which the text is merged and compressed; milliseconds. A
+     * configuration that changes several times a second is not compressed each time.
+     */
+    private static final long COMPACT_AFTER_MILLIS = 5_000;
+
+    private final CopyFormat format;
+    private final MonotonicClock clock;
+    private List<PageText> texts = List.of();
+    private long listBytes;
+    private long changeBytes;
+    private Position position = Position.NONE;
+    private OptionalLong confirmedMillis = OptionalLong.empty();
+    private long changedMillis;
+    private boolean compact;
+
+    KeptCopy(final CopyFormat format, final MonotonicClock clock) {
+        this.format = Objects.requireNonNull(format, "format is null");
+        this.clock = Objects.requireNonNull(clock, "clock is null");
+    }
+
+    @Override
+    public void onList(final List<Optional<PageText>> pages, final Position newPosition) {
+        position = newPosition;
+        if (pages.stream().anyMatch(Optional::isEmpty)) {
+            drop();
+            return;
+        }
+        replace(pages.stream().flatMap(Optional::stream).toList());
+        confirmedMillis = OptionalLong.of(clock.millis());
+        changedMillis = clock.millis();
+        compact = false;
+    }
+
+    @Override
+    public void onChanges(final Page<?> changes) {
+        position = changes.position();
+        if (confirmedMillis.isEmpty()) {
+            return;
+        }
+        confirmedMillis = OptionalLong.of(clock.millis());
+        if (changes.values().isEmpty()) {
+            return;
+        }
+        if (changes.text().isEmpty()) {
+            drop();
+            return;
+        }
+        final List<PageText> longer = new ArrayList<>(texts);
+        longer.add(changes.text().get());
+        texts = List.copyOf(longer);
+        changeBytes += changes.text().get().length();
+        changedMillis = clock.millis();
+        compact = false;
+        if (changeBytes > Math.max(MIN_MERGED_BYTES, listBytes)) {
+            merge();
+        }
+    }
+
+    private void replace(final List<PageText> list) {
+        texts = List.copyOf(list);
+        listBytes = list.stream().mapToLong(PageText::length).sum();
+        changeBytes = 0;
+    }
+
+    /** Forgets the texts until the next list. */
+    private void drop() {
+        texts = List.of();
+        confirmedMillis = OptionalLong.empty();
+    }
+
+    private void merge() {
+        format.merge(texts, position).ifPresentOrElse(t -> replace(List.of(t)), this::drop);
+    }
+
+    /** Merges and compresses the text if it has not changed for a time. */
+    void compactIfDue() {
+        if (compact
+                || confirmedMillis.isEmpty()
+                || clock.millis() - changedMillis < COMPACT_AFTER_MILLIS) {
+            return;
+        }
+        compact = true;
+        if (texts.size() > 1) {
+            merge();
+        }
+        if (listBytes >= MIN_COMPRESSED_BYTES) {
+            texts = texts.stream().map(PageText::compress).toList();
+        }
+    }
+
+    /** Returns when the store last responded about the kind, empty if there is no copy. */
+    OptionalLong confirmedMillis() {
+        return confirmedMillis;
+    }
+
+    /** Returns the position up to which the kind was read. */
+    Position position() {
+        return position;
+    }
+
+    /** Returns the copy as a list at a position, empty if there is none. */
+    Optional<PageText> list(final Position at) {
+        return texts.isEmpty() ? Optional.empty() : format.merge(texts, at);
+    }
+
+    /** Returns the memory that the texts take; bytes. */
+    long heldBytes() {
+        return texts.stream().mapToLong(PageText::heldBytes).sum();
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import org.fennelstage.serving.Route;
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.serving.TeamAccess;
+import org.fennelstage.startup.StartProgress;
 
 /**
  * Handles callers' requests: finds the route and the team, or responds with an error.
@@ -60,6 +61,7 @@
     private Supplier<List<InetSocketAddress>> peers = List::of;
     private final Map<ServiceName, ForwardingPeers> forwardingPeers = new HashMap<>();
     private boolean acceptsForwarded = true;
+    private Optional<Supplier<Duration>> processAge = Optional.empty();
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private int inFlight;
 
@@ -122,6 +124,28 @@
                 service, s -> new ForwardingPeers(() -> peers.get(), random, state.clock()));
     }
 
+    /**
+     * Sets what callers that meet this VM without a configuration are told by when to return; by
+     * default a fixed time.
+     *
+     * @param age supplies the time since the process began
+     */
+    public void estimateStartFrom(final Supplier<Duration> age) {
+        processAge = Optional.of(age);
+    }
+
+    private void rejectNotConfigured(final ServerExchange exchange, final String requestId) {
+        final GatewayError error = GatewayError.NOT_CONFIGURED;
+        final Optional<Duration> retryAfter =
+                processAge
+                        .map(age -> StartProgress.retryAfter(age.get(), random.nextDouble()))
+                        .or(error::retryAfter);
+        final String detail =
+                retryAfter.map(time -> "retry after " + time.toMillis() + " ms").orElse("");
+        logRejected(requestId, error, detail);
+        respond(exchange, requestId, error, retryAfter);
+    }
+
     /** Rejects the requests that other VMs forward from now on. */
     public void stopAcceptingForwarded() {
         acceptsForwarded = false;
@@ -174,7 +198,7 @@
             return;
         }
         if (state.configuration().isEmpty()) {
-            reject(exchange, request.id(), GatewayError.NOT_CONFIGURED, "");
+            rejectNotConfigured(exchange, request.id());
             return;
         }
         final ServingConfiguration configuration = state.configuration().get();
@@ -453,6 +477,12 @@
             final String requestId,
             final GatewayError error,
             final String detail) {
+        logRejected(requestId, error, detail);
+        respond(exchange, requestId, error);
+    }
+
+    private static void logRejected(
+            final String requestId, final GatewayError error, final String detail) {
         EventLog.write(
                 Event.REQUEST_REJECTED,
                 "request",
@@ -463,6 +493,5 @@
                 error.status(),
                 "detail",
                 detail);
-        respond(exchange, requestId, error);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
@@ -305,6 +305,17 @@
         }
     }
 
+    /**
+     * Returns whether this VM uses or has orders for the versions of all its backend servers.
+     *
+     * @return true if no unread rollout order concerns them
+     */
+    public boolean knowsAllVersions() {
+        return servers.all().stream()
+                .map(TrackedServer::entry)
+                .allMatch(entry -> canary(entry.service()).knows(entry.version()));
+    }
+
     /**
      * Sets the action that reads all rollout orders again. It runs when the version of a backend
      * server is unknown, and at the end of the grace period.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/FallbackStore.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -81,6 +82,7 @@
     private final MonotonicClock clock;
     private final Set<Pending<?>> pending = new LinkedHashSet<>();
     private boolean failed;
+    private long failedMillis;
     private long retryAtMillis;
 
     /**
@@ -164,6 +166,15 @@
         return true;
     }
 
+    /**
+     * Returns when direct calls to the store began to fail.
+     *
+     * @return the time on the clock of this store; empty while the store responds
+     */
+    public OptionalLong failedSinceMillis() {
+        return failed ? OptionalLong.of(failedMillis) : OptionalLong.empty();
+    }
+
     /** Records that the store responded to a relayed call of another VM. */
     public void onRelayed() {
         onStoreResponded();
@@ -224,6 +235,7 @@
             return;
         }
         failed = true;
+        failedMillis = clock.millis();
         EventLog.write(
                 Event.DIRECT_STORE_ACCESS_LOST, "detail", detail, "relays", relays.get().size());
         final List<Pending<?>> waiting = new ArrayList<>(pending);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -12,6 +12,7 @@
 import org.fennelstage.history.Position;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
+import org.fennelstage.startup.CopyTerms;
 
 /**
  * Follows the objects of one kind: a list, then consecutive watches.
@@ -93,8 +94,11 @@
     private final RandomGenerator random;
     private final EraTracker eras;
     private final List<StoredValue<T>> listed = new ArrayList<>();
+    private final List<Optional<PageText>> listedTexts = new ArrayList<>();
     private final MalformedObjects malformed;
+    private PageKeeper keeper = PageKeeper.NONE;
     private Position position = Position.NONE;
+    private boolean readFromStore;
 
     /** The position when the current list began. */
     private Position positionBeforeList = Position.NONE;
@@ -138,6 +142,54 @@
         eras.onNewEra(this::onNewEra);
     }
 
+    /**
+     * Sets where the texts of what is read from the store are kept; nowhere by default.
+     *
+     * @param newKeeper receives the texts before the listener receives the objects
+     */
+    public void keepTextsIn(final PageKeeper newKeeper) {
+        keeper = Objects.requireNonNull(newKeeper, "newKeeper is null");
+    }
+
+    /**
+     * Returns whether the listener has received a list, from the store or from a copy.
+     *
+     * @return true after the first list
+     */
+    public boolean hasState() {
+        return !position.equals(Position.NONE);
+    }
+
+    /**
+     * Returns whether a copy of another VM is needed: the store is unavailable and no list was ever
+     * received.
+     *
+     * @return true if a copy would be used
+     */
+    public boolean needsCopy() {
+        return unavailable && !hasState() && !stopped;
+    }
+
+    /**
+     * Offers a copy of another VM. The listener receives it as a list; calls to the store continue,
+     * and their first list replaces it.
+     *
+     * @param copy the copy, a complete list
+     * @return false if it is incomplete, of a former era, or not later than what was received
+     */
+    public boolean offerCopy(final Page<T> copy) {
+        if (stopped
+                || copy.next().isPresent()
+                || !CopyTerms.replaces(position, readFromStore, copy.position())
+                || !isCurrentEra(copy)) {
+            return false;
+        }
+        position = copy.position();
+        deliverAll(copy.values());
+        listener.onPosition(position);
+        return true;
+    }
+
     /** Starts with a list. */
     public void start() {
         started = true;
@@ -172,6 +224,8 @@
                 && isCurrentEra(done.value())
                 && !position.isAfter(done.value().position())) {
             position = done.value().position();
+            readFromStore = true;
+            keeper.onList(List.of(done.value().text()), position);
             deliverAll(done.value().values());
             listener.onPosition(position);
         }
@@ -196,6 +250,7 @@
             round++;
             positionBeforeList = position;
             listed.clear();
+            listedTexts.clear();
             list(Optional.empty());
         }
     }
@@ -225,6 +280,7 @@
         }
         onSuccess();
         listed.addAll(page.values());
+        listedTexts.add(page.text());
         if (page.next().isPresent()) {
             list(page.next());
             return;
@@ -235,6 +291,9 @@
             return;
         }
         position = page.position();
+        readFromStore = true;
+        keeper.onList(List.copyOf(listedTexts), position);
+        listedTexts.clear();
         deliverAll(List.copyOf(listed));
         listed.clear();
         listener.onPosition(position);
@@ -319,6 +378,7 @@
             return;
         }
         position = page.position();
+        keeper.onChanges(page);
         page.values().forEach(this::deliverChange);
         listener.onPosition(position);
         if (page.values().isEmpty()) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -12,6 +12,10 @@
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 import org.fennelstage.canary.RolloutOrder;
+import org.fennelstage.copy.CopyCollector;
+import org.fennelstage.copy.CopyExchange;
+import org.fennelstage.copy.CopyFormat;
+import org.fennelstage.copy.StateCopies;
 import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.OutlierDetection;
 import org.fennelstage.fleet.ServerAddress;
@@ -31,6 +35,7 @@
 import org.fennelstage.policy.Mechanism;
 import org.fennelstage.serving.CallerLimits;
 import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.startup.CopyRequests;
 import org.fennelstage.store.CoalescedStore;
 import org.fennelstage.store.EraTracker;
 import org.fennelstage.store.FallbackStore;
@@ -75,12 +80,14 @@
     private final HttpServer callerListener;
     private final EraTracker eras = EraTracker.empty();
     private final Readiness readiness;
+    private final CopyExchange copies;
     private boolean stopping;
 
     private GatewayVm(
             final VmSettings settings,
             final WireCodec codec,
-            final BiFunction<HttpClient, InetSocketAddress, Store> storeAt)
+            final BiFunction<HttpClient, InetSocketAddress, Store> storeAt,
+            final CopyFormat copyFormat)
             throws IOException {
         this.settings = settings;
         this.group = new NioEventLoopGroup(1);
@@ -117,6 +124,7 @@
                         () -> this.settings.bounds().maxPropagationDelay(),
                         clock);
         this.readiness = new Readiness(settings, state);
+        this.copies = copyExchange(copyFormat, storeClient, store, peers, random);
         this.serverFeed = new ServerFeed(state, readiness::onServersListed);
         this.rolloutFeed =
                 new RolloutFeed(
@@ -149,7 +157,10 @@
                         settings.peers(),
                         peers::dataCentrePeers,
                         clock,
-                        message -> onMessage(message, random.nextDouble()));
+                        (message, sender) -> {
+                            copies.onSender(sender);
+                            onMessage(message, random.nextDouble());
+                        });
         if (settings.policy().uses(Mechanism.PEER_NEWS)) {
             gateway.onUnreachable(messenger::reportUnreachable);
         }
@@ -211,6 +222,33 @@
                 });
     }
 
+    private CopyExchange copyExchange(
+            final CopyFormat format,
+            final HttpClient storeClient,
+            final FallbackStore store,
+            final Peers peers,
+            final RandomGenerator random) {
+        if (!settings.policy().uses(Mechanism.STATE_COPIES)) {
+            return CopyExchange.disabled();
+        }
+        gateway.estimateStartFrom(new ProcessAge(state.clock(), InstantSource.system()));
+        final StateCopies given =
+                new StateCopies(
+                        format,
+                        store::failedSinceMillis,
+                        state::knowsAllVersions,
+                        settings.linkMegabits(),
+                        state.clock());
+        given.giveWhile(readiness::isReady);
+        final CopyCollector asked =
+                new CopyCollector(
+                        vm -> format.sourceAt(storeClient, vm),
+                        peers::allPeers,
+                        new CopyRequests<>(random::nextLong),
+                        state.clock());
+        return CopyExchange.of(given, asked);
+    }
+
     private void schedule(final Runnable task, final Duration delay) {
         loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
@@ -236,7 +274,8 @@
                 ServerLimits.DEFAULT,
                 exchange -> handlePeer(exchange, relay));
         if (settings.metrics().isPresent()) {
-            final VmMetrics vmMetrics = new VmMetrics(metrics, state, gateway, eras, serverClient);
+            final VmMetrics vmMetrics =
+                    new VmMetrics(metrics, state, gateway, eras, serverClient, copies);
             HttpServer.start(group, settings.metrics().get(), ServerLimits.DEFAULT, vmMetrics);
         }
     }
@@ -246,52 +285,60 @@
         if (Gateway.isForwarded(exchange)) {
             gateway.handleForwarded(exchange);
         } else {
-            relay.handle(exchange);
+            copies.handle(exchange, relay);
         }
     }
 
     private void follow(final StoreWatches watches, final Peers peers) {
         final Follower<RolloutOrder> rollouts =
-                changeReports.follow(
-                        watches,
+                copies.include(
                         StoreKind.ROLLOUTS,
-                        () -> paceForRareChanges(StoreWatches.ROLLOUT_PACE, peers),
-                        rolloutFeed);
+                        changeReports.follow(
+                                watches,
+                                StoreKind.ROLLOUTS,
+                                () -> paceForRareChanges(StoreWatches.ROLLOUT_PACE, peers),
+                                rolloutFeed));
         state.onOrdersNeeded(rollouts::refresh);
         if (settings.evacuations()) {
-            changeReports
-                    .follow(
-                            watches,
+            copies.include(
                             StoreKind.EVACUATIONS,
-                            () -> paceForRareChanges(StoreWatches.EVACUATION_PACE, peers),
-                            evacuationFeed)
+                            changeReports.follow(
+                                    watches,
+                                    StoreKind.EVACUATIONS,
+                                    () -> paceForRareChanges(StoreWatches.EVACUATION_PACE, peers),
+                                    evacuationFeed))
                     .start();
         }
-        changeReports
-                .follow(
-                        watches,
+        copies.include(
                         StoreKind.CONFIGURATION,
-                        () -> StoreWatches.CONFIGURATION_PACE,
-                        new ConfigurationFeed(state))
+                        changeReports.follow(
+                                watches,
+                                StoreKind.CONFIGURATION,
+                                () -> StoreWatches.CONFIGURATION_PACE,
+                                new ConfigurationFeed(state)))
                 .start();
         rollouts.start();
-        watches.of(
+        copies.include(
                         StoreKind.SERVERS,
-                        () ->
-                                peers.hasJustStarted()
-                                        ? StoreWatches.STARTING_SERVER_PACE
-                                        : StoreWatches.SERVER_PACE,
-                        serverFeed)
+                        watches.of(
+                                StoreKind.SERVERS,
+                                () ->
+                                        peers.hasJustStarted()
+                                                ? StoreWatches.STARTING_SERVER_PACE
+                                                : StoreWatches.SERVER_PACE,
+                                serverFeed))
                 .start();
-        watches.of(
+        copies.include(
                         StoreKind.QUARANTINE,
-                        () ->
-                                paceForRareChanges(
-                                        readiness.knowsQuarantine()
-                                                ? StoreWatches.QUARANTINE_PACE
-                                                : StoreWatches.FIRST_QUARANTINE_PACE,
-                                        peers),
-                        quarantineFeed)
+                        watches.of(
+                                StoreKind.QUARANTINE,
+                                () ->
+                                        paceForRareChanges(
+                                                readiness.knowsQuarantine()
+                                                        ? StoreWatches.QUARANTINE_PACE
+                                                        : StoreWatches.FIRST_QUARANTINE_PACE,
+                                                peers),
+                                quarantineFeed))
                 .start();
     }
 
@@ -305,13 +352,16 @@
      * @param settings the settings of the VM
      * @param codec translates the wire format
      * @param storeAt creates a client of the store at an address
-     * @return the running VM; it becomes ready once it has read its state from the store
+     * @param copyFormat the form in which VMs give copies of what they read from the store
+     * @return the running VM; it becomes ready once it has read its state from the store, or from
+     *     another VM while the store is unavailable
      * @throws IOException if an address cannot be bound
      */
     public static GatewayVm start(
             final VmSettings settings,
             final WireCodec codec,
-            final BiFunction<HttpClient, InetSocketAddress, Store> storeAt)
+            final BiFunction<HttpClient, InetSocketAddress, Store> storeAt,
+            final CopyFormat copyFormat)
             throws IOException {
         Objects.requireNonNull(settings, "settings is null");
         EventLog.write(
@@ -324,7 +374,7 @@
                 settings.callers(),
                 "store",
                 settings.store());
-        return new GatewayVm(settings, codec, storeAt);
+        return new GatewayVm(settings, codec, storeAt, copyFormat);
     }
 
     /**
@@ -452,6 +502,7 @@
             rolloutFeed.writeDue();
             crashBroadcast.sendDue();
             quarantineFeed.writeDue();
+            copies.runPeriodicTask();
             readiness.update();
         } catch (final RuntimeException e) {
             // Netty cancels a periodic task that throws, which would silently end the periodic
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessenger.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessenger.java
@@ -15,7 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Objects;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.log.Event;
@@ -67,7 +67,8 @@
      * @param own address of this VM for datagrams
      * @param dataCentrePeers addresses of the other VMs of the data centre
      * @param clock the clock
-     * @param listener receives the messages of other VMs, on the loop
+     * @param listener receives the messages of other VMs and the peer addresses of their senders,
+     *     on the loop
      * @return the running messenger
      * @throws IOException if the address cannot be bound
      */
@@ -76,7 +77,7 @@
             final InetSocketAddress own,
             final Supplier<List<InetSocketAddress>> dataCentrePeers,
             final MonotonicClock clock,
-            final Consumer<PeerMessage> listener)
+            final BiConsumer<PeerMessage, InetSocketAddress> listener)
             throws IOException {
         Objects.requireNonNull(dataCentrePeers, "dataCentrePeers is null");
         Objects.requireNonNull(listener, "listener is null");
@@ -135,9 +136,9 @@
     /** Parses received datagrams. */
     private static final class Reader extends SimpleChannelInboundHandler<DatagramPacket> {
 
-        private final Consumer<PeerMessage> listener;
+        private final BiConsumer<PeerMessage, InetSocketAddress> listener;
 
-        private Reader(final Consumer<PeerMessage> listener) {
+        private Reader(final BiConsumer<PeerMessage, InetSocketAddress> listener) {
             this.listener = listener;
         }
 
@@ -149,7 +150,7 @@
                     content.readableBytes() > MAX_BYTES
                             ? ""
                             : content.toString(StandardCharsets.UTF_8);
-            PeerMessage.parse(text).ifPresent(listener);
+            PeerMessage.parse(text).ifPresent(message -> listener.accept(message, packet.sender()));
         }
 
         @Override
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Readiness.java
@@ -64,6 +64,10 @@
         ready = false;
     }
 
+    boolean isReady() {
+        return ready;
+    }
+
     /** Becomes ready if all lists have been read. */
     void update() {
         final boolean knowsAll =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Map;
 import java.util.Objects;
+import org.fennelstage.copy.CopyExchange;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
 import org.fennelstage.gateway.GatewayState;
@@ -28,7 +29,8 @@
             final GatewayState state,
             final Gateway gateway,
             final EraTracker eras,
-            final HttpClient serverClient) {
+            final HttpClient serverClient,
+            final CopyExchange copies) {
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         metrics.gauge(
                 "fennelstage_gateway_worker_connections_opened",
@@ -54,6 +56,22 @@
                 "fennelstage_gateway_store_returns",
                 "How often the store was seen to come back from an older copy",
                 eras::restoreCount);
+        metrics.gauge(
+                "fennelstage_gateway_state_copies_used",
+                "Kinds of state that this VM took from another VM at its start",
+                copies::used);
+        metrics.gauge(
+                "fennelstage_gateway_state_copies_given",
+                "Copies of a kind of state given to VMs that start",
+                copies::given);
+        metrics.gauge(
+                "fennelstage_gateway_state_copies_refused",
+                "Copies of a kind of state refused to VMs that start",
+                copies::refused);
+        metrics.gauge(
+                "fennelstage_gateway_state_copies_bytes",
+                "Memory of the state kept for VMs that start",
+                copies::heldBytes);
     }
 
     @Override
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessengerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessengerTest.java
@@ -48,7 +48,12 @@
 
     private PeerMessenger start(final InetSocketAddress own, final List<InetSocketAddress> others)
             throws IOException {
-        return PeerMessenger.start(group.next(), own, () -> others, now::get, received::add);
+        return PeerMessenger.start(
+                group.next(),
+                own,
+                () -> others,
+                now::get,
+                (message, sender) -> received.add(message));
     }
 
     private static Incarnation incarnation(final String id) {
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -62,6 +62,11 @@
             2032,
             Level.INFO,
             "another VM reported a change that this VM has not received; reading the store again"),
+    COPY_USED(
+            2033,
+            Level.INFO,
+            "store is unavailable at the start of this VM; state taken from another VM"),
+    COPY_GIVEN(2034, Level.INFO, "copy of the state given or refused to a VM that starts"),
     WRITE_FAILED(2018, Level.WARNING, "write to the store may not have taken effect"),
 
     PEER_STATE_CHANGED(3001, Level.INFO, "state of another VM changed"),
