--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyCollector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyCollector.java
@@ -119,6 +119,7 @@
                 && asked.follower().offerCopy(given.page())) {
             requests.onGiven(vm);
             onUsed(asked.kind(), vm, given);
+            askDue();
         } else {
             requests.onFailed(vm);
             if (result instanceof CopySource.Malformed<T> malformed && malformedLogged.add(vm)) {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -107,6 +107,44 @@
         assertThat(received).containsExactly("all [a, b, c]", "deleted a");
     }
 
+    /**
+     * Guards against keeping the copy of another VM once the store responds, and against replacing
+     * what the store returned by a copy, also by one that claims a later position.
+     */
+    @Test
+    void aCopyIsUsedUntilTheFirstListAndNeverAfterIt() throws InterruptedException {
+        final Page<VmEntry> copy =
+                new Page<>(List.of(entry("a", 1)), Optional.empty(), Position.of(0, 50));
+        follower.start();
+        assertThat(follower.needsCopy()).isFalse();
+        complete("list -", new StoreResult.Unavailable<>(false, "partition"));
+        final Pending next = calls.poll(10, TimeUnit.SECONDS);
+        assertThat(follower.needsCopy()).isTrue();
+        assertThat(follower.offerCopy(copy)).isTrue();
+        assertThat(follower.offerCopy(copy)).isFalse();
+        assertThat(follower.needsCopy()).isFalse();
+        next.callback().accept(page(Optional.empty(), 60, entry("b", 55)));
+        expect("watch 60");
+        assertThat(follower.offerCopy(new Page<>(List.of(), Optional.empty(), Position.of(0, 99))))
+                .isFalse();
+        assertThat(received)
+                .containsExactly("call failed", "unavailable", "all [a]", "available", "all [b]");
+    }
+
+    /** Guards against listing without end if a copy claims a later position than the store has. */
+    @Test
+    void aCopyThatClaimsALaterPositionIsReplacedByTheSecondList() throws InterruptedException {
+        follower.start();
+        assertThat(
+                        follower.offerCopy(
+                                new Page<>(List.of(), Optional.empty(), Position.of(0, 1_000))))
+                .isTrue();
+        complete("list -", page(Optional.empty(), 5, entry("a", 1)));
+        complete("list -", page(Optional.empty(), 5, entry("a", 1)));
+        expect("watch 5");
+        assertThat(received).containsExactly("all []", "all [a]");
+    }
+
     /** Guards against missed changes when the store drops its history together with its watches. */
     @Test
     void objectsAreListedAgainAfterAFailure() throws InterruptedException {
