--- a/fennelstage-core/src/main/java/org/fennelstage/startup/CopyRequests.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/startup/CopyRequests.java
@@ -12,8 +12,8 @@
  * Decides which VM a starting VM asks for a copy, and when.
  *
  * <p>Invariants: at most one request is pending; a VM that gave a copy is asked next until it
- * fails; each VM is asked at most once in a round after it failed, with a pause between rounds; at
- * most {@link #MAX_SENDERS} unlisted VMs are remembered. Not thread-safe.
+ * fails; each VM is asked at most once in a round after it failed, with pauses after each failure
+ * and between rounds; at most {@link #MAX_SENDERS} unlisted VMs are remembered. Not thread-safe.
  *
  * @param <A> the type of the address of a VM
  */
@@ -28,11 +28,18 @@
      */
     static final long MIN_PAUSE_MILLIS = 300;
 
+    /**
+     * Shortest time from a request that fails to the next; milliseconds. It keeps the calls of a
+     * fleet that starts together, in which every VM refuses, to five a second for each VM.
+     */
+    static final long MIN_INTERVAL_MILLIS = 200;
+
     private final LongUnaryOperator random;
     private final Set<A> senders = new LinkedHashSet<>();
     private final Set<A> failed = new HashSet<>();
     private Optional<A> giving = Optional.empty();
     private boolean pending;
+    private long askedMillis;
     private long pausedUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -72,6 +79,7 @@
         candidates.removeAll(failed);
         final Optional<A> next = giving.or(() -> candidates.stream().findFirst());
         pending = next.isPresent();
+        askedMillis = nowMillis;
         if (!pending && !failed.isEmpty()) {
             failed.clear();
             pausedUntilMillis = nowMillis + MIN_PAUSE_MILLIS + random.applyAsLong(MIN_PAUSE_MILLIS);
@@ -98,5 +106,6 @@
         pending = false;
         giving = Optional.empty();
         failed.add(vm);
+        pausedUntilMillis = askedMillis + MIN_INTERVAL_MILLIS;
     }
 }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/copy/CopyCollectorTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/copy/CopyCollectorTest.java
@@ -139,6 +139,7 @@
         copiesUntilFirstStops = 1;
         followers.forEach(Follower::start);
         collector.askDue();
+        now.addAndGet(300);
         collector.askDue();
         assertThat(asked)
                 .containsExactly(
