VMs that lost the store announce that they give copies

Cause: in a large data centre loads go to one VM, which returns sums only to VMs that sent theirs; a VM that starts cut off hears of nobody to ask. Change: peer message 'copies VM' of ready VMs while the store is unavailable to them; each VM receives about four a second whatever the size of its data centre (CopyAnnouncements).

--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyExchange.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyExchange.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.store.Follower;
@@ -87,12 +88,22 @@
         sides.ifPresent(s -> s.asked().onSender(sender));
     }
 
-    /** Asks for what is missing and compacts what is kept. To be called several times a second. */
+    /**
+     * Sets how this VM announces that it gives copies; by default it does not.
+     *
+     * @param others the number of VMs that receive an announcement
+     * @param announce sends one to each of them
+     */
+    public void announceThrough(final IntSupplier others, final Runnable announce) {
+        sides.ifPresent(s -> s.given().announceThrough(others, announce));
+    }
+
+    /** Performs what is due on both sides. To be called several times a second. */
     public void runPeriodicTask() {
         sides.ifPresent(
                 s -> {
                     s.asked().askDue();
-                    s.given().compactDue();
+                    s.given().runPeriodicTask();
                 });
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
@@ -9,12 +9,14 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.fennelstage.history.Position;
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
+import org.fennelstage.startup.CopyAnnouncements;
 import org.fennelstage.startup.CopyTerms;
 import org.fennelstage.store.PageKeeper;
 import org.fennelstage.store.PageText;
@@ -53,7 +55,10 @@
     private final double linkMegabits;
     private final MonotonicClock clock;
     private final Map<StoreKind<?>, KeptCopy> kept = new LinkedHashMap<>();
+    private final CopyAnnouncements announcements;
     private BooleanSupplier ready = () -> false;
+    private IntSupplier others = () -> 0;
+    private Runnable announce = () -> {};
     private long linkBusyUntilMillis = Long.MIN_VALUE;
     private long refusalLoggedMillis = Long.MIN_VALUE;
     private long given;
@@ -67,6 +72,7 @@
      * @param versionsKnown whether this VM uses or has orders for the versions of all its backend
      *     servers
      * @param linkMegabits bandwidth of this VM's link; megabits a second
+     * @param announcements decides when to announce that this VM gives copies
      * @param clock the clock
      */
     public StateCopies(
@@ -74,11 +80,13 @@
             final Supplier<OptionalLong> unavailableSince,
             final BooleanSupplier versionsKnown,
             final double linkMegabits,
+            final CopyAnnouncements announcements,
             final MonotonicClock clock) {
         this.format = Objects.requireNonNull(format, "format is null");
         this.unavailableSince = Objects.requireNonNull(unavailableSince, "supplier is null");
         this.versionsKnown = Objects.requireNonNull(versionsKnown, "versionsKnown is null");
         this.linkMegabits = linkMegabits;
+        this.announcements = Objects.requireNonNull(announcements, "announcements is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
     }
 
@@ -101,9 +109,27 @@
         return kept.computeIfAbsent(kind, k -> new KeptCopy(format, clock));
     }
 
-    /** Compacts what has not changed for a time. To be called several times a second. */
-    public void compactDue() {
+    /**
+     * Sets how this VM announces that it gives copies; by default it does not.
+     *
+     * @param newOthers the number of VMs that receive an announcement
+     * @param newAnnounce sends one to each of them
+     */
+    public void announceThrough(final IntSupplier newOthers, final Runnable newAnnounce) {
+        others = Objects.requireNonNull(newOthers, "newOthers is null");
+        announce = Objects.requireNonNull(newAnnounce, "newAnnounce is null");
+    }
+
+    /**
+     * Compacts what has not changed for a time, and announces that this VM gives copies if that is
+     * due. To be called several times a second.
+     */
+    public void runPeriodicTask() {
         kept.values().forEach(KeptCopy::compactIfDue);
+        final boolean mayGive = ready.getAsBoolean() && unavailableSince.get().isPresent();
+        if (announcements.isDue(mayGive, others.getAsInt(), clock.millis())) {
+            announce.run();
+        }
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -35,6 +35,7 @@
 import org.fennelstage.policy.Mechanism;
 import org.fennelstage.serving.CallerLimits;
 import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.startup.CopyAnnouncements;
 import org.fennelstage.startup.CopyRequests;
 import org.fennelstage.store.CoalescedStore;
 import org.fennelstage.store.EraTracker;
@@ -161,6 +162,12 @@
                             copies.onSender(sender);
                             onMessage(message, random.nextDouble());
                         });
+        copies.announceThrough(
+                () -> peers.dataCentrePeers().size(),
+                () ->
+                        messenger.send(
+                                new PeerMessage.GivesCopies(settings.vm()),
+                                peers.dataCentrePeers()));
         if (settings.policy().uses(Mechanism.PEER_NEWS)) {
             gateway.onUnreachable(messenger::reportUnreachable);
         }
@@ -238,6 +245,7 @@
                         store::failedSinceMillis,
                         state::knowsAllVersions,
                         settings.linkMegabits(),
+                        new CopyAnnouncements(random::nextLong),
                         state.clock());
         given.giveWhile(readiness::isReady);
         final CopyCollector asked =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -45,6 +45,7 @@
                 PeerMessage.Rollout,
                 PeerMessage.Crash,
                 PeerMessage.CrashesCleared,
+                PeerMessage.GivesCopies,
                 PermitMessage {
 
     /** Separates the fingerprints of one request. */
@@ -66,6 +67,9 @@
                     "departed ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18}) ([0-9]{1,18})"
                             + " ([0-9]{1,18}) (true|false)");
 
+    /** Id of a VM. */
+    Pattern GIVES_COPIES = Pattern.compile("copies ([A-Za-z0-9][A-Za-z0-9._-]{0,95})");
+
     /** Kinds of objects whose changes VMs report to each other. */
     List<StoreKind<?>> REPORTED_KINDS =
             List.of(StoreKind.CONFIGURATION, StoreKind.ROLLOUTS, StoreKind.EVACUATIONS);
@@ -155,6 +159,24 @@
         }
     }
 
+    /**
+     * A VM has lost the store and gives copies of its state to VMs that start. What counts is the
+     * address it comes from.
+     *
+     * @param vm the VM
+     */
+    record GivesCopies(VmId vm) implements PeerMessage {
+
+        public GivesCopies {
+            Objects.requireNonNull(vm, "vm is null");
+        }
+
+        @Override
+        public String text() {
+            return "copies " + vm.value();
+        }
+    }
+
     /**
      * The store shows a backend server as draining, or has removed its entry.
      *
@@ -392,6 +414,10 @@
                     new CrashesCleared(
                             new ClearedCrashes(content, incarnations(cleared.group(2)))));
         }
+        final Matcher givesCopies = GIVES_COPIES.matcher(text);
+        if (givesCopies.matches()) {
+            return Optional.of(new GivesCopies(VmId.of(givesCopies.group(1))));
+        }
         final Matcher sums = LOAD_SUMS.matcher(text);
         if (sums.matches()) {
             return Optional.of(
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -202,4 +202,13 @@
         assertThat(PeerMessage.parse("leaving " + text)).isNotNull();
         assertThat(PeerMessage.parse("answered " + text)).isNotNull();
     }
+
+    /** Guards against announcements that no other VM understands. */
+    @Test
+    void theAnnouncementOfCopiesParsesToItself() {
+        final PeerMessage message = new PeerMessage.GivesCopies(VmId.of("edge-1"));
+        assertThat(message.text()).isEqualTo("copies edge-1");
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+        assertThat(PeerMessage.parse("copies ")).isEmpty();
+    }
 }
