--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.fennelstage.backend.ServerLoads;
 import org.fennelstage.backend.ServerSelector;
 import org.fennelstage.configuration.Configuration;
@@ -17,6 +18,7 @@
 import org.fennelstage.rollout.ExposurePolicy;
 import org.fennelstage.rollout.Tolerance;
 import org.fennelstage.rollout.Verdict;
+import org.fennelstage.startup.CopyRequests;
 import org.fennelstage.team.KeyHash;
 import org.fennelstage.team.Team;
 import org.openjdk.jmh.annotations.Benchmark;
@@ -47,6 +49,8 @@
     public int workers;
 
     private final int[] candidates = new int[CANDIDATES];
+    private final List<String> vms =
+            IntStream.range(0, 100).mapToObj(i -> "10.0.0." + i + ":7000").toList();
     private final ServerSelector affinitySelector = ServerSelector.boundedAffinity(1.25);
     private ServerLoads loads;
     private Configuration configuration;
@@ -101,6 +105,17 @@
                 configuration, team, ModelId.of("m0"), r -> VersionChooser.Status.RUNNING);
     }
 
+    /** Finds the VM to ask for a copy of the state among 100 VMs of which half have failed. */
+    @Benchmark
+    public CopyRequests<String> copyRequest() {
+        final CopyRequests<String> requests = new CopyRequests<>(bound -> 0);
+        for (int i = 0; i < vms.size() / 2; i++) {
+            requests.onFailed(vms.get(i));
+        }
+        requests.next(vms, 1_000);
+        return requests;
+    }
+
     /** Evaluates the evidence on a new version. */
     @Benchmark
     public Verdict verdict() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/PageText.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/PageText.java
@@ -75,7 +75,11 @@
             final byte[] whole = new byte[length];
             int done = 0;
             while (done < length) {
-                done += inflater.inflate(whole, done, length - done);
+                final int more = inflater.inflate(whole, done, length - done);
+                if (more == 0) {
+                    throw new IllegalStateException("compressed text is incomplete");
+                }
+                done += more;
             }
             return whole;
         } catch (final DataFormatException e) {
