A relayed call answered by a copy no longer waits for the store

The requester of a call that a copy answered stayed in the relayed call. The store call ran into its timeout of 35 s, which marked the store as lost though it might respond again, and the ended requester counted against the number of shared responses. The requester is now withdrawn when the copy is given, and a call without requesters is cancelled.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyExchange.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyExchange.java
@@ -4,7 +4,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.IntSupplier;
-import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.store.Follower;
 import org.fennelstage.store.StoreKind;
@@ -71,7 +70,7 @@
      * @param exchange the call
      * @param relay relays calls to the store
      */
-    public void handle(final ServerExchange exchange, final RequestHandler relay) {
+    public void handle(final ServerExchange exchange, final RelayHandler relay) {
         if (sides.isPresent()) {
             sides.get().given().handle(exchange, relay);
         } else {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
@@ -12,7 +12,6 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.fennelstage.history.Position;
-import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
@@ -139,7 +138,7 @@
      * @param exchange the call
      * @param relay relays calls to the store
      */
-    public void handle(final ServerExchange exchange, final RequestHandler relay) {
+    public void handle(final ServerExchange exchange, final RelayHandler relay) {
         final Optional<StoreKind<?>> kind = requestedKind(exchange).filter(kept::containsKey);
         if (kind.isEmpty()) {
             relay.handle(exchange);
@@ -158,8 +157,11 @@
         exchange.eventLoop()
                 .schedule(
                         () -> {
-                            if (!exchange.isEnded()) {
-                                give(exchange, kind.get(), clock.millis());
+                            if (!exchange.isEnded()
+                                    && give(exchange, kind.get(), clock.millis())
+                                            == CopyTerms.Answer.GIVEN) {
+                                // Otherwise its timeout would mark the store as lost 35 s later.
+                                relay.withdraw(exchange);
                             }
                         },
                         STORE_MILLIS,
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RelayedCall.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RelayedCall.java
@@ -45,6 +45,13 @@
         requester.onClosed(() -> onClosed(requester));
     }
 
+    /** Removes a requester that was answered otherwise. */
+    void remove(final ServerExchange requester) {
+        if (requesters.remove(requester)) {
+            abandonIfUnused();
+        }
+    }
+
     /** Sets the action to run when no requester is left. */
     void onAbandoned(final Runnable action) {
         onAbandoned = action;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
@@ -9,13 +9,16 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import org.fennelstage.copy.RelayHandler;
 import org.fennelstage.http.Call;
 import org.fennelstage.http.CallFailure;
 import org.fennelstage.http.CallOptions;
 import org.fennelstage.http.HttpClient;
-import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.Responses;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.store.FallbackStore;
@@ -32,7 +35,7 @@
  * reach the store, 413 if the response is too large for all requesters, or a closed connection if
  * the outcome is unknown. Not thread-safe; confined to the event loop.
  */
-final class StoreRelay implements RequestHandler {
+final class StoreRelay implements RelayHandler {
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
@@ -66,6 +69,9 @@
     private final long shareableBytes;
     private final Map<String, RelayedCall> reads = new HashMap<>();
 
+    /** All reads that the store has not answered, also those that can no longer be joined. */
+    private final Set<RelayedCall> pendingReads = new HashSet<>();
+
     StoreRelay(
             final HttpClient http,
             final InetSocketAddress store,
@@ -94,10 +100,16 @@
         final RelayedCall call = new RelayedCall(clock, exchange);
         if (isRead) {
             reads.put(exchange.uri(), call);
+            pendingReads.add(call);
         }
         call.attach(send(exchange, call));
     }
 
+    @Override
+    public void withdraw(final ServerExchange exchange) {
+        List.copyOf(pendingReads).forEach(call -> call.remove(exchange));
+    }
+
     private Call send(final ServerExchange exchange, final RelayedCall call) {
         final FullHttpRequest request =
                 new DefaultFullHttpRequest(
@@ -122,7 +134,7 @@
 
     private void onResponse(
             final String uri, final RelayedCall call, final Responses.FullResponse whole) {
-        reads.remove(uri, call);
+        forget(uri, call);
         if (whole.status() >= SERVER_ERROR || whole.status() == TOO_MANY_CALLS) {
             fallback.onRelayFailed("store responded with status " + whole.status());
         } else {
@@ -132,13 +144,18 @@
     }
 
     private void onFailure(final String uri, final RelayedCall call, final CallFailure failure) {
-        reads.remove(uri, call);
+        forget(uri, call);
         fallback.onRelayFailed(failure.detail());
         call.fail(failure.phase() == CallFailure.Phase.NOT_SENT ? SERVICE_UNAVAILABLE : 0);
     }
 
-    /** Removes a call whose requesters have all closed their connections. */
+    /** Removes a call that no requester waits for. */
     private void onAbandoned(final String uri, final RelayedCall call) {
+        forget(uri, call);
+    }
+
+    private void forget(final String uri, final RelayedCall call) {
         reads.remove(uri, call);
+        pendingReads.remove(call);
     }
 }
