Copies no longer raise the era of the store

A copy with a wrong, later era made every result of the store one of a former era, so that the VM ignored the store for good. Only results of the store raise the era now; a copy of another era is refused once the era is known, and a list of another era than the copy replaces it.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -181,7 +181,7 @@
         if (stopped
                 || copy.next().isPresent()
                 || !CopyTerms.replaces(position, readFromStore, copy.position())
-                || !isCurrentEra(copy)) {
+                || !mayBeOfCurrentEra(copy.position())) {
             return false;
         }
         position = copy.position();
@@ -190,6 +190,15 @@
         return true;
     }
 
+    /**
+     * Returns whether a copy may be used beside what the store returned. Only results of the store
+     * raise the era: a copy with a wrong one would make every later result of the store one of a
+     * former era.
+     */
+    private boolean mayBeOfCurrentEra(final Position copy) {
+        return eras.era() == Position.NONE.era() || eras.era() == copy.era();
+    }
+
     /** Starts with a list. */
     public void start() {
         started = true;
@@ -222,7 +231,8 @@
         if (result instanceof StoreResult.Done<Page<T>> done
                 && done.value().next().isEmpty()
                 && isCurrentEra(done.value())
-                && !position.isAfter(done.value().position())) {
+                && !(readFromStore && position.isAfter(done.value().position()))) {
+            replaceCopyOfOtherEra(done.value().position());
             position = done.value().position();
             readFromStore = true;
             keeper.onList(List.of(done.value().text()), position);
@@ -285,11 +295,14 @@
             list(page.next());
             return;
         }
-        if (position.isAfter(positionBeforeList) && position.isAfter(page.position())) {
+        if (position.isAfter(positionBeforeList)
+                && position.isAfter(page.position())
+                && position.era() == page.position().era()) {
             // A list refreshed meanwhile is newer than this one.
             restart();
             return;
         }
+        replaceCopyOfOtherEra(page.position());
         position = page.position();
         readFromStore = true;
         keeper.onList(List.copyOf(listedTexts), position);
@@ -300,6 +313,16 @@
         watchAfter(pace.get().listPause());
     }
 
+    /**
+     * Lets the listener accept a list whose positions are before those of a copy. Copies do not
+     * raise the era, so the tracker does not report the difference.
+     */
+    private void replaceCopyOfOtherEra(final Position read) {
+        if (!readFromStore && hasState() && position.era() != read.era()) {
+            listener.onStoreRestored();
+        }
+    }
+
     /** A lagging relay returned a result of a former era; lists again after a backoff. */
     private void retryIfFormerEra(final Page<T> page) {
         if (eras.isOfFormerEra(page.position())) {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -131,6 +131,32 @@
                 .containsExactly("call failed", "unavailable", "all [a]", "available", "all [b]");
     }
 
+    /** Guards against ignoring the store for good after a copy with a wrong, later era. */
+    @Test
+    void aCopyOfALaterEraDoesNotMakeTheStoresResultsOutdated() throws InterruptedException {
+        final Page<VmEntry> copy =
+                new Page<>(List.of(), Optional.empty(), Position.of(1_000_000, 1_000));
+        follower.start();
+        assertThat(follower.offerCopy(copy)).isTrue();
+        assertThat(eras.era()).isEqualTo(Position.NONE.era());
+        complete("list -", page(Optional.empty(), 5, entry("a", 1)));
+        expect("watch 5");
+        assertThat(received).containsExactly("all []", "restored", "all [a]");
+    }
+
+    /** Guards against a copy of another era beside what the store returned about other kinds. */
+    @Test
+    void aCopyOfAnotherEraThanTheStoresIsRefused() {
+        eras.offer(Position.of(2, 3), StoreKind.SERVERS);
+        for (final long era : List.of(1L, 3L)) {
+            assertThat(
+                            follower.offerCopy(
+                                    new Page<>(List.of(), Optional.empty(), Position.of(era, 9))))
+                    .isFalse();
+        }
+        assertThat(eras.era()).isEqualTo(2);
+    }
+
     /** Guards against listing without end if a copy claims a later position than the store has. */
     @Test
     void aCopyThatClaimsALaterPositionIsReplacedByTheSecondList() throws InterruptedException {
