A refused or malformed copy never counts as given

A result for a kind that had state meanwhile marked the VM as giving, whatever the result was. Only a list does so now. No test covers the case yet.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyCollector.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyCollector.java
@@ -112,7 +112,7 @@
 
     private <T> void onResult(
             final Wanted<T> asked, final InetSocketAddress vm, final CopySource.Result<T> result) {
-        if (asked.follower().hasState()) {
+        if (asked.follower().hasState() && result instanceof CopySource.Given<T>) {
             // The store has responded meanwhile, which is no failure of the VM.
             requests.onGiven(vm);
         } else if (result instanceof CopySource.Given<T> given
