Copies leave out draining servers and those of halted versions

The copy was the text of the store. That a server is draining or gone, or that its version was found bad, may be known only to the VM that gives the copy, so a VM that started afterwards used these servers. The copy of the servers now contains only those that the giving VM's table holds as not draining and whose version is not halted.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -260,6 +260,16 @@
         return Duration.ofMillis(before - startMillis);
     }
 
+    /**
+     * Returns whether a version was found bad and is not in use.
+     *
+     * @param version the version
+     * @return true if it gets no requests, also if the store does not hold the halt
+     */
+    public boolean isHalted(final String version) {
+        return badVersions.contains(version) && !versionsInUse.contains(version);
+    }
+
     /**
      * Returns whether a version may get a request; to be called before each attempt, since a
      * version may be found bad between two attempts.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyFormat.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/CopyFormat.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.fennelstage.history.Position;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.store.PageText;
@@ -39,7 +40,19 @@
      * @param position the position that they reflect together
      * @return the list as the store would return it, empty if a text is malformed
      */
-    Optional<PageText> merge(List<PageText> texts, Position position);
+    default Optional<PageText> merge(final List<PageText> texts, final Position position) {
+        return merge(texts, position, name -> true);
+    }
+
+    /**
+     * Merges responses about one kind into one list of some of the objects.
+     *
+     * @param texts the pages of a list, followed by the changes since, in their order
+     * @param position the position that they reflect together
+     * @param included returns whether the list contains the object of a name
+     * @return the list, empty if a text is malformed
+     */
+    Optional<PageText> merge(List<PageText> texts, Position position, Predicate<String> included);
 
     /**
      * Returns the headers with which the store returns a list.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/KeptCopy.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/KeptCopy.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.fennelstage.history.Position;
 import org.fennelstage.store.Page;
 import org.fennelstage.store.PageKeeper;
@@ -127,9 +128,9 @@
         return position;
     }
 
-    /** Returns the copy as a list at a position, empty if there is none. */
-    Optional<PageText> list(final Position at) {
-        return texts.isEmpty() ? Optional.empty() : format.merge(texts, at);
+    /** Returns some objects of the copy as a list at a position, empty if there is no copy. */
+    Optional<PageText> list(final Position at, final Predicate<String> included) {
+        return texts.isEmpty() ? Optional.empty() : format.merge(texts, at, included);
     }
 
     /** Returns the memory that the texts take; bytes. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.fennelstage.history.Position;
 import org.fennelstage.http.ServerExchange;
@@ -55,6 +56,7 @@
     private final MonotonicClock clock;
     private final Map<StoreKind<?>, KeptCopy> kept = new LinkedHashMap<>();
     private final CopyAnnouncements announcements;
+    private Predicate<String> usable = name -> true;
     private BooleanSupplier ready = () -> false;
     private IntSupplier others = () -> 0;
     private Runnable announce = () -> {};
@@ -98,6 +100,16 @@
         ready = Objects.requireNonNull(newReady, "newReady is null");
     }
 
+    /**
+     * Sets which backend servers the copies contain; all by default. That a server is draining or
+     * its version bad may be known to this VM only, and a VM that starts would use the server.
+     *
+     * @param newUsable returns whether the server of an id is included
+     */
+    public void giveServers(final Predicate<String> newUsable) {
+        usable = Objects.requireNonNull(newUsable, "newUsable is null");
+    }
+
     /**
      * Returns the keeper of a kind, whose copies are given from then on.
      *
@@ -191,7 +203,8 @@
             return answer;
         }
         final Position position = position(kind);
-        final Optional<PageText> list = copy.list(position);
+        final Optional<PageText> list =
+                copy.list(position, name -> !kind.equals(StoreKind.SERVERS) || usable.test(name));
         if (list.isEmpty()) {
             return CopyTerms.Answer.NOT_READ;
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
@@ -316,6 +316,23 @@
                 .allMatch(entry -> canary(entry.service()).knows(entry.version()));
     }
 
+    /**
+     * Returns whether a VM that starts may be told of a backend server: it is neither draining nor
+     * of a version that this VM found bad.
+     *
+     * @param id the id
+     * @return false also if the server is unknown
+     */
+    public boolean mayPassOn(final String id) {
+        return servers.all().stream()
+                .map(TrackedServer::entry)
+                .filter(entry -> entry.id().value().equals(id))
+                .anyMatch(
+                        entry ->
+                                !entry.draining()
+                                        && !canary(entry.service()).isHalted(entry.version()));
+    }
+
     /**
      * Sets the action that reads all rollout orders again. It runs when the version of a backend
      * server is unknown, and at the end of the grace period.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -248,6 +248,7 @@
                         new CopyAnnouncements(random::nextLong),
                         state.clock());
         given.giveWhile(readiness::isReady);
+        given.giveServers(state::mayPassOn);
         final CopyCollector asked =
                 new CopyCollector(
                         vm -> format.sourceAt(storeClient, vm),
--- a/fennelstage-gateway/src/test/java/org/fennelstage/copy/KeptCopyTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/copy/KeptCopyTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import org.fennelstage.history.Position;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.store.Page;
@@ -31,7 +32,10 @@
         }
 
         @Override
-        public Optional<PageText> merge(final List<PageText> texts, final Position position) {
+        public Optional<PageText> merge(
+                final List<PageText> texts,
+                final Position position,
+                final Predicate<String> included) {
             merges++;
             return Optional.of(PageText.of(texts.get(texts.size() - 1).bytes()));
         }
@@ -69,7 +73,7 @@
     }
 
     private String content() {
-        final byte[] list = copy.list(copy.position()).orElseThrow().bytes();
+        final byte[] list = copy.list(copy.position(), name -> true).orElseThrow().bytes();
         return new String(list, StandardCharsets.UTF_8);
     }
 
@@ -115,7 +119,7 @@
         copy.onChanges(new Page<>(change.values(), change.next(), change.position()));
         assertThat(copy.confirmedMillis()).isEmpty();
         copy.onChanges(changes(3, Optional.of(text(10, 'c'))));
-        assertThat(copy.list(copy.position())).isEmpty();
+        assertThat(copy.list(copy.position(), name -> true)).isEmpty();
         copy.onList(List.of(Optional.of(text(100, 'd'))), Position.of(1, 4));
         assertThat(content()).startsWith("d");
     }
