--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
@@ -8,6 +8,7 @@
 import org.fennelstage.admission.Admission;
 import org.fennelstage.admission.ClassAdmission;
 import org.fennelstage.admission.TrafficClass;
+import java.util.stream.IntStream;
 import org.fennelstage.backend.ServerLoads;
 import org.fennelstage.backend.ServerSelector;
 import org.fennelstage.configuration.Configuration;
@@ -21,6 +22,7 @@
 import org.fennelstage.rollout.ExposurePolicy;
 import org.fennelstage.rollout.Tolerance;
 import org.fennelstage.rollout.Verdict;
+import org.fennelstage.startup.CopyRequests;
 import org.fennelstage.team.KeyHash;
 import org.fennelstage.team.Team;
 import org.openjdk.jmh.annotations.Benchmark;
@@ -51,6 +53,8 @@
     public int workers;
 
     private final int[] candidates = new int[CANDIDATES];
+    private final List<String> vms =
+            IntStream.range(0, 100).mapToObj(i -> "10.0.0." + i + ":7000").toList();
     private final ServerSelector affinitySelector = ServerSelector.boundedAffinity(1.25);
     private ServerLoads loads;
     private Configuration configuration;
@@ -122,6 +126,17 @@
                 configuration, team, ModelId.of("m0"), r -> VersionChooser.Status.RUNNING);
     }
 
+    /** Finds the VM to ask for a copy of the state among 100 VMs of which half have failed. */
+    @Benchmark
+    public CopyRequests<String> copyRequest() {
+        final CopyRequests<String> requests = new CopyRequests<>(bound -> 0);
+        for (int i = 0; i < vms.size() / 2; i++) {
+            requests.onFailed(vms.get(i));
+        }
+        requests.next(vms, 1_000);
+        return requests;
+    }
+
     /** Evaluates the evidence on a new version. */
     @Benchmark
     public Verdict verdict() {
