Speed of backend servers: samples of attempts, paces in load reports, FS4033, metrics, switch

Cause: nothing filled the pace of the load reports. Change: Attempt samples streams and plain responses; reports carry paces where they fit beside all loads and outcomes; the sums of a collector carry 48 paces a period in turn; GatewayVm compares twice a second, logs FS4033 and registers two gauges; without server-speeds nothing is sampled.

--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
@@ -115,6 +115,15 @@
                 : times(Math.pow(0.5, millis / (double) HALF_LIFE_MILLIS));
     }
 
+    /**
+     * Returns this pace in the precision in which it is sent between VMs.
+     *
+     * @return the pace, {@link #NONE} if nothing is left
+     */
+    public Pace rounded() {
+        return sampleUnits() == 0 ? NONE : ofUnits(startMillis, sampleUnits(), logUnits());
+    }
+
     /**
      * Returns this pace with a limited weight.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -18,6 +18,8 @@
 import org.fennelstage.http.ResponseListener;
 import org.fennelstage.placement.Prompt;
 import org.fennelstage.policy.Mechanism;
+import org.fennelstage.speed.EventTimer;
+import org.fennelstage.speed.SampleKind;
 
 /**
  * One attempt of a request at one backend server.
@@ -64,6 +66,8 @@
      */
     private static final Duration FIRST_USE_DELAY_NON_RETRYABLE = Duration.ofMillis(5);
 
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
     private final RequestExecution execution;
     private final TrackedServer server;
     private final LatencyEstimator latencyEstimator;
@@ -72,6 +76,7 @@
     private final double aheadPerSlot;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter(this::onEvent);
+    private final EventTimer eventTimer = new EventTimer();
     private Optional<ResponseHead> head = Optional.empty();
     private Call call;
     private long sentMillis;
@@ -180,6 +185,7 @@
             lastByteMillis = now();
             server.beginResponse();
         } else {
+            eventTimer.onPaused();
             server.endResponse();
         }
     }
@@ -358,6 +364,9 @@
         }
         final boolean failed = response.isServerFailure();
         recordHealth(failed);
+        if (response.isSuccess()) {
+            sampleWhole();
+        }
         latencyEstimator.onEnd(now() - sentMillis, aheadPerSlot);
         execution
                 .canary()
@@ -411,6 +420,7 @@
             firstEventMillis = now();
         }
         eventCount++;
+        eventTimer.onEvent(now()).ifPresent(this::sampleStream);
         if (!execution.response().event(head.orElseThrow(), event, id)) {
             pause(true);
         }
@@ -454,6 +464,44 @@
         return true;
     }
 
+    private void sampleStream(final double millisPerEvent) {
+        execution
+                .gateway()
+                .onSpeedSample(
+                        server,
+                        SampleKind.ofStream(execution.service(), execution.model()),
+                        millisPerEvent);
+    }
+
+    /**
+     * Takes a sample of a whole response. The time of one with a prompt that is not a stream
+     * depends on its length and is none.
+     */
+    private void sampleWhole() {
+        if (isStreaming()) {
+            eventTimer.onEnd().ifPresent(this::sampleStream);
+        } else if (execution.request().prompt().isEmpty()) {
+            call.sinceWritten()
+                    .map(
+                            total ->
+                                    permit instanceof Permit.Granted granted
+                                            ? granted.atServer(total)
+                                            : total)
+                    .map(atServer -> atServer.toNanos() / NANOS_PER_MILLI / (1 + aheadPerSlot))
+                    .filter(millis -> millis > 0)
+                    .ifPresent(
+                            millis ->
+                                    execution
+                                            .gateway()
+                                            .onSpeedSample(
+                                                    server,
+                                                    SampleKind.ofRoute(
+                                                            execution.service(),
+                                                            execution.route().name()),
+                                                    millis));
+        }
+    }
+
     private void recordHealth(final boolean failed) {
         final BaselineFailureRate baseline =
                 execution.gateway().state().baselineFailureRate(execution.route().name());
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -32,6 +32,8 @@
 import org.fennelstage.serving.Route;
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.serving.TeamAccess;
+import org.fennelstage.speed.SampleKind;
+import org.fennelstage.speed.ServerSpeeds;
 
 /**
  * Handles callers' requests: finds the route and the team, or responds with an error.
@@ -54,6 +56,7 @@
     private Consumer<Incarnation> unreachableListener = id -> {};
     private Consumer<Incarnation> drainingListener = id -> {};
     private BiConsumer<Incarnation, Optional<RateLimit>> limitListener = (id, limit) -> {};
+    private Optional<ServerSpeeds> speeds = Optional.empty();
     private PermitSource permits =
             (server, terms, timeout, listener) -> listener.accept(Permit.NONE);
     private Optional<HttpClient> peerClient = Optional.empty();
@@ -238,6 +241,23 @@
         permits = Objects.requireNonNull(source, "source is null");
     }
 
+    /**
+     * Sets what receives the samples of how long backend servers take; there is none by default.
+     *
+     * @param newSpeeds the speeds of the backend servers
+     */
+    public void useSpeeds(final ServerSpeeds newSpeeds) {
+        speeds = Optional.of(newSpeeds);
+    }
+
+    /** Handles a sample of how long a backend server took; milliseconds. */
+    void onSpeedSample(final TrackedServer server, final SampleKind kind, final double millis) {
+        if (speeds.isPresent()) {
+            speeds.get().onSample(server, kind, millis);
+            metrics.speedSample(kind.service().value());
+        }
+    }
+
     PermitSource permits() {
         return permits;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
@@ -33,6 +33,12 @@
                     .help("Requests for permits at saturated servers by service and result")
                     .labelNames("service", "result")
                     .register(registry);
+    private final Counter speedSamples =
+            Counter.builder()
+                    .name("fennelstage_gateway_speed_samples_total")
+                    .help("Samples of how long workers take, by service")
+                    .labelNames("service")
+                    .register(registry);
     private final Counter sentToWarmingUp =
             Counter.builder()
                     .name("fennelstage_gateway_cold_server_requests_total")
@@ -94,6 +100,10 @@
         sentToWarmingUp.labelValues(service).inc();
     }
 
+    void speedSample(final String service) {
+        speedSamples.labelValues(service).inc();
+    }
+
     void permit(final String service, final Permit result) {
         permits.labelValues(service, result.name()).inc();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -535,6 +535,10 @@
         return OptionalInt.of(priority);
     }
 
+    Optional<ModelId> model() {
+        return models.model();
+    }
+
     private LatencyEstimator latencyEstimator() {
         return gateway.state().latencyEstimator(service, models.model());
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -31,6 +31,7 @@
 import org.fennelstage.policy.Mechanism;
 import org.fennelstage.serving.CallerLimits;
 import org.fennelstage.serving.ServingConfiguration;
+import org.fennelstage.speed.ServerSpeeds;
 import org.fennelstage.store.CoalescedStore;
 import org.fennelstage.store.EraTracker;
 import org.fennelstage.store.FallbackStore;
@@ -66,6 +67,7 @@
     private final QuarantineFeed quarantineFeed;
     private final OverloadDetector overload;
     private final OutlierDetection outliers;
+    private final ServerSpeeds speeds;
     private final EvacuationFeed evacuationFeed;
     private final CrashBroadcast crashBroadcast;
     private final LoadReports loadReports;
@@ -98,6 +100,7 @@
         peers.onFleetKnown(others -> state.onVms(settings.vm(), others));
         final LoadBoard loadBoard = LoadBoard.of(clock, peers::othersPerLoadPeer);
         this.outliers = OutlierDetection.of(loadBoard, random::nextDouble);
+        this.speeds = ServerSpeeds.of(loadBoard, clock);
         this.gateway =
                 new Gateway(
                         state,
@@ -107,6 +110,9 @@
                         random,
                         metrics,
                         settings.policy());
+        if (settings.policy().uses(Mechanism.SERVER_SPEEDS)) {
+            gateway.useSpeeds(speeds);
+        }
         final FallbackStore store =
                 new FallbackStore(
                         storeAt.apply(storeClient, settings.store()), peers::relays, clock);
@@ -433,12 +439,34 @@
         }
     }
 
+    private void checkSpeeds() {
+        for (final ServerSpeeds.Change change : speeds.update(state.servers().all())) {
+            EventLog.write(
+                    Event.SERVER_SPEED_CHANGED,
+                    "server",
+                    change.server().entry().incarnation(),
+                    "slowness",
+                    change.server().slowness(),
+                    "before",
+                    change.before(),
+                    "samples",
+                    change.pace().samples(),
+                    "log_sum",
+                    change.pace().logSum(),
+                    "usual",
+                    change.usual());
+        }
+    }
+
     private void runPeriodicTasks() {
         try {
             checkOverload();
             if (settings.policy().uses(Mechanism.OUTLIER_DETECTION)) {
                 checkOutliers();
             }
+            if (settings.policy().uses(Mechanism.SERVER_SPEEDS)) {
+                checkSpeeds();
+            }
             gateway.checkInactivity();
             if (settings.policy().uses(Mechanism.LOAD_REPORTS)) {
                 loadReports.sendDue();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadCollection.java
@@ -12,6 +12,7 @@
 import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.id.BackendServerId;
 import org.fennelstage.id.VmId;
+import org.fennelstage.speed.PaceRotation;
 import org.fennelstage.time.MonotonicClock;
 
 /**
@@ -52,6 +53,7 @@
     private final BiConsumer<PeerMessage, List<InetSocketAddress>> send;
     private final MonotonicClock clock;
     private final UnresponsiveVms unresponsive;
+    private final PaceRotation paces = new PaceRotation();
     private final Map<VmId, Long> lastReportMillis = new HashMap<>();
     private Map<BackendServerId, Load> lastSent = Map.of();
     private Optional<VmId> collector = Optional.empty();
@@ -158,8 +160,9 @@
                         .map(peers::address)
                         .flatMap(Optional::stream)
                         .toList();
-        final Map<BackendServerId, Load> sums = new HashMap<>(board.sums());
-        loads.forEach((server, load) -> sums.merge(server, load, Load::plus));
+        final Map<BackendServerId, Load> all = new HashMap<>(board.sums());
+        loads.forEach((server, load) -> all.merge(server, load, Load::plus));
+        final Map<BackendServerId, Load> sums = paces.next(all);
         final List<BackendServerId> servers = new ArrayList<>(sums.keySet());
         servers.sort(null);
         final List<Map<BackendServerId, Load>> parts = new ArrayList<>();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadReports.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import org.fennelstage.fleet.Load;
+import org.fennelstage.fleet.Pace;
 import org.fennelstage.fleet.ServerTable;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.id.BackendServerId;
@@ -28,9 +29,9 @@
  * VM that does not reach most backend servers reports no outcomes, since its own links are likely
  * at fault.
  *
- * <p>Invariants: a report fits into one datagram; if not all do, it leaves out the outcomes of idle
- * backend servers first, then those servers with the fewest unread prompts. Not thread-safe;
- * confined to the event loop.
+ * <p>Invariants: a report fits into one datagram; if not all do, it leaves out paces first, then
+ * the outcomes of idle backend servers, then those servers with the fewest unread prompts. Not
+ * thread-safe; confined to the event loop.
  */
 final class LoadReports {
 
@@ -52,6 +53,12 @@
      */
     private static final int MAX_SERVERS_WITH_OUTCOMES = 12;
 
+    /**
+     * Least weight of the samples of a backend server that is reported; hundredths. A fifth of a
+     * sample, which is five seconds old, says too little for its bytes.
+     */
+    private static final long MIN_PACE_UNITS = 20;
+
     /** A backend server and the weight of all its responses, however many of them failed. */
     private record Responses(TrackedServer server, double weight) {
 
@@ -124,12 +131,37 @@
             final Load load = withOutcomes.contains(server) ? server.report() : server.load();
             // Shorter ones that follow would come before a server with more unread prompts.
             if (!loads.add(server.entry().id(), load)) {
-                break;
+                return loads.loads();
             }
         }
+        addPaces(loads);
         return loads.loads();
     }
 
+    /** Adds the paces that fit beside all loads and outcomes, those with most samples first. */
+    private void addPaces(final LoadsInDatagram loads) {
+        final Map<TrackedServer, Pace> paces = new HashMap<>();
+        for (final TrackedServer server : servers.all()) {
+            final Pace pace = server.pace();
+            if (pace.sampleUnits() >= MIN_PACE_UNITS) {
+                paces.put(server, pace.rounded());
+            }
+        }
+        final List<Map.Entry<TrackedServer, Pace>> mostFirst = new ArrayList<>(paces.entrySet());
+        mostFirst.sort(
+                Map.Entry.<TrackedServer, Pace>comparingByValue(
+                                Comparator.comparingDouble(Pace::samples).reversed())
+                        .thenComparing(entry -> entry.getKey().entry().id()));
+        final Map<BackendServerId, Load> withoutPaces = loads.loads();
+        for (final Map.Entry<TrackedServer, Pace> entry : mostFirst) {
+            final BackendServerId id = entry.getKey().entry().id();
+            final Load load = withoutPaces.getOrDefault(id, Load.NONE);
+            if (!loads.add(id, load.withPace(entry.getValue()))) {
+                return;
+            }
+        }
+    }
+
     private Set<TrackedServer> withOutcomes() {
         final Map<ServiceName, List<Responses>> services = new HashMap<>();
         servers.all().stream()
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadsInDatagram.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/LoadsInDatagram.java
@@ -27,14 +27,16 @@
     }
 
     /**
-     * Adds the load at a backend server that has none here, if it fits.
+     * Adds the load at a backend server or replaces it, if it fits.
      *
      * @param server the backend server
      * @param load the load
-     * @return whether it fits
+     * @return whether it fits; otherwise nothing changes
      */
     boolean add(final BackendServerId server, final Load load) {
-        final int bytes = bytes(PeerMessage.loadText(server, load));
+        final Load known = loads.get(server);
+        final int knownBytes = known == null ? 0 : bytes(PeerMessage.loadText(server, known));
+        final int bytes = bytes(PeerMessage.loadText(server, load)) - knownBytes;
         if (bytes > remainingBytes) {
             return false;
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Map;
 import java.util.Objects;
+import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
 import org.fennelstage.gateway.GatewayState;
@@ -50,6 +51,18 @@
                 "fennelstage_gateway_evacuations_age_seconds",
                 "Time since the store was last heard of evacuations",
                 () -> state.evacuations().ageMillis() / MILLIS_PER_SECOND);
+        metrics.gauge(
+                "fennelstage_gateway_workers_of_other_speed",
+                "Workers that are clearly slower or faster than usual for their service",
+                () -> state.servers().all().stream().filter(s -> s.slowness() != 1).count());
+        metrics.gauge(
+                "fennelstage_gateway_worker_slowness_max",
+                "Time of the slowest worker over the usual one of its service",
+                () ->
+                        state.servers().all().stream()
+                                .mapToDouble(TrackedServer::slowness)
+                                .max()
+                                .orElse(1));
         metrics.gauge(
                 "fennelstage_gateway_store_returns",
                 "How often the store was seen to come back from an older copy",
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -101,6 +101,8 @@
             4032,
             Level.INFO,
             "backend server began or ceased to fail more often than others of its service"),
+    SERVER_SPEED_CHANGED(
+            4033, Level.INFO, "backend server became slower or faster than usual for its service"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
