--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/EngineAttempt.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/EngineAttempt.java
@@ -6,6 +6,7 @@
     private final ModelSpec model;
     private final String sharedPartId;
     private final int outputTokens;
+    private final Runnable onToken;
     private final Runnable onFirstToken;
     private final Runnable onEnd;
     private int unreadTokens;
@@ -17,12 +18,14 @@
             final String sharedPartId,
             final int promptTokens,
             final int outputTokens,
+            final Runnable onToken,
             final Runnable onFirstToken,
             final Runnable onEnd) {
         this.model = model;
         this.sharedPartId = sharedPartId;
         this.unreadTokens = promptTokens;
         this.outputTokens = outputTokens;
+        this.onToken = onToken;
         this.onFirstToken = onFirstToken;
         this.onEnd = onEnd;
     }
@@ -55,6 +58,7 @@
     /** Generates a token and returns whether it was the last one. */
     boolean generateToken() {
         generatedTokens++;
+        onToken.run();
         if (generatedTokens == 1) {
             onFirstToken.run();
         }
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/EngineSpec.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/EngineSpec.java
@@ -18,6 +18,17 @@
         int promptChunkTokens,
         int promptCacheTokens) {
 
+    /** Returns an engine of the same size and another speed. */
+    EngineSpec atSpeed(final double speed) {
+        return new EngineSpec(
+                maxBatchSize,
+                stepMillis / speed,
+                stepMillisPerRequest / speed,
+                promptTokensPerMilli * speed,
+                promptChunkTokens,
+                promptCacheTokens);
+    }
+
     /** A large model on four accelerators. */
     public static final EngineSpec LARGE = new EngineSpec(48, 3.1, 0.017, 60, 2_048, 300_000);
 }
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedRequest.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedRequest.java
@@ -12,6 +12,7 @@
 import org.fennelstage.placement.PromptPart;
 import org.fennelstage.policy.Mechanism;
 import org.fennelstage.sizing.SizePlan;
+import org.fennelstage.speed.EventTimer;
 
 /**
  * One request from its arrival to the end of its response or its deadline, with all its attempts.
@@ -86,14 +87,19 @@
         promptRead = false;
         server.begin(readMillis);
         final double sentMillis = simulation.eventQueue().nowMillis();
+        final EventTimer timer = new EventTimer();
         final EngineAttempt attempt =
                 new EngineAttempt(
                         spec(model),
                         sharedPartId,
                         promptTokens,
                         outputTokens,
+                        () -> onToken(timer),
                         () -> onFirstToken(sentMillis),
-                        () -> onEnd(sentMillis));
+                        () -> {
+                            timer.onEnd().ifPresent(this::sample);
+                            onEnd(sentMillis);
+                        });
         currentAttempt = Optional.of(attempt);
         simulation.engine(server.entry().id()).submit(attempt, kind.sharedTokens());
     }
@@ -115,6 +121,14 @@
                 estimator.responseMillis());
     }
 
+    private void onToken(final EventTimer timer) {
+        timer.onEvent((long) simulation.eventQueue().nowMillis()).ifPresent(this::sample);
+    }
+
+    private void sample(final double millisPerEvent) {
+        vm.onSpeedSample(server, plan.model().orElseThrow(), millisPerEvent);
+    }
+
     private void onFirstToken(final double sentMillis) {
         final ModelId model = plan.model().orElseThrow();
         endPromptRead();
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/Simulation.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/Simulation.java
@@ -41,7 +41,8 @@
      *
      * @param vms the number of VMs
      * @param engines the number of model engines
-     * @param engineSpec the capacity and speed of each engine
+     * @param engineSpec the capacity and usual speed of each engine
+     * @param speeds the speeds of the engines against the usual one, in turn
      * @param models the models, smallest first
      * @param kinds the request kinds
      * @param maxDifficulty the upper bound of the uniformly distributed difficulty of a request
@@ -53,6 +54,7 @@
             int vms,
             int engines,
             EngineSpec engineSpec,
+            List<Double> speeds,
             List<ModelSpec> models,
             List<RequestKind> kinds,
             double maxDifficulty,
@@ -83,6 +85,7 @@
                     vms,
                     engines,
                     EngineSpec.LARGE,
+                    List.of(1.0),
                     Workloads.MODELS,
                     Workloads.longAndShortPrompts(scale),
                     1,
@@ -106,7 +109,9 @@
         for (int i = 0; i < setup.engines(); i++) {
             final ServerEntry entry = serverEntry(i);
             entries.add(entry);
-            engines.put(entry.id(), new SimulatedEngine(setup.engineSpec(), eventQueue));
+            final double speed = setup.speeds().get(i % setup.speeds().size());
+            engines.put(
+                    entry.id(), new SimulatedEngine(setup.engineSpec().atSpeed(speed), eventQueue));
         }
         for (int i = 0; i < setup.vms(); i++) {
             vms.add(new SimulatedVm(this, VmId.of("vm-" + i), dataCentre(i), random.nextLong()));
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
@@ -28,8 +28,8 @@
 
     /**
      * Half-life of the samples; milliseconds. At two samples a second a server that becomes 2.5
-     * times slower counts as slow after a second, and one of 2.2 that recovers as usual after five;
-     * with 3 s neither holds.
+     * times slower counts as 1.22 after a second, and one of 2.2 that recovers as usual after five.
+     * With 3 s these are 1.17, hardly more than equal, and 1.22.
      */
     static final long HALF_LIFE_MILLIS = 2_000;
 
