--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/DecisionBenchmark.java
@@ -17,6 +17,7 @@
 import org.fennelstage.rollout.ExposurePolicy;
 import org.fennelstage.rollout.Tolerance;
 import org.fennelstage.rollout.Verdict;
+import org.fennelstage.speed.ServerSpeeds;
 import org.fennelstage.team.KeyHash;
 import org.fennelstage.team.Team;
 import org.openjdk.jmh.annotations.Benchmark;
@@ -101,6 +102,12 @@
                 configuration, team, ModelId.of("m0"), r -> VersionChooser.Status.RUNNING);
     }
 
+    /** Compares the speeds of 100 backend servers, which a VM does twice a second. */
+    @Benchmark
+    public List<ServerSpeeds.Change> serverSpeeds(final SpeedState state) {
+        return state.update();
+    }
+
     /** Evaluates the evidence on a new version. */
     @Benchmark
     public Verdict verdict() {
--- a/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/placement/PlacementTest.java
@@ -248,6 +248,41 @@
         assertThat(placement.waitMillis(server, job(Optional.empty()))).isEqualTo(65 * 200.0 / 64);
     }
 
+    /** Guards against prompts that wait at a slow server while others are as busy but faster. */
+    @Test
+    void busyServersGetPromptsByTheirSpeed() {
+        final List<TrackedServer> servers = servers(12);
+        servers.get(3).onSlowness(2.2);
+        for (int i = 0; i < 12 * 200; i++) {
+            final Job job = job(prompt("t" + i));
+            placement.choose(servers, job, false, s -> false).orElseThrow().begin(job.readMillis());
+        }
+        assertThat(servers.get(3).running() / 200.0).isBetween(0.3, 0.65);
+    }
+
+    /** Guards against a slow server that gets a full share of the requests without a prompt. */
+    @Test
+    void busyPlainServersGetRequestsByTheirSpeed() {
+        final List<TrackedServer> servers = servers(4);
+        servers.get(0).onSlowness(2);
+        for (int i = 0; i < 4 * 200; i++) {
+            placement
+                    .choose(servers, job(Optional.empty()), false, s -> false)
+                    .orElseThrow()
+                    .begin(0);
+        }
+        assertThat(servers.get(0).running()).isBetween(100, 130);
+    }
+
+    @Test
+    void expectedWaitGrowsWithTheSlowness() {
+        final TrackedServer server = servers(1).get(0);
+        fill(server, 100);
+        final double usual = placement.waitMillis(server, job(prompt("t")));
+        server.onSlowness(2.2);
+        assertThat(placement.waitMillis(server, job(prompt("t")))).isEqualTo(2.2 * usual);
+    }
+
     @Test
     void noRequestIsAheadWhileASlotIsFree() {
         final TrackedServer server = servers(1).get(0);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadReportsTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/LoadReportsTest.java
@@ -13,6 +13,7 @@
 import org.fennelstage.fleet.Load;
 import org.fennelstage.fleet.LoadBoard;
 import org.fennelstage.fleet.Outcomes;
+import org.fennelstage.fleet.Pace;
 import org.fennelstage.fleet.ServerAddress;
 import org.fennelstage.fleet.ServerEntry;
 import org.fennelstage.fleet.ServerTable;
@@ -141,6 +142,40 @@
         assertThat(report().text().length()).isLessThanOrEqualTo(PeerMessenger.MAX_BYTES);
     }
 
+    @Test
+    void paceIsReportedOfAServerWithoutLoad() {
+        final TrackedServer server = addServer("i-1");
+        server.onPace(0.5);
+        final Pace expected = Pace.ofUnits(START_MILLIS, 84, 42);
+        assertThat(report().loads())
+                .isEqualTo(Map.of(server.entry().id(), Load.NONE.withPace(expected)));
+    }
+
+    /** Guards against busy servers that are left out of reports for the paces of idle ones. */
+    @Test
+    void pacesOfIdleServersDisplaceNoBusyServerAndNoOutcomes() {
+        for (int i = 0; i < 50; i++) {
+            addServer(id("idle-", i, 20)).onPace(0.1);
+        }
+        final List<TrackedServer> busy = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            final TrackedServer server = addServer(id("busy-", i, 20));
+            server.begin(1_000L + i);
+            server.onPace(0.1);
+            busy.add(server);
+        }
+        busy.get(0).health().onEnd(true, 0);
+        final PeerMessage.Loads report = report();
+        assertThat(report.text().length()).isLessThanOrEqualTo(PeerMessenger.MAX_BYTES);
+        assertThat(report.loads())
+                .containsKeys(
+                        busy.stream().map(s -> s.entry().id()).toArray(BackendServerId[]::new));
+        assertThat(report.loads().get(busy.get(0).entry().id()).outcomes().responses())
+                .isGreaterThan(0.5);
+        assertThat(report.loads().values())
+                .anySatisfy(l -> assertThat(l.pace().samples()).isPositive());
+    }
+
     private static String id(final String prefix, final int number, final int length) {
         final String id = prefix + number;
         return id + "x".repeat(length - id.length());
