Server speeds: mend wrong samples and differences by chance

SampleKind has a type and, for routes, the data centre. UsualTime needs samples of three servers and its count does not overflow. A difference counts after four comparisons, two above 1.5, and beyond 25%. Placement does not amplify what a fast server saves; minWaitMillis scales the shared part as well. Reported paces decay from when they changed. Servers are compared by service and version, draining ones have slowness 1, state is bounded, FS4033 comes once in 5 s per server, no EventTimer runs without speeds.

--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedRequest.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedRequest.java
@@ -125,8 +125,8 @@
         timer.onEvent((long) simulation.eventQueue().nowMillis()).ifPresent(this::sample);
     }
 
-    private void sample(final double millisPerEvent) {
-        vm.onSpeedSample(server, plan.model().orElseThrow(), millisPerEvent);
+    private void sample(final EventTimer.Sample sample) {
+        vm.onSpeedSample(server, plan.model().orElseThrow(), sample);
     }
 
     private void onFirstToken(final double sentMillis) {
--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedVm.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/engine/SimulatedVm.java
@@ -19,6 +19,7 @@
 import org.fennelstage.placement.Placement;
 import org.fennelstage.policy.Mechanism;
 import org.fennelstage.sizing.ConfidenceGains;
+import org.fennelstage.speed.EventTimer;
 import org.fennelstage.speed.SampleKind;
 import org.fennelstage.speed.ServerSpeeds;
 import org.fennelstage.time.MonotonicClock;
@@ -106,11 +107,14 @@
     }
 
     void onSpeedSample(
-            final TrackedServer server, final ModelId model, final double millisPerEvent) {
+            final TrackedServer server, final ModelId model, final EventTimer.Sample sample) {
         if (usesSpeeds()) {
             final ServiceName service = server.entry().service();
             speeds.onSample(
-                    server, SampleKind.ofStream(service, Optional.of(model)), millisPerEvent);
+                    server,
+                    SampleKind.ofStream(service, Optional.of(model)),
+                    sample.millisPerEvent(),
+                    sample.weight());
         }
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
@@ -31,7 +31,7 @@
      * times slower counts as 1.22 after a second, and one of 2.2 that recovers as usual after five.
      * With 3 s these are 1.17, hardly more than equal, and 1.22.
      */
-    static final long HALF_LIFE_MILLIS = 2_000;
+    public static final long HALF_LIFE_MILLIS = 2_000;
 
     private static final double UNITS_PER_SAMPLE = 100;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -318,9 +318,12 @@
      * Adds a sample of how long a request of this VM took.
      *
      * @param logRatio the natural logarithm of the time over the usual one
+     * @param weight its weight, above 0 and at most 1
      */
-    public void onPace(final double logRatio) {
-        pace = pace.decayed(clock.millis() - paceAtMillis).plus(new Pace(0, 1, logRatio));
+    public void onPace(final double logRatio, final double weight) {
+        pace =
+                pace.decayed(clock.millis() - paceAtMillis)
+                        .plus(new Pace(0, weight, weight * logRatio));
         paceAtMillis = clock.millis();
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Placement.java
@@ -183,8 +183,10 @@
         TrackedServer chosen = servers.get(first);
         double shortest = Double.MAX_VALUE;
         for (final TrackedServer server : compared) {
-            // Divided, so that a slow server does not attract all requests that share a part.
-            final double saved = saved(cached.indexOf(server), job) / server.slowness();
+            // Divided, so that a slow server does not attract all requests that share a part. Not
+            // multiplied at a fast one, which would attract them instead.
+            final double saved =
+                    saved(cached.indexOf(server), job) / Math.max(1, server.slowness());
             final double wait = waitMillis(server, job) - saved + tieBreak(server, job);
             if (wait < shortest) {
                 shortest = wait;
@@ -234,7 +236,7 @@
             if (hasFreeSlot(server)) {
                 return OptionalDouble.empty();
             }
-            min = Math.min(min, waitMillis(server, job) - job.sharedMillis());
+            min = Math.min(min, waitMillis(server, job) - job.sharedMillis() * server.slowness());
         }
         return min == Double.MAX_VALUE ? OptionalDouble.empty() : OptionalDouble.of(min);
     }
--- a/fennelstage-core/src/main/java/org/fennelstage/speed/PaceRotation.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/speed/PaceRotation.java
@@ -30,7 +30,7 @@
      */
     private static final int CHANGED_PERIODS = 3;
 
-    private record Sent(long period, double mean) {}
+    private record Sent(long period, long startMillis, double mean) {}
 
     private final Map<BackendServerId, Sent> sent = new HashMap<>();
     private long period;
@@ -57,7 +57,14 @@
                 (server, load) ->
                         limited.put(
                                 server, chosen.contains(server) ? load : load.withPace(Pace.NONE)));
-        chosen.forEach(server -> sent.put(server, new Sent(period, mean(paces.get(server)))));
+        chosen.forEach(
+                server ->
+                        sent.put(
+                                server,
+                                new Sent(
+                                        period,
+                                        paces.get(server).startMillis(),
+                                        mean(paces.get(server)))));
         return limited;
     }
 
@@ -80,7 +87,7 @@
 
     private long urgency(final BackendServerId server, final Pace pace) {
         final Sent last = sent.get(server);
-        if (last == null) {
+        if (last == null || last.startMillis() != pace.startMillis()) {
             return Long.MAX_VALUE;
         }
         final boolean changed = Math.abs(mean(pace) - last.mean()) > ServiceSpeed.EQUAL_LOG;
--- a/fennelstage-core/src/main/java/org/fennelstage/speed/ServerSpeeds.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/speed/ServerSpeeds.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -15,7 +17,7 @@
 import org.fennelstage.time.MonotonicClock;
 
 /**
- * Finds out how slow each backend server is against the median of its service, by the samples of
+ * Estimates how slow each backend server is against the median of its service, by the samples of
  * all VMs, and sets {@link TrackedServer#slowness}.
  *
  * <p>In a large fleet a VM sends to each backend server so rarely that its own samples do not
@@ -57,14 +59,43 @@
      */
     public record Change(TrackedServer server, double before, Pace pace, double usual) {}
 
+    /** Least time between two changes of one backend server that are returned; milliseconds. */
+    static final long MIN_CHANGE_MILLIS = 5_000;
+
+    /** Kinds of requests of which the usual time is kept at most. */
+    private static final int MAX_KINDS = 1_000;
+
     private record Reported(Pace pace, long atMillis) {}
 
+    /** Backend servers that are compared: versions may differ in speed by design. */
+    private record Group(ServiceName service, String version) {
+
+        private static Group of(final TrackedServer server) {
+            return new Group(server.entry().service(), server.entry().version());
+        }
+    }
+
+    /** What is kept of a backend server between comparisons. */
+    private static final class History {
+
+        private final Persistence persistence = new Persistence();
+        private double lastChange = 1;
+        private long lastChangeMillis = Long.MIN_VALUE / 2;
+    }
+
     private final LoadBoard board;
     private final MonotonicClock clock;
-    private final Map<SampleKind, UsualTime> usualTimes = new HashMap<>();
-    private final Map<ServiceName, ServiceSpeed> services = new HashMap<>();
+    private final Map<SampleKind, UsualTime> usualTimes =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                @Override
+                protected boolean removeEldestEntry(final Map.Entry<SampleKind, UsualTime> eldest) {
+                    return size() > MAX_KINDS;
+                }
+            };
+    private final Map<Group, ServiceSpeed> groups = new HashMap<>();
     private final Map<BackendServerId, Reported> reported = new HashMap<>();
-    private final Map<TrackedServer, Double> lastChanges = new HashMap<>();
+    private final Map<TrackedServer, History> histories = new HashMap<>();
+    private Collection<TrackedServer> known = List.of();
     private long lastUpdateMillis;
 
     private ServerSpeeds(final LoadBoard board, final MonotonicClock clock) {
@@ -92,22 +123,47 @@
      * @param server the backend server
      * @param kind the requests with which it is comparable
      * @param millis the time that was taken, above zero; milliseconds
+     * @param weight the weight of the sample, above 0 and at most 1
      */
-    public void onSample(final TrackedServer server, final SampleKind kind, final double millis) {
+    public void onSample(
+            final TrackedServer server,
+            final SampleKind kind,
+            final double millis,
+            final double weight) {
         usualTimes
                 .computeIfAbsent(kind, k -> new UsualTime())
-                .onSample(millis)
+                .onSample(server.entry().id(), minServers(kind), weight, millis)
                 .ifPresent(
                         log -> {
                             final double limited =
                                     Math.max(-MAX_SAMPLE_LOG, Math.min(MAX_SAMPLE_LOG, log));
-                            service(kind.service()).onSample(limited, Math.log(server.slowness()));
-                            server.onPace(limited);
+                            speed(Group.of(server))
+                                    .onSample(limited, Math.log(server.slowness()), weight);
+                            server.onPace(limited, weight);
                         });
     }
 
-    private ServiceSpeed service(final ServiceName name) {
-        return services.computeIfAbsent(name, s -> new ServiceSpeed());
+    /**
+     * A service with fewer backend servers than {@link UsualTime#MIN_SERVERS} needs all of them.
+     */
+    private int minServers(final SampleKind kind) {
+        int count = 0;
+        for (final TrackedServer server : known) {
+            final boolean comparable =
+                    server.entry().service().equals(kind.service())
+                            && kind.dataCentre()
+                                    .map(server.entry().dataCentre()::equals)
+                                    .orElse(true);
+            count += comparable ? 1 : 0;
+            if (count == UsualTime.MIN_SERVERS) {
+                break;
+            }
+        }
+        return count == 0 ? UsualTime.MIN_SERVERS : count;
+    }
+
+    private ServiceSpeed speed(final Group group) {
+        return groups.computeIfAbsent(group, g -> new ServiceSpeed());
     }
 
     /**
@@ -124,12 +180,18 @@
         }
         lastUpdateMillis = now;
         readReports(servers);
-        lastChanges.keySet().retainAll(servers);
-        final List<Change> changes = new ArrayList<>();
+        known = List.copyOf(servers);
+        histories.keySet().retainAll(new HashSet<>(servers));
         servers.stream()
-                .filter(server -> !server.entry().draining())
-                .collect(Collectors.groupingBy(server -> server.entry().service()))
-                .forEach((service, all) -> compare(service(service), all, changes));
+                .filter(server -> server.entry().draining())
+                .forEach(server -> server.onSlowness(1));
+        final List<Change> changes = new ArrayList<>();
+        final Map<Group, List<TrackedServer>> compared =
+                servers.stream()
+                        .filter(server -> !server.entry().draining())
+                        .collect(Collectors.groupingBy(Group::of));
+        groups.keySet().retainAll(compared.keySet());
+        compared.forEach((group, all) -> compare(speed(group), all, changes));
         return changes;
     }
 
@@ -142,7 +204,11 @@
         board.sums()
                 .forEach(
                         (server, load) -> {
-                            if (load.pace().samples() > 0) {
+                            final Reported last = reported.get(server);
+                            // The board holds a report for a while, in which its pace decays.
+                            final boolean changed =
+                                    last == null || !last.pace().equals(load.pace());
+                            if (changed && load.pace().samples() > 0) {
                                 reported.put(server, new Reported(load.pace(), now));
                             }
                         });
@@ -167,11 +233,14 @@
                 continue;
             }
             final double before = Math.log(server.slowness());
-            server.onSlowness(Math.exp(speed.logSlowness(pace, before)));
-            final double last = lastChanges.getOrDefault(server, 1.0);
+            final History history = histories.computeIfAbsent(server, s -> new History());
+            server.onSlowness(Math.exp(speed.logSlowness(pace, history.persistence, before)));
+            final double last = history.lastChange;
             final boolean changed = Math.abs(Math.log(server.slowness() / last)) >= CHANGE_LOG;
-            if (changed && changes.size() < MAX_CHANGES) {
-                lastChanges.put(server, server.slowness());
+            final boolean due = clock.millis() - history.lastChangeMillis >= MIN_CHANGE_MILLIS;
+            if (changed && due && changes.size() < MAX_CHANGES) {
+                history.lastChange = server.slowness();
+                history.lastChangeMillis = clock.millis();
                 changes.add(new Change(server, last, pace, Math.exp(median)));
             }
         }
@@ -203,6 +272,6 @@
 
     @Override
     public String toString() {
-        return "ServerSpeeds[usual=" + usualTimes + ", services=" + services + "]";
+        return "ServerSpeeds[usual=" + usualTimes + ", groups=" + groups + "]";
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/speed/ServiceSpeed.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/speed/ServiceSpeed.java
@@ -10,8 +10,21 @@
  */
 final class ServiceSpeed {
 
-    /** Logarithm of the ratio up to which backend servers count as equally fast: 15 in 100. */
-    static final double EQUAL_LOG = Math.log(1.15);
+    /**
+     * Logarithm of the ratio up to which backend servers count as equally fast. The time per event
+     * is not corrected for the batch size, which alone makes 26 in 100 between 1 and 48 running
+     * requests (3.1 + 0.017 n ms).
+     */
+    static final double EQUAL_LOG = Math.log(1.25);
+
+    /** Successive comparisons in which a difference must be seen: 2 s. */
+    static final int MIN_COMPARISONS = 4;
+
+    /** Successive comparisons that suffice for a ratio above {@link #LARGE_LOG}. */
+    private static final int MIN_COMPARISONS_LARGE = 2;
+
+    /** Logarithm of a ratio that chance hardly reaches twice in succession. */
+    private static final double LARGE_LOG = Math.log(1.5);
 
     /** Logarithm of the largest slowness; the smallest is its inverse. */
     static final double MAX_LOG = Math.log(4);
@@ -39,10 +52,11 @@
      *
      * @param logRatio logarithm of its time over the usual time
      * @param logSlowness as last returned by {@link #logSlowness} for its server
+     * @param weight the weight of the sample, at most 1
      */
-    void onSample(final double logRatio, final double logSlowness) {
+    void onSample(final double logRatio, final double logSlowness, final double weight) {
         final double deviation = logRatio - median - logSlowness;
-        variance += VARIANCE_WEIGHT * (deviation * deviation - variance);
+        variance += weight * VARIANCE_WEIGHT * (deviation * deviation - variance);
     }
 
     void onMedian(final double newMedian) {
@@ -52,18 +66,28 @@
     /**
      * Returns how slow a backend server is.
      *
-     * <p>A difference that was found once lasts until it falls below {@link #EQUAL_LOG}: a slow
-     * server gets fewer requests, so its evidence thins out.
+     * <p>A difference counts once it is seen in several successive comparisons, and then lasts
+     * until it falls below {@link #EQUAL_LOG}: a slow server gets fewer requests, so its evidence
+     * thins out.
      *
      * @param pace the samples of all VMs
-     * @param before the result before
+     * @param persistence the earlier comparisons of the same server
+     * @param previousLogSlowness the result of the previous comparison
      * @return the logarithm of the slowness, 0 if usual
      */
-    double logSlowness(final Pace pace, final double before) {
+    double logSlowness(
+            final Pace pace, final Persistence persistence, final double previousLogSlowness) {
         final double weight = pace.samples();
         final double log = (pace.logSum() - weight * median) / (weight + PRIOR_SAMPLES);
-        final boolean known = before * log > 0;
+        final boolean known = previousLogSlowness * log > 0;
         if (Math.abs(log) <= (known ? EQUAL_LOG : Math.max(EQUAL_LOG, error(weight)))) {
+            persistence.reset();
+            return 0;
+        }
+        final int comparisons = persistence.next(log, LARGE_LOG);
+        if (!known
+                && comparisons < MIN_COMPARISONS
+                && persistence.large() < MIN_COMPARISONS_LARGE) {
             return 0;
         }
         return Math.max(-MAX_LOG, Math.min(MAX_LOG, log));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -76,7 +76,7 @@
     private final double aheadPerSlot;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter(this::onEvent);
-    private final EventTimer eventTimer = new EventTimer();
+    private final Optional<EventTimer> eventTimer;
     private Optional<ResponseHead> head = Optional.empty();
     private Call call;
     private long sentMillis;
@@ -102,6 +102,8 @@
         this.prefillMillis = prefillMillis;
         this.permit = permit;
         this.aheadPerSlot = aheadPerSlot();
+        this.eventTimer =
+                execution.gateway().usesSpeeds() ? Optional.of(new EventTimer()) : Optional.empty();
     }
 
     /**
@@ -183,9 +185,10 @@
         flowing = nowFlowing;
         if (nowFlowing) {
             lastByteMillis = now();
+            eventTimer.ifPresent(timer -> timer.onResumed(lastByteMillis));
             server.beginResponse();
         } else {
-            eventTimer.onPaused();
+            eventTimer.ifPresent(EventTimer::onPaused);
             server.endResponse();
         }
     }
@@ -420,7 +423,12 @@
             firstEventMillis = now();
         }
         eventCount++;
-        eventTimer.onEvent(now()).ifPresent(this::sampleStream);
+        if (eventTimer.isPresent()) {
+            final Optional<EventTimer.Sample> sample = eventTimer.get().onEvent(now());
+            if (sample.isPresent()) {
+                sampleStream(sample.get());
+            }
+        }
         if (!execution.response().event(head.orElseThrow(), event, id)) {
             pause(true);
         }
@@ -464,13 +472,14 @@
         return true;
     }
 
-    private void sampleStream(final double millisPerEvent) {
+    private void sampleStream(final EventTimer.Sample sample) {
         execution
                 .gateway()
                 .onSpeedSample(
                         server,
                         SampleKind.ofStream(execution.service(), execution.model()),
-                        millisPerEvent);
+                        sample.millisPerEvent(),
+                        sample.weight());
     }
 
     /**
@@ -479,8 +488,8 @@
      */
     private void sampleWhole() {
         if (isStreaming()) {
-            eventTimer.onEnd().ifPresent(this::sampleStream);
-        } else if (execution.request().prompt().isEmpty()) {
+            eventTimer.flatMap(EventTimer::onEnd).ifPresent(this::sampleStream);
+        } else if (execution.gateway().usesSpeeds() && execution.request().prompt().isEmpty()) {
             call.sinceWritten()
                     .map(
                             total ->
@@ -497,8 +506,10 @@
                                                     server,
                                                     SampleKind.ofRoute(
                                                             execution.service(),
-                                                            execution.route().name()),
-                                                    millis));
+                                                            execution.route().name(),
+                                                            server.entry().dataCentre()),
+                                                    millis,
+                                                    1));
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -250,10 +250,18 @@
         speeds = Optional.of(newSpeeds);
     }
 
+    boolean usesSpeeds() {
+        return speeds.isPresent();
+    }
+
     /** Handles a sample of how long a backend server took; milliseconds. */
-    void onSpeedSample(final TrackedServer server, final SampleKind kind, final double millis) {
+    void onSpeedSample(
+            final TrackedServer server,
+            final SampleKind kind,
+            final double millis,
+            final double weight) {
         if (speeds.isPresent()) {
-            speeds.get().onSample(server, kind, millis);
+            speeds.get().onSample(server, kind, millis, weight);
             metrics.speedSample(kind.service().value());
         }
     }
