--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -18,6 +18,8 @@
 import org.fennelstage.http.ResponseListener;
 import org.fennelstage.placement.Prompt;
 import org.fennelstage.policy.Mechanism;
+import org.fennelstage.speed.EventTimer;
+import org.fennelstage.speed.SampleKind;
 
 /**
  * One attempt of a request at one backend server.
@@ -64,6 +66,8 @@
      */
     private static final Duration FIRST_USE_DELAY_NON_RETRYABLE = Duration.ofMillis(5);
 
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
     private final RequestExecution execution;
     private final TrackedServer server;
     private final LatencyEstimator latencyEstimator;
@@ -72,6 +76,7 @@
     private final double aheadPerSlot;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter(this::onEvent);
+    private final Optional<EventTimer> eventTimer;
     private Optional<ResponseHead> head = Optional.empty();
     private Call call;
     private long sentMillis;
@@ -97,6 +102,8 @@
         this.prefillMillis = prefillMillis;
         this.permit = permit;
         this.aheadPerSlot = aheadPerSlot();
+        this.eventTimer =
+                execution.gateway().usesSpeeds() ? Optional.of(new EventTimer()) : Optional.empty();
     }
 
     /**
@@ -178,8 +185,10 @@
         flowing = nowFlowing;
         if (nowFlowing) {
             lastByteMillis = now();
+            eventTimer.ifPresent(timer -> timer.onResumed(lastByteMillis));
             server.beginResponse();
         } else {
+            eventTimer.ifPresent(EventTimer::onPaused);
             server.endResponse();
         }
     }
@@ -358,6 +367,9 @@
         }
         final boolean failed = response.isServerFailure();
         recordHealth(failed);
+        if (response.isSuccess()) {
+            sampleWhole();
+        }
         latencyEstimator.onEnd(now() - sentMillis, aheadPerSlot);
         execution
                 .canary()
@@ -411,6 +423,12 @@
             firstEventMillis = now();
         }
         eventCount++;
+        if (eventTimer.isPresent()) {
+            final Optional<EventTimer.Sample> sample = eventTimer.get().onEvent(now());
+            if (sample.isPresent()) {
+                sampleStream(sample.get());
+            }
+        }
         if (!execution.response().event(head.orElseThrow(), event, id)) {
             pause(true);
         }
@@ -454,6 +472,47 @@
         return true;
     }
 
+    private void sampleStream(final EventTimer.Sample sample) {
+        execution
+                .gateway()
+                .onSpeedSample(
+                        server,
+                        SampleKind.ofStream(execution.service(), execution.model()),
+                        sample.millisPerEvent(),
+                        sample.weight());
+    }
+
+    /**
+     * Takes a sample of a whole response. The time of one with a prompt that is not a stream
+     * depends on its length and is none.
+     */
+    private void sampleWhole() {
+        if (isStreaming()) {
+            eventTimer.flatMap(EventTimer::onEnd).ifPresent(this::sampleStream);
+        } else if (execution.gateway().usesSpeeds() && execution.request().prompt().isEmpty()) {
+            call.sinceWritten()
+                    .map(
+                            total ->
+                                    permit instanceof Permit.Granted granted
+                                            ? granted.atServer(total)
+                                            : total)
+                    .map(atServer -> atServer.toNanos() / NANOS_PER_MILLI / (1 + aheadPerSlot))
+                    .filter(millis -> millis > 0)
+                    .ifPresent(
+                            millis ->
+                                    execution
+                                            .gateway()
+                                            .onSpeedSample(
+                                                    server,
+                                                    SampleKind.ofRoute(
+                                                            execution.service(),
+                                                            execution.route().name(),
+                                                            server.entry().dataCentre()),
+                                                    millis,
+                                                    1));
+        }
+    }
+
     private void recordHealth(final boolean failed) {
         final BaselineFailureRate baseline =
                 execution.gateway().state().baselineFailureRate(execution.route().name());
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayMetrics.java
@@ -43,6 +43,12 @@
                                     + " and result")
                     .labelNames("priority", "team", "result")
                     .register(registry);
+    private final Counter speedSamples =
+            Counter.builder()
+                    .name("fennelstage_gateway_speed_samples_total")
+                    .help("Samples of how long workers take, by service")
+                    .labelNames("service")
+                    .register(registry);
     private final Counter sentToWarmingUp =
             Counter.builder()
                     .name("fennelstage_gateway_cold_server_requests_total")
@@ -104,6 +110,10 @@
         sentToWarmingUp.labelValues(service).inc();
     }
 
+    void speedSample(final String service) {
+        speedSamples.labelValues(service).inc();
+    }
+
     void permit(final String service, final Permit result) {
         permits.labelValues(service, result.name()).inc();
     }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -111,6 +111,8 @@
             Level.INFO,
             "requests of a priority and team at a saturated backend server began or ceased to be"
                     + " limited to their share"),
+    SERVER_SPEED_CHANGED(
+            4033, Level.INFO, "backend server became slower or faster than usual for its service"),
     SERVER_PROBED(4017, Level.INFO, "backend server probed after a connection broke"),
     REQUEST_SUSPECTED(
             4018,
