--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Load.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Load.java
@@ -9,11 +9,10 @@
  * @param running the number of running requests
  * @param unreadMillis expected time to read (prefill) the prompts of those without a response yet;
  *     milliseconds
- * @param heldTokens the memory that the running requests hold or will hold; tokens
  * @param outcomes the recent outcomes
  * @param pace how long the recent requests took against what is usual
  */
-public record Load(int running, long unreadMillis, long heldTokens, Outcomes outcomes, Pace pace) {
+public record Load(int running, long unreadMillis, Outcomes outcomes, Pace pace) {
 
     /** No requests. */
     public static final Load NONE = new Load(0, 0);
@@ -24,7 +23,7 @@
     }
 
     /**
-     * Creates a load without outcomes that holds no memory.
+     * Creates a load without outcomes.
      *
      * @param running the number of running requests
      * @param unreadMillis as in the record; milliseconds
@@ -34,14 +33,14 @@
     }
 
     /**
-     * Creates a load that holds no memory.
+     * Creates a load without a pace.
      *
      * @param running the number of running requests
      * @param unreadMillis as in the record; milliseconds
      * @param outcomes the recent outcomes
      */
     public Load(final int running, final long unreadMillis, final Outcomes outcomes) {
-        this(running, unreadMillis, 0, outcomes, Pace.NONE);
+        this(running, unreadMillis, outcomes, Pace.NONE);
     }
 
     /**
@@ -54,7 +53,6 @@
         return new Load(
                 running + other.running,
                 unreadMillis + other.unreadMillis,
-                heldTokens + other.heldTokens,
                 outcomes.plus(other.outcomes),
                 pace.plus(other.pace));
     }
@@ -69,7 +67,6 @@
         return new Load(
                 running - other.running,
                 unreadMillis - other.unreadMillis,
-                heldTokens - other.heldTokens,
                 outcomes.minus(other.outcomes),
                 pace.minus(other.pace));
     }
@@ -81,12 +78,7 @@
      * @return the load
      */
     public Load withoutNegatives() {
-        return new Load(
-                Math.max(0, running),
-                Math.max(0, unreadMillis),
-                Math.max(0, heldTokens),
-                outcomes,
-                pace);
+        return new Load(Math.max(0, running), Math.max(0, unreadMillis), outcomes, pace);
     }
 
     /**
@@ -99,7 +91,6 @@
         return new Load(
                 running,
                 unreadMillis,
-                heldTokens,
                 outcomes.withExcessAtMost(OutlierDetection.MAX_REPORTED_EXCESS),
                 pace.withSamplesAtMost(Pace.MAX_REPORTED_SAMPLES));
     }
@@ -111,12 +102,12 @@
      * @return the load
      */
     public Load withPace(final Pace newPace) {
-        return new Load(running, unreadMillis, heldTokens, outcomes, newPace);
+        return new Load(running, unreadMillis, outcomes, newPace);
     }
 
     /** Returns this load without what is known of recent requests. */
     Load withoutHistory() {
-        return new Load(running, unreadMillis, heldTokens, Outcomes.NONE, Pace.NONE);
+        return new Load(running, unreadMillis, Outcomes.NONE, Pace.NONE);
     }
 
     /** Returns the requests of this load times a factor, without what is known of recent ones. */
@@ -124,7 +115,6 @@
         return new Load(
                 (int) Math.round(running * factor),
                 Math.round(unreadMillis * factor),
-                Math.round(heldTokens * factor),
                 Outcomes.NONE,
                 Pace.NONE);
     }
--- a/fennelstage-core/src/main/java/org/fennelstage/policy/Mechanism.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/policy/Mechanism.java
@@ -33,8 +33,6 @@
     FAIR_ADMISSION,
     /** Placement considers that backend servers of one service differ in speed. */
     SERVER_SPEEDS,
-    /** Placement considers the memory that the requests at a backend server hold. */
-    SERVER_MEMORY,
     /** A VM that starts while the store is unavailable to it uses the state of another VM. */
     STATE_COPIES;
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/KeptCopy.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/KeptCopy.java
@@ -24,15 +24,6 @@
     /** Length of changes below which they are not merged into the list, which costs a scan. */
     private static final int MIN_MERGED_BYTES = 16_384;
 
-    /** Length below which compression saves too little to be worth its time; bytes. */
-    private static final int MIN_COMPRESSED_BYTES = 16_384;
-
-    /**
-     * Time without a change after which the text is merged and compressed; milliseconds. A
-     * configuration that changes several times a second is not compressed each time.
-     */
-    private static final long COMPACT_AFTER_MILLIS = 5_000;
-
     private final CopyFormat format;
     private final MonotonicClock clock;
     private List<PageText> texts = List.of();
@@ -40,8 +31,6 @@
     private long changeBytes;
     private Position position = Position.NONE;
     private OptionalLong confirmedMillis = OptionalLong.empty();
-    private long changedMillis;
-    private boolean compact;
 
     KeptCopy(final CopyFormat format, final MonotonicClock clock) {
         this.format = Objects.requireNonNull(format, "format is null");
@@ -57,8 +46,6 @@
         }
         replace(pages.stream().flatMap(Optional::stream).toList());
         confirmedMillis = OptionalLong.of(clock.millis());
-        changedMillis = clock.millis();
-        compact = false;
     }
 
     @Override
@@ -79,8 +66,6 @@
         longer.add(changes.text().get());
         texts = List.copyOf(longer);
         changeBytes += changes.text().get().length();
-        changedMillis = clock.millis();
-        compact = false;
         if (changeBytes > Math.max(MIN_MERGED_BYTES, listBytes)) {
             merge();
         }
@@ -102,22 +87,6 @@
         format.merge(texts, position).ifPresentOrElse(t -> replace(List.of(t)), this::drop);
     }
 
-    /** Merges and compresses the text if it has not changed for a time. */
-    void compactIfDue() {
-        if (compact
-                || confirmedMillis.isEmpty()
-                || clock.millis() - changedMillis < COMPACT_AFTER_MILLIS) {
-            return;
-        }
-        compact = true;
-        if (texts.size() > 1) {
-            merge();
-        }
-        if (listBytes >= MIN_COMPRESSED_BYTES) {
-            texts = texts.stream().map(PageText::compress).toList();
-        }
-    }
-
     /** Returns when the store last responded about the kind, empty if there is no copy. */
     OptionalLong confirmedMillis() {
         return confirmedMillis;
@@ -135,6 +104,6 @@
 
     /** Returns the memory that the texts take; bytes. */
     long heldBytes() {
-        return texts.stream().mapToLong(PageText::heldBytes).sum();
+        return texts.stream().mapToLong(PageText::length).sum();
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/copy/StateCopies.java
@@ -136,7 +136,6 @@
      * due. To be called several times a second.
      */
     public void runPeriodicTask() {
-        kept.values().forEach(KeptCopy::compactIfDue);
         final boolean mayGive = ready.getAsBoolean() && unavailableSince.get().isPresent();
         if (announcements.isDue(mayGive, others.getAsInt(), clock.millis())) {
             announce.run();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -32,9 +32,9 @@
 import org.fennelstage.serving.Route;
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.serving.TeamAccess;
-import org.fennelstage.startup.StartProgress;
 import org.fennelstage.speed.SampleKind;
 import org.fennelstage.speed.ServerSpeeds;
+import org.fennelstage.startup.StartProgress;
 
 /**
  * Handles callers' requests: finds the route and the team, or responds with an error.
--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/PageText.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/PageText.java
@@ -1,114 +1,46 @@
 package org.fennelstage.store;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Objects;
-import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
 
-/**
- * A response of the store as received, from which a page was decoded. Immutable and thread-safe as
- * long as nobody modifies the bytes passed to it.
- */
+/** The text of a page as the store sent it. Immutable and thread-safe. */
 public final class PageText {
 
-    private static final int BUFFER_BYTES = 8_192;
-
     private final byte[] data;
-    private final int length;
-    private final boolean compressed;
 
-    private PageText(final byte[] data, final int length, final boolean compressed) {
+    private PageText(final byte[] data) {
         this.data = data;
-        this.length = length;
-        this.compressed = compressed;
     }
 
     /**
      * Returns a text.
      *
-     * @param bytes the bytes, which are not copied
+     * @param bytes the text as sent; not copied, and not to be changed
      * @return the text
      */
     public static PageText of(final byte[] bytes) {
-        Objects.requireNonNull(bytes, "bytes is null");
-        return new PageText(bytes, bytes.length, false);
-    }
-
-    /**
-     * Returns the same text in a form that takes less memory.
-     *
-     * @return the compressed text
-     */
-    public PageText compress() {
-        if (compressed) {
-            return this;
-        }
-        final Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-        try {
-            deflater.setInput(data);
-            deflater.finish();
-            final ByteArrayOutputStream out = new ByteArrayOutputStream();
-            final byte[] buffer = new byte[BUFFER_BYTES];
-            while (!deflater.finished()) {
-                out.write(buffer, 0, deflater.deflate(buffer));
-            }
-            return new PageText(out.toByteArray(), length, true);
-        } finally {
-            // Frees memory outside the heap at once instead of at some garbage collection.
-            deflater.end();
-        }
+        return new PageText(Objects.requireNonNull(bytes, "bytes is null"));
     }
 
     /**
-     * Returns the bytes as received. They must not be modified.
+     * Returns the text as sent.
      *
-     * @return the bytes
+     * @return the bytes, not to be changed
      */
     public byte[] bytes() {
-        if (!compressed) {
-            return data;
-        }
-        final Inflater inflater = new Inflater();
-        try {
-            inflater.setInput(data);
-            final byte[] whole = new byte[length];
-            int done = 0;
-            while (done < length) {
-                final int more = inflater.inflate(whole, done, length - done);
-                if (more == 0) {
-                    throw new IllegalStateException("compressed text is incomplete");
-                }
-                done += more;
-            }
-            return whole;
-        } catch (final DataFormatException e) {
-            throw new IllegalStateException("compressed text is corrupt", e);
-        } finally {
-            inflater.end();
-        }
+        return data;
     }
 
     /**
      * Returns the length of the text.
      *
-     * @return the length; bytes, uncompressed
+     * @return the length; bytes
      */
     public int length() {
-        return length;
-    }
-
-    /**
-     * Returns the memory that the text takes.
-     *
-     * @return the size; bytes
-     */
-    public int heldBytes() {
         return data.length;
     }
 
     @Override
     public String toString() {
-        return "PageText[" + length + " bytes]";
+        return "PageText[" + data.length + " bytes]";
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -92,16 +92,15 @@
 
     /**
      * Id of a backend server, its requests, and milliseconds of unread prompts; then, if there are
-     * outcomes, its start time and hundredths of responses and of excess failures; then, if any,
-     * the tokens held; then, if there is a pace, the start time and hundredths of samples and of
-     * the sum of logarithms. What follows the milliseconds contains no comma: a pattern without it
-     * finds the same id, requests and milliseconds.
+     * outcomes, its start time and hundredths of responses and of excess failures; then, if there
+     * is a pace, the start time and hundredths of samples and of the sum of logarithms. What
+     * follows the milliseconds contains no comma: a pattern without it finds the same id, requests
+     * and milliseconds.
      */
     Pattern LOAD =
             Pattern.compile(
                     "([A-Za-z0-9][A-Za-z0-9._-]{0,95}),([0-9]{1,6}),([0-9]{1,9})"
                             + "(?:/([0-9]{1,18})/([0-9]{1,9})/(-?[0-9]{1,9}))?"
-                            + "(?:\\+([0-9]{1,12}))?"
                             + "(?:@([0-9]{1,18})/([0-9]{1,9})/(-?[0-9]{1,9}))?");
 
     /** Service, version, era and revision, and milliseconds since the order. */
@@ -447,7 +446,6 @@
                 + ","
                 + load.unreadMillis()
                 + outcomesText(load.outcomes())
-                + (load.heldTokens() <= 0 ? "" : "+" + load.heldTokens())
                 + paceText(load.pace());
     }
 
@@ -528,7 +526,6 @@
                     new Load(
                             Integer.parseInt(entry.group(2)),
                             Long.parseLong(entry.group(3)),
-                            entry.group(7) == null ? 0 : Long.parseLong(entry.group(7)),
                             outcomes(entry),
                             pace(entry)));
         }
@@ -545,11 +542,11 @@
     }
 
     private static Pace pace(final Matcher entry) {
-        return entry.group(8) == null
+        return entry.group(7) == null
                 ? Pace.NONE
                 : Pace.ofUnits(
+                        Long.parseLong(entry.group(7)),
                         Long.parseLong(entry.group(8)),
-                        Long.parseLong(entry.group(9)),
-                        Long.parseLong(entry.group(10)));
+                        Long.parseLong(entry.group(9)));
     }
 }
