--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/Pace.java
@@ -27,9 +27,8 @@
     static final double MAX_REPORTED_SAMPLES = 4;
 
     /**
-     * Half-life of the samples; milliseconds. At two samples a second a server that becomes 2.5
-     * times slower counts as 1.22 after a second, and one of 2.2 that recovers as usual after five.
-     * With 3 s these are 1.17, hardly more than equal, and 1.22.
+     * Half-life of the samples; milliseconds. With a longer one a server that recovers is still
+     * treated as slow after five seconds; with a shorter one too few samples count at two a second.
      */
     public static final long HALF_LIFE_MILLIS = 2_000;
 
--- a/fennelstage-core/src/main/java/org/fennelstage/startup/CopyAnnouncements.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/startup/CopyAnnouncements.java
@@ -13,7 +13,7 @@
 public final class CopyAnnouncements {
 
     /**
-     * Announcements per second that each VM receives on average. A starting VM hears of the first
+     * Announcements per second that each VM receives on average. A starting VM receives the first
      * within a quarter of a second, and the cost does not grow with the data centre.
      */
     static final long RECEIVED_PER_SECOND = 4;
