--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Measure.java
@@ -0,0 +1,11 @@
+package org.fennelstage.canary;
+
+/** What is compared between the responses of two versions. */
+public enum Measure {
+    /** Whether the backend server reported a failure. */
+    FAILURE,
+    /** The time until a stream begins. */
+    FIRST_BYTE,
+    /** The time per event of a stream, or of the whole response if it is not a stream. */
+    PACE
+}
--- /dev/null
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/UsualTime.java
@@ -0,0 +1,60 @@
+package org.fennelstage.canary;
+
+import java.util.OptionalDouble;
+
+/**
+ * The usual time of one kind of response at the current version, and the time from which a response
+ * is slow.
+ *
+ * <p>A response is slow if it takes {@link #SLOW_FACTOR} times as long as usual and longer than
+ * nearly all others: times that vary much by themselves say less about a version. Invariant: one
+ * sample moves the estimate at most as far as a response at the limit. Not thread-safe.
+ */
+final class UsualTime {
+
+    /** Slowdown that matters to callers. */
+    private static final double SLOW_FACTOR = 3;
+
+    /** Standard deviations of the logarithm above the mean that nearly all responses stay below. */
+    private static final double DEVIATIONS = 2.3;
+
+    /** Weight of a sample; about the last fifty count. */
+    private static final double WEIGHT = 0.02;
+
+    private static final int MIN_SAMPLES = 10;
+
+    /** Shortest time; milliseconds. Events that arrive together have no time between them. */
+    private static final double MIN_MILLIS = 0.5;
+
+    private int samples;
+    private double logMean;
+    private double logVariance;
+
+    /**
+     * Returns the time from which a response is slow.
+     *
+     * @return the time; milliseconds; empty until there are enough samples
+     */
+    OptionalDouble limitMillis() {
+        return samples < MIN_SAMPLES ? OptionalDouble.empty() : OptionalDouble.of(limit());
+    }
+
+    private double limit() {
+        final double distance = Math.max(Math.log(SLOW_FACTOR), DEVIATIONS * deviation());
+        return Math.exp(logMean + distance);
+    }
+
+    private double deviation() {
+        return Math.sqrt(logVariance);
+    }
+
+    /** Adds a time; milliseconds. */
+    void add(final double millis) {
+        final double counted = samples < MIN_SAMPLES ? millis : Math.min(millis, limit());
+        samples++;
+        final double weight = Math.max(1.0 / samples, WEIGHT);
+        final double difference = Math.log(Math.max(MIN_MILLIS, counted)) - logMean;
+        logMean += weight * difference;
+        logVariance = (1 - weight) * (logVariance + weight * difference * difference);
+    }
+}
