Responses of a new version count as slow while they still run

The VM that wrote the completion had counted six responses, none bad.

Cause: only finished responses counted, against one mean of all routes and models, and a rollout was completed by time alone. The slower a version, the less evidence there was of it.

Now each attempt is observed from its start. A response that has taken as long as a slow one counts at that moment. Time to the first byte and pace are compared with those of the same route and model at the current version; its slow responses count as well, so that a delay of all responses is no evidence. A version in doubt (recent bad responses, or more responses running than good) keeps its small share instead of all traffic, also beyond the rollout's duration. FS7001, FS7014 and FS7015 tell what counted and why a rollout was held or halted.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.fennelstage.canary.VersionChoice.Reason;
 import org.fennelstage.history.Position;
@@ -15,10 +17,10 @@
  * The versions of one service: which of them may get requests, and whether this VM has found a new
  * one to be bad.
  *
- * <p>Each VM decides by the responses to its own requests and halts the rollout for itself at once;
- * the other VMs learn of the halt through the store. Invariants: a version that may belong to an
- * unknown order gets no requests; a halted version gets no requests, whatever the store reports of
- * the same order later. Not thread-safe.
+ * <p>Each VM decides by the responses to its own requests and by what other VMs report of theirs,
+ * and halts the rollout for itself at once; the halt also reaches the other VMs through the store.
+ * Invariants: a version that may belong to an unknown order gets no requests; a halted version gets
+ * no requests, whatever the store reports of the same order later. Not thread-safe.
  *
  * <p>A store that was restored from an older copy may have lost the end of an order, or the whole
  * order. This VM keeps the end that it knows, and writes it again once the store holds the order:
@@ -34,9 +36,19 @@
     private final ReportedVersions reportedVersions;
     private final EndedOrders endedOrders = EndedOrders.empty();
     private Optional<RolloutOrder> order = Optional.empty();
+    private final CurrentVersion currentVersion = new CurrentVersion();
     private CanaryEvidence evidence = new CanaryEvidence();
+    private BadResponseListener badResponseListener = (server, measure, millis, limit) -> {};
     private long startMillis;
 
+    /** When this VM received the present order, and whether others may have begun it before. */
+    private long receivedMillis;
+
+    private boolean receivedLate;
+
+    /** Whether this VM has begun to send all traffic to the new version. */
+    private boolean allMoved;
+
     /** Whether the start of the order is known by monotonic clocks only, of this VM or others. */
     private boolean startIsMonotonic;
 
@@ -165,6 +177,9 @@
             startMillis = clock.millis() - elapsed.toMillis();
             startIsMonotonic = newer.begunAt().isEmpty();
             firstPosition = newer.position();
+            receivedMillis = clock.millis();
+            receivedLate = !elapsed.isZero();
+            allMoved = false;
             evidence = new CanaryEvidence();
             endPhase = Optional.empty();
             badVersions.remove(newer.target());
@@ -224,6 +239,24 @@
                         elapsed().toMillis()));
     }
 
+    /**
+     * Returns whether this VM has found the new version of the present order bad.
+     *
+     * @return true if it gets no requests and the store does not hold the halt yet
+     */
+    public boolean isHaltedHere() {
+        return isHaltMissingInStore() && endPhase.isEmpty();
+    }
+
+    /**
+     * Returns whether the move of all traffic is due and held back, since the version is in doubt.
+     *
+     * @return true until responses decide
+     */
+    public boolean isHeld() {
+        return isRunning() && !allMoved && plan().allTrafficMoved(elapsed());
+    }
+
     private boolean isHaltMissingInStore() {
         return order.isPresent()
                 && badVersions.contains(order.get().target())
@@ -307,11 +340,11 @@
         if (!isRunning()) {
             return new VersionChoice(false, Reason.NO_ROLLOUT);
         }
-        final CanaryPlan plan = plan();
-        final Duration elapsed = elapsed();
-        if (plan.allTrafficMoved(elapsed)) {
+        if (moveIfDue()) {
             return new VersionChoice(true, Reason.LAST_PART);
         }
+        final CanaryPlan plan = plan();
+        final Duration elapsed = plan.beforeMove(elapsed());
         if (session.isEmpty()) {
             return new VersionChoice(hashFraction(request) < plan.share(elapsed), Reason.DRAWN);
         }
@@ -322,29 +355,141 @@
     }
 
     /**
-     * Adds the response of a backend server to the evidence.
+     * Moves all traffic to the new version if it is time and the version is not in doubt. A version
+     * in doubt keeps its small share, also beyond the duration of the rollout, until its responses
+     * decide.
+     */
+    private boolean moveIfDue() {
+        if (!allMoved && plan().allTrafficMoved(elapsed()) && !evidence.isInDoubt()) {
+            allMoved = true;
+        }
+        return allMoved;
+    }
+
+    /**
+     * Begins to observe the response to a request that is being sent.
      *
      * @param server the backend server
-     * @param version the server's version
-     * @param failed whether the server reported a failure
-     * @param paceMillis the time per event, or of the whole response; milliseconds; not positive if
-     *     unknown
+     * @param version its version
+     * @param kind the kind of request
+     * @param stream whether the response is a stream of events
+     * @param timed whether its times count; those of a backend server that warms up do not
+     * @return the observation, to be told what happens to the response
      */
-    public void onResponse(
+    public ResponseObservation observe(
             final BackendServerId server,
             final String version,
-            final boolean failed,
-            final double paceMillis) {
-        if (isTarget(version)) {
-            evidence.onNewVersion(server, failed, paceMillis);
-            if (isRunning() && evidence.isBad()) {
-                badVersions.add(version);
+            final ResponseKind kind,
+            final boolean stream,
+            final boolean timed) {
+        Runnable onPaceClosed = () -> {};
+        if (timed && isTarget(version)) {
+            evidence.onBegun();
+            onPaceClosed = evidence::onJudged;
+        }
+        return new ResponseObservation(
+                this, clock, server, version, kind, stream, timed, onPaceClosed);
+    }
+
+    /** Adds whether a response failed. */
+    void onOutcome(final ResponseObservation response, final boolean failed) {
+        if (isTarget(response.version())) {
+            addEvidence(response, Measure.FAILURE, failed);
+            if (failed) {
+                badResponseListener.onBadResponse(response.server(), Measure.FAILURE, 0, 0);
             }
         } else {
-            evidence.onCurrentVersion(failed, paceMillis);
+            currentVersion.onOutcome(response.kind(), failed);
         }
     }
 
+    /** Adds a time of a response; milliseconds. */
+    void onTime(final ResponseObservation response, final Measure measure, final double millis) {
+        if (!isTarget(response.version())) {
+            currentVersion.onTime(measure, response.kind(), millis);
+            return;
+        }
+        final OptionalDouble limit = limitMillis(measure, response.kind());
+        if (limit.isPresent()) {
+            final boolean slow = millis >= limit.getAsDouble();
+            addEvidence(response, measure, slow);
+            if (slow) {
+                badResponseListener.onBadResponse(
+                        response.server(), measure, millis, limit.getAsDouble());
+            }
+        }
+    }
+
+    private void addEvidence(
+            final ResponseObservation response, final Measure measure, final boolean bad) {
+        final double usualRate = currentVersion.usualRate(measure, response.kind());
+        evidence.add(measure, response.server(), bad, usualRate);
+        haltIfBad();
+    }
+
+    private void haltIfBad() {
+        if (isRunning() && evidence.isBad()) {
+            badVersions.add(order.get().target());
+        }
+    }
+
+    /** Returns the time from which a response is slow; milliseconds; empty if not known yet. */
+    OptionalDouble limitMillis(final Measure measure, final ResponseKind kind) {
+        return currentVersion.limitMillis(measure, kind);
+    }
+
+    /**
+     * Sets the listener for responses of new versions that failed or are slow.
+     *
+     * @param listener the listener
+     */
+    public void onBadResponse(final BadResponseListener listener) {
+        badResponseListener = Objects.requireNonNull(listener, "listener is null");
+    }
+
+    /**
+     * Returns what this VM has seen of the new version, to be sent to other VMs while they may need
+     * it.
+     *
+     * @param source identifies this process
+     * @return the evidence, empty if there is none or the rollout has ended
+     */
+    public Optional<RolloutEvidence> evidenceToSend(final long source) {
+        final Map<Measure, MeasureTotals> totals = evidence.own();
+        if (totals.isEmpty() || !(isRunning() || isHaltMissingInStore())) {
+            return Optional.empty();
+        }
+        final RolloutOrder present = order.get();
+        return Optional.of(
+                new RolloutEvidence(
+                        present.service(), present.target(), present.position(), source, totals));
+    }
+
+    /**
+     * Adds what another VM has seen of the new version. Reports on other orders are ignored.
+     *
+     * @param reported the evidence
+     */
+    public void onEvidence(final RolloutEvidence reported) {
+        if (isRunning()
+                && order.get().target().equals(reported.target())
+                && !firstPosition.isAfter(reported.position())) {
+            evidence.onReported(reported);
+            haltIfBad();
+        }
+    }
+
+    /**
+     * Returns whether this VM received the order late and has not had time to receive what other
+     * VMs have seen of the new version.
+     *
+     * @param exchangeTime the time in which each VM receives the evidence of the others
+     * @return true if it must not complete the rollout yet
+     */
+    public boolean awaitsEvidence(final Duration exchangeTime) {
+        return receivedLate && clock.millis() - receivedMillis < exchangeTime.toMillis();
+    }
+
     /**
      * Returns the phase that is to be written to the store.
      *
@@ -360,7 +505,7 @@
         if (badVersions.contains(order.get().target())) {
             return Optional.of(RolloutPhase.ROLLED_BACK);
         }
-        if (plan().isComplete(elapsed())) {
+        if (moveIfDue() && plan().isComplete(elapsed()) && !evidence.isInDoubt()) {
             return Optional.of(RolloutPhase.COMPLETED);
         }
         return order.get().phase() == RolloutPhase.ORDERED
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
@@ -1,114 +1,161 @@
 package org.fennelstage.canary;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
 import org.fennelstage.id.BackendServerId;
 
 /**
  * Decides from responses whether a new version is worse than the current one.
  *
- * <p>Uses a cumulative sum (CUSUM) of log likelihood ratios that never falls below zero, so that
- * good responses do not hide a version that becomes bad later. Only responses of backend servers
- * count; broken connections and stopped servers are no evidence against a version.
+ * <p>The responses that all VMs have seen count, since one VM may see too few of the new version
+ * before the fleet as a whole has exceeded the allowed share of bad ones. Each measure has a
+ * cumulative sum of its own: a version that fails need not be slow. Only responses count; broken
+ * connections and stopped servers are no evidence against a version.
  *
- * <p>Not thread-safe.
+ * <p>Invariant: what another VM reports counts once, however often and in which order its messages
+ * arrive. Not thread-safe.
  */
-public final class CanaryEvidence {
+final class CanaryEvidence {
 
     /**
-     * Sum from which the version is bad: odds of about 400 to 1, which two consecutive failures
-     * reach if the current version rarely fails. In a large fleet, each VM sees few responses of
-     * the new version before the fleet as a whole has exceeded the allowed share of failures, so
-     * two must be enough.
+     * Sums from which the version is bad. Two failures in a row suffice if the current version
+     * rarely fails; slow responses are less certain and need one more.
      */
-    private static final double BAD_SUM = 6;
+    private static final Map<Measure, Double> BAD_SUMS =
+            Map.of(Measure.FAILURE, 6.0, Measure.FIRST_BYTE, 8.0, Measure.PACE, 8.0);
 
-    /** Number of backend servers with bad responses required, since a single one may be broken. */
-    private static final int MIN_BAD_SERVERS = 2;
+    /** Part of {@link #BAD_SUMS} that a single backend server can add; two are needed at least. */
+    private static final double MAX_SERVER_PART = 0.55;
 
-    /** Smallest failure rate that is assumed of a good version. */
-    private static final double MIN_USUAL_RATE = 0.015;
+    /** Part of {@link #BAD_SUMS} from which the version is in doubt; above that of one server. */
+    private static final double DOUBT_PART = 0.6;
 
     /**
-     * How far the failure rate of a bad version exceeds that of a good one: the least excess that
-     * matters to callers.
+     * How far the rate of bad responses of a bad version exceeds that of a good one: the least
+     * excess that matters to callers.
      */
     private static final double BAD_EXCESS = 0.3;
 
-    /** Weight of a response of the current version in its failure rate and pace. */
-    private static final double CURRENT_WEIGHT = 0.02;
+    private static final double MAX_RATE = 0.95;
 
-    /** A response is bad if it is slower than the current version's pace by this factor. */
-    private static final double SLOW_FACTOR = 3.5;
+    private final Map<Measure, CappedSum> sums = new EnumMap<>(Measure.class);
+    private final Map<Measure, MeasureTotals> own = new EnumMap<>(Measure.class);
+    private final Map<Long, Map<Measure, MeasureTotals>> reported = new HashMap<>();
+    private long goodPaces;
+    private int unjudged;
 
-    /** Number of responses of the current version before its pace is compared. */
-    private static final int MIN_PACE_SAMPLES = 10;
-
-    private double currentFailureRate;
-    private double currentPaceMillis;
-    private int currentPaceSamples;
-    private double sum;
-    private int newResponses;
-    private int newBadResponses;
-    private final Set<BackendServerId> badServers = new HashSet<>();
+    CanaryEvidence() {
+        BAD_SUMS.forEach((m, bad) -> sums.put(m, new CappedSum(bad * MAX_SERVER_PART)));
+    }
 
     /**
-     * Adds a response of the current version.
+     * Adds a response that this VM has received.
      *
-     * @param failed whether its backend server reported a failure
-     * @param paceMillis the time per event, or of the whole response; milliseconds; not positive if
-     *     unknown
+     * @param measure what was compared
+     * @param server its backend server
+     * @param bad whether it failed or was slow
+     * @param usualRate the rate of bad responses that a good version may have
      */
-    public void onCurrentVersion(final boolean failed, final double paceMillis) {
-        currentFailureRate += CURRENT_WEIGHT * ((failed ? 1 : 0) - currentFailureRate);
-        if (!failed && paceMillis > 0) {
-            currentPaceSamples++;
-            final double weight = Math.max(1.0 / currentPaceSamples, CURRENT_WEIGHT);
-            currentPaceMillis += weight * (paceMillis - currentPaceMillis);
+    void add(
+            final Measure measure,
+            final BackendServerId server,
+            final boolean bad,
+            final double usualRate) {
+        final double usual = Math.min(MAX_RATE - 0.01, usualRate);
+        final double badRate = Math.min(MAX_RATE, usual + BAD_EXCESS);
+        final MeasureTotals before = own.getOrDefault(measure, MeasureTotals.NONE);
+        if (bad) {
+            own.put(measure, before.plusBad(server, Math.log(badRate / usual)));
+        } else {
+            own.put(measure, before.plusGood(-Math.log((1 - badRate) / (1 - usual))));
         }
+        apply(measure, before, own.get(measure));
     }
 
     /**
-     * Adds a response of the new version.
+     * Adds what another VM has seen.
      *
-     * @param server its backend server
-     * @param failed whether the server reported a failure
-     * @param paceMillis the time per event, or of the whole response; milliseconds; not positive if
-     *     unknown
+     * @param evidence all that it has seen since the order
      */
-    public void onNewVersion(
-            final BackendServerId server, final boolean failed, final double paceMillis) {
-        final boolean slow =
-                currentPaceSamples >= MIN_PACE_SAMPLES
-                        && paceMillis > SLOW_FACTOR * currentPaceMillis;
-        final boolean badResponse = failed || slow;
-        final double usualRate = Math.max(MIN_USUAL_RATE, 1.5 * currentFailureRate);
-        final double badRate = Math.min(0.95, usualRate + BAD_EXCESS);
-        final double ratio = badResponse ? badRate / usualRate : (1 - badRate) / (1 - usualRate);
-        sum = Math.max(0, sum + Math.log(ratio));
-        newResponses++;
-        if (badResponse) {
-            newBadResponses++;
-            badServers.add(server);
+    void onReported(final RolloutEvidence evidence) {
+        final Map<Measure, MeasureTotals> known =
+                reported.computeIfAbsent(evidence.source(), s -> new EnumMap<>(Measure.class));
+        evidence.totals()
+                .forEach(
+                        (measure, totals) -> {
+                            final MeasureTotals before =
+                                    known.getOrDefault(measure, MeasureTotals.NONE);
+                            known.put(measure, before.max(totals));
+                            apply(measure, before, known.get(measure));
+                        });
+    }
+
+    private void apply(
+            final Measure measure, final MeasureTotals before, final MeasureTotals after) {
+        final CappedSum sum = sums.get(measure);
+        after.bad()
+                .forEach(
+                        (server, units) -> {
+                            final long added = units - before.bad().getOrDefault(server, 0L);
+                            if (added > 0) {
+                                sum.increase(server, added / MeasureTotals.UNITS);
+                            }
+                        });
+        sum.decrease((after.good() - before.good()) / MeasureTotals.UNITS);
+        if (measure == Measure.PACE) {
+            goodPaces += after.goodResponses() - before.goodResponses();
         }
     }
 
+    /** Records that a response of the new version has begun whose pace is not known yet. */
+    void onBegun() {
+        unjudged++;
+    }
+
+    /** Records that the pace of a response is known, or that it ended without one. */
+    void onJudged() {
+        unjudged--;
+    }
+
     /**
      * Returns whether the new version is bad by the present evidence.
      *
-     * @return true until good responses have reduced the sum below its limit again
+     * @return true until good responses have reduced the sums again
      */
-    public boolean isBad() {
-        return sum >= BAD_SUM && badServers.size() >= MIN_BAD_SERVERS;
+    boolean isBad() {
+        return exceeds(1);
+    }
+
+    /**
+     * Returns whether it is too early to give the new version all traffic: recent responses speak
+     * against it, or more responses are still running than have been good.
+     *
+     * @return false also for a version without any response
+     */
+    boolean isInDoubt() {
+        return exceeds(DOUBT_PART) || unjudged > goodPaces;
+    }
+
+    private boolean exceeds(final double part) {
+        return BAD_SUMS.entrySet().stream()
+                .anyMatch(e -> sums.get(e.getKey()).value() >= e.getValue() * part);
+    }
+
+    /** Returns what this VM has seen. */
+    Map<Measure, MeasureTotals> own() {
+        return Map.copyOf(own);
     }
 
     @Override
     public String toString() {
-        return "responses="
-                + newResponses
-                + " bad="
-                + newBadResponses
-                + " sum="
-                + Math.round(sum * 10) / 10.0;
+        final StringBuilder text = new StringBuilder();
+        sums.forEach(
+                (measure, sum) ->
+                        text.append(measure)
+                                .append('=')
+                                .append(Math.round(sum.value() * 10) / 10.0)
+                                .append(' '));
+        return text + "good=" + goodPaces + " running=" + unjudged + " vms=" + reported.size();
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryPlan.java
@@ -118,6 +118,17 @@
         return elapsed.toMillis() >= duration.toMillis() - marginMillis;
     }
 
+    /**
+     * Returns the time by which the shares are to be chosen while the move is held back.
+     *
+     * @param elapsed the time since the order
+     * @return the same time, at most the last moment before the move
+     */
+    public Duration beforeMove(final Duration elapsed) {
+        final Duration last = Duration.ofMillis((long) Math.ceil(moveAtMillis()) - 1);
+        return elapsed.compareTo(last) < 0 ? elapsed : last;
+    }
+
     private double moveAtMillis() {
         return duration.toMillis() * (1 - allowedShare * MOVE_PART);
     }
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/UsualTime.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/UsualTime.java
@@ -15,6 +15,9 @@
     /** Slowdown that matters to callers. */
     private static final double SLOW_FACTOR = 3;
 
+    /** Smallest delay that counts; milliseconds. Less is within the precision of timers. */
+    private static final double MIN_DELAY_MILLIS = 5;
+
     /** Standard deviations of the logarithm above the mean that nearly all responses stay below. */
     private static final double DEVIATIONS = 2.3;
 
@@ -41,7 +44,7 @@
 
     private double limit() {
         final double distance = Math.max(Math.log(SLOW_FACTOR), DEVIATIONS * deviation());
-        return Math.exp(logMean + distance);
+        return Math.max(Math.exp(logMean + distance), Math.exp(logMean) + MIN_DELAY_MILLIS);
     }
 
     private double deviation() {
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
+import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
 import org.junit.jupiter.api.Test;
 
@@ -20,6 +21,7 @@
 
     private static final Duration DURATION = Duration.ofSeconds(24);
     private static final double SHARE = 0.15;
+    private static final ResponseKind KIND = new ResponseKind("drafts", Optional.empty());
 
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final Canary canary = Canary.of(now::get, SHARE);
@@ -38,6 +40,25 @@
         return BackendServerId.of("i-" + number % 5);
     }
 
+    /** Receives a whole response that has taken some time, in which nothing else happens. */
+    private void respond(
+            final BackendServerId server,
+            final String version,
+            final boolean failed,
+            final long millis) {
+        final ResponseObservation response = observe(server, version, KIND, false);
+        now.addAndGet(millis);
+        response.onEnd(failed);
+    }
+
+    private ResponseObservation observe(
+            final BackendServerId server,
+            final String version,
+            final ResponseKind kind,
+            final boolean stream) {
+        return canary.observe(server, version, kind, stream, true);
+    }
+
     private boolean toNew(final String session) {
         return toNew(canary, session);
     }
@@ -84,7 +105,7 @@
     void twoConsecutiveFailuresAtTwoServersHaltTheRollout() {
         begin();
         for (int i = 0; i < 2; i++) {
-            canary.onResponse(server(i), "v2", true, 0);
+            respond(server(i), "v2", true, 0);
         }
         assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
         now.addAndGet(DURATION.toMillis());
@@ -96,10 +117,10 @@
     void earlyGoodResponsesDoNotHideAVersionThatBecomesBad() {
         begin();
         for (int i = 0; i < 500; i++) {
-            canary.onResponse(server(i), "v2", false, 0);
+            respond(server(i), "v2", false, 0);
         }
         for (int i = 0; i < 4; i++) {
-            canary.onResponse(server(i), "v2", true, 0);
+            respond(server(i), "v2", true, 0);
         }
         assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
     }
@@ -108,10 +129,10 @@
     void aVersionEightTimesSlowerThanTheCurrentOneIsBad() {
         begin();
         for (int i = 0; i < 20; i++) {
-            canary.onResponse(server(i), "v1", false, 50);
+            respond(server(i), "v1", false, 50);
         }
         for (int i = 0; i < 3; i++) {
-            canary.onResponse(server(i), "v2", false, 400);
+            respond(server(i), "v2", false, 400);
         }
         assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
     }
@@ -121,7 +142,7 @@
     void failuresOfASingleServerDoNotHaltTheRollout() {
         begin();
         for (int i = 0; i < 20; i++) {
-            canary.onResponse(server(1), "v2", true, 0);
+            respond(server(1), "v2", true, 0);
         }
         assertThat(canary.phaseToWrite()).contains(RolloutPhase.IN_PROGRESS);
     }
@@ -130,8 +151,8 @@
     void failuresAsFrequentAsInTheCurrentVersionDoNotHaltTheRollout() {
         begin();
         for (int i = 0; i < 400; i++) {
-            canary.onResponse(server(i), "v1", i % 7 == 0, 0);
-            canary.onResponse(server(i), "v2", i % 7 == 0, 0);
+            respond(server(i), "v1", i % 7 == 0, 0);
+            respond(server(i), "v2", i % 7 == 0, 0);
         }
         assertThat(canary.phaseToWrite()).contains(RolloutPhase.IN_PROGRESS);
     }
@@ -234,7 +255,7 @@
         begin();
         assertThat(canary.admits("v2", true)).isTrue();
         for (int i = 0; i < 2; i++) {
-            canary.onResponse(server(i), "v2", true, 0);
+            respond(server(i), "v2", true, 0);
         }
         assertThat(canary.admits("v2", true)).isFalse();
     }
@@ -422,4 +443,126 @@
         now.addAndGet(ReportedVersions.REPORT_LIFETIME_MILLIS);
         assertThat(canary.admits("v2", false)).isTrue();
     }
+
+    /** Guards against a slow version of which too few responses have ended. */
+    @Test
+    void aResponseCountsAsSlowBeforeItEnds() {
+        begin();
+        respondUsually();
+        final List<ResponseObservation> running = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            running.add(observe(server(i), "v2", KIND, false));
+        }
+        now.addAndGet(200);
+        running.forEach(ResponseObservation::check);
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
+    }
+
+    /** Guards against a slow version whose streams begin and then hardly go on. */
+    @Test
+    void aStreamCountsAsSlowBeforeItsNextEvent() {
+        begin();
+        for (int i = 0; i < 20; i++) {
+            stream("v1", i, 50);
+        }
+        final List<ResponseObservation> running = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            final ResponseObservation response = observe(server(i), "v2", KIND, true);
+            response.onFirstByte();
+            response.onEvent();
+            running.add(response);
+        }
+        now.addAndGet(50 * 4 * ResponseObservation.JUDGED_PAUSES);
+        running.forEach(ResponseObservation::check);
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
+    }
+
+    private void stream(final String version, final int number, final long pauseMillis) {
+        final ResponseObservation response = observe(server(number), version, KIND, true);
+        response.onFirstByte();
+        for (int i = 0; i <= ResponseObservation.JUDGED_PAUSES; i++) {
+            response.onEvent();
+            now.addAndGet(pauseMillis);
+        }
+        response.onEnd(false);
+    }
+
+    /** Guards against slow responses of a fast model that are within the mean of all models. */
+    @Test
+    void aVersionThatIsSlowWithTheFastestModelIsBad() {
+        begin();
+        final ResponseKind fast = kind("small");
+        final ResponseKind slow = kind("large");
+        for (int i = 0; i < 40; i++) {
+            respond(server(i), "v1", i % 2 == 0 ? fast : slow, i % 2 == 0 ? 30 : 300);
+        }
+        for (int i = 0; i < 3; i++) {
+            respond(server(i), "v2", fast, 240);
+        }
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
+    }
+
+    /** Guards against the halt of a good version because the network delays all responses. */
+    @Test
+    void responsesThatAreAsSlowAsThoseOfTheCurrentVersionDoNotHaltTheRollout() {
+        begin();
+        respondUsually();
+        for (int i = 0; i < 20; i++) {
+            respond(server(i), "v1", KIND, 400);
+            respond(server(i), "v2", KIND, 400);
+        }
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.IN_PROGRESS);
+    }
+
+    /** Guards against the completion of a version whose responses are only just beginning. */
+    @Test
+    void aVersionWithMoreRunningThanGoodResponsesIsNotCompleted() {
+        begin();
+        respondUsually();
+        respond(server(0), "v2", KIND, 50);
+        final ResponseObservation first = observe(server(1), "v2", KIND, false);
+        final ResponseObservation second = observe(server(2), "v2", KIND, false);
+        now.set(1_000_000 + DURATION.toMillis() - 300);
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.IN_PROGRESS);
+        assertThat(canary.isHeld()).isTrue();
+        first.close();
+        second.close();
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.COMPLETED);
+    }
+
+    /** Guards against a late rollout that sends all requests to a version in doubt. */
+    @Test
+    void aVersionInDoubtKeepsItsShareBeyondTheDurationOfTheRollout() {
+        begin();
+        respondUsually();
+        respond(server(0), "v2", KIND, 400);
+        respond(server(1), "v2", KIND, 400);
+        now.set(1_000_000 + 2 * DURATION.toMillis());
+        int moved = 0;
+        for (int i = 0; i < 1_000; i++) {
+            moved += toNew("session-" + i) ? 1 : 0;
+        }
+        assertThat(moved / 1_000.0).isLessThan(SHARE);
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.IN_PROGRESS);
+    }
+
+    private static ResponseKind kind(final String model) {
+        return new ResponseKind("drafts", Optional.of(ModelId.of(model)));
+    }
+
+    private void respondUsually() {
+        for (int i = 0; i < 20; i++) {
+            respond(server(i), "v1", KIND, 50);
+        }
+    }
+
+    private void respond(
+            final BackendServerId server,
+            final String version,
+            final ResponseKind kind,
+            final long millis) {
+        final ResponseObservation response = observe(server, version, kind, false);
+        now.addAndGet(millis);
+        response.onEnd(false);
+    }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -10,6 +10,8 @@
 import org.fennelstage.attempt.BaselineFailureRate;
 import org.fennelstage.attempt.Inactivity;
 import org.fennelstage.attempt.LatencyEstimator;
+import org.fennelstage.canary.ResponseKind;
+import org.fennelstage.canary.ResponseObservation;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.Call;
 import org.fennelstage.http.CallFailure;
@@ -77,12 +79,12 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter(this::onEvent);
     private final Optional<EventTimer> eventTimer;
+    private final ResponseObservation observation;
     private Optional<ResponseHead> head = Optional.empty();
     private Call call;
     private long sentMillis;
     private long lastByteMillis;
     private long headMillis;
-    private long firstEventMillis;
     private int eventCount;
     private boolean promptRead;
     private boolean endsWithConnection;
@@ -104,6 +106,15 @@
         this.aheadPerSlot = aheadPerSlot();
         this.eventTimer =
                 execution.gateway().usesSpeeds() ? Optional.of(new EventTimer()) : Optional.empty();
+        this.observation =
+                execution
+                        .canary()
+                        .observe(
+                                server.entry().id(),
+                                server.entry().version(),
+                                new ResponseKind(execution.route().name(), execution.model()),
+                                execution.isStream(),
+                                server.warmUpLeft().isZero());
     }
 
     /**
@@ -171,6 +182,9 @@
     @Override
     public void pause(final boolean pause) {
         call.pause(pause);
+        if (pause) {
+            observation.onPaused();
+        }
         setFlowing(!pause);
     }
 
@@ -205,6 +219,9 @@
         applyServerState(decoded);
         headMillis = now();
         setFlowing(true);
+        if (decoded.isSuccess()) {
+            observation.onFirstByte();
+        }
         if (decoded.isSuccess() && execution.dropResponse(decoded)) {
             recordHealth(false);
         }
@@ -296,6 +313,16 @@
         server.health().onBytesReceived();
     }
 
+    /** Returns whether the request was sent to the new version of a rollout. */
+    boolean isOfNewVersion() {
+        return execution.usesNewVersion();
+    }
+
+    /** Counts a response that has taken too long. To be called several times a second. */
+    void checkDuration() {
+        observation.check();
+    }
+
     /**
      * Fails the attempt if the backend server neither responds nor closes its connection. To be
      * called several times a second. The timeout differs before and after the head of the response.
@@ -371,9 +398,7 @@
             sampleWhole();
         }
         latencyEstimator.onEnd(now() - sentMillis, aheadPerSlot);
-        execution
-                .canary()
-                .onResponse(server.entry().id(), server.entry().version(), failed, latencyMillis());
+        observation.onEnd(failed);
         if (endsWithConnection && isSuspectOfCrash()) {
             execution.gateway().crashes().onEndedWithConnection(server, execution.fingerprints());
         }
@@ -419,10 +444,8 @@
     }
 
     private void onEvent(final byte[] event, final Optional<String> id) {
-        if (eventCount == 0) {
-            firstEventMillis = now();
-        }
         eventCount++;
+        observation.onEvent();
         if (eventTimer.isPresent()) {
             final Optional<EventTimer.Sample> sample = eventTimer.get().onEvent(now());
             if (sample.isPresent()) {
@@ -461,6 +484,7 @@
             return false;
         }
         ended = true;
+        observation.close();
         setFlowing(false);
         execution.gateway().attempts().remove(this);
         markPromptRead();
@@ -520,17 +544,6 @@
         baseline.onResponse(failed);
     }
 
-    /**
-     * Returns the mean time per event after the first, 0 for fewer than three events; for a
-     * response that is not a stream the total time; milliseconds.
-     */
-    private double latencyMillis() {
-        if (!isStreaming()) {
-            return now() - sentMillis;
-        }
-        return eventCount < 3 ? 0 : (now() - firstEventMillis) / (double) (eventCount - 1);
-    }
-
     private boolean isStreaming() {
         return execution.isStream() && head.map(ResponseHead::isSuccess).orElse(false);
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -308,6 +308,9 @@
      * servers that are due. To be called several times a second.
      */
     public void checkInactivity() {
+        // What delays all responses has to be known before those of a new version are judged.
+        attempts.stream().filter(a -> !a.isOfNewVersion()).forEach(Attempt::checkDuration);
+        attempts.stream().filter(Attempt::isOfNewVersion).forEach(Attempt::checkDuration);
         List.copyOf(attempts).forEach(Attempt::checkInactivity);
         unreachableReports.sendDue();
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
@@ -27,6 +27,8 @@
 import org.fennelstage.id.ModelId;
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.id.VmId;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
 import org.fennelstage.serving.Service;
 import org.fennelstage.serving.ServingConfiguration;
 import org.fennelstage.serving.WarmUp;
@@ -146,7 +148,33 @@
      * @return the state
      */
     public Canary canary(final ServiceName service) {
-        return canaries.computeIfAbsent(service, s -> Canary.of(clock, settings.canaryShare()));
+        return canaries.computeIfAbsent(service, this::newCanary);
+    }
+
+    private Canary newCanary(final ServiceName service) {
+        final Canary canary = Canary.of(clock, settings.canaryShare());
+        canary.onBadResponse(
+                (server, measure, millis, limitMillis) ->
+                        EventLog.write(
+                                Event.NEW_VERSION_RESPONSE_BAD,
+                                "service",
+                                service,
+                                "server",
+                                server,
+                                "measure",
+                                measure,
+                                "ms",
+                                Math.round(millis),
+                                "limit_ms",
+                                Math.round(limitMillis),
+                                "evidence",
+                                canary.evidence()));
+        return canary;
+    }
+
+    /** Returns whether the fleet has other VMs, as far as known. */
+    public boolean hasOtherVms() {
+        return vmCount > 1;
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -252,6 +252,11 @@
         return gateway.state().canary(service);
     }
 
+    /** Returns whether the request goes to the new version of a rollout. */
+    boolean usesNewVersion() {
+        return version.toNew();
+    }
+
     CallerResponse response() {
         return response;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -38,6 +38,12 @@
      */
     private static final int MAX_RANK = 4;
 
+    /**
+     * Time in which a VM receives the evidence of the others; milliseconds. A VM that started
+     * during a rollout would otherwise complete what the others hold back.
+     */
+    private static final Duration EVIDENCE_EXCHANGE = Duration.ofMillis(1_500);
+
     /** A phase that is to be written. */
     private record PendingPhase(String target, RolloutPhase phase) {}
 
@@ -48,6 +54,8 @@
     private final Runnable afterList;
     private final Set<ServiceName> writing = new HashSet<>();
     private final Map<ServiceName, PendingPhase> pending = new HashMap<>();
+    private final Map<ServiceName, String> halted = new HashMap<>();
+    private final Map<ServiceName, String> held = new HashMap<>();
 
     RolloutFeed(
             final GatewayState state,
@@ -121,6 +129,7 @@
 
     private void writeDue(final ServiceName service, final Canary canary) {
         final Optional<RolloutPhase> phase = canary.phaseToWrite();
+        logDecisions(service, canary);
         if (phase.isEmpty()) {
             pending.remove(service);
             stagger.clear(service);
@@ -129,12 +138,47 @@
         final String target = canary.order().orElseThrow().target();
         final boolean urgent =
                 phase.get() == RolloutPhase.ROLLED_BACK && !canary.rewritesLostPhase();
+        if (phase.get() == RolloutPhase.COMPLETED
+                && state.hasOtherVms()
+                && canary.awaitsEvidence(EVIDENCE_EXCHANGE)) {
+            return;
+        }
         final boolean allowed = urgent || mayWrite(service, new PendingPhase(target, phase.get()));
         if (allowed && writing.add(service)) {
             write(service, canary, phase.get());
         }
     }
 
+    private void logDecisions(final ServiceName service, final Canary canary) {
+        if (canary.isHaltedHere()) {
+            logOnce(Event.ROLLOUT_HALTED, halted, service, canary);
+        }
+        if (canary.isHeld()) {
+            logOnce(Event.ROLLOUT_HELD, held, service, canary);
+        }
+    }
+
+    /** Logs a decision on the present order of a service unless it was logged before. */
+    private static void logOnce(
+            final Event event,
+            final Map<ServiceName, String> logged,
+            final ServiceName service,
+            final Canary canary) {
+        final String target = canary.order().orElseThrow().target();
+        if (!target.equals(logged.put(service, target))) {
+            EventLog.write(
+                    event,
+                    "service",
+                    service,
+                    "target",
+                    target,
+                    "elapsed_ms",
+                    canary.elapsed().toMillis(),
+                    "evidence",
+                    canary.evidence());
+        }
+    }
+
     /**
      * Returns whether this VM may write a phase now. Writes are staggered, since all VMs determine
      * most phases at the same time. A halt is urgent and determined by few VMs, so it is not
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/RolloutFeedTest.java
@@ -85,7 +85,7 @@
         final RolloutFeed feed = feedWithRank(300);
         feed.onAll(order(RolloutPhase.IN_PROGRESS, 5));
         for (int i = 0; i < 10; i++) {
-            state.canary(MODELS).onResponse(BackendServerId.of("i-" + i), "v2", true, 0);
+            CanaryResponses.fail(state.canary(MODELS), BackendServerId.of("i-" + i), "v2");
         }
         feed.writeDue();
         assertThat(store.pending()).hasSize(1);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/StoreRestoreTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/StoreRestoreTest.java
@@ -243,7 +243,8 @@
                     && !currentAndFormerVersions.contains(orderedVersion.get())
                     && canary.admits(orderedVersion.get(), true)) {
                 for (int i = 0; i < 10; i++) {
-                    canary.onResponse(BackendServerId.of("i-" + i), orderedVersion.get(), true, 0);
+                    CanaryResponses.fail(
+                            canary, BackendServerId.of("i-" + i), orderedVersion.get());
                 }
                 halted.add(orderedVersion.get());
             }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -138,7 +138,9 @@
     ROLLOUT_DONE(7003, Level.INFO, "rollout completed"),
     ROLLOUT_STATE_CHANGED(7011, Level.INFO, "state of a rollout in the store changed"),
     ROLLOUT_STATE_WRITTEN(7012, Level.INFO, "state of a rollout written to the store"),
-    ROLLOUT_AGE_CORRECTED(7013, Level.INFO, "age of a rollout order corrected by another VM");
+    ROLLOUT_AGE_CORRECTED(7013, Level.INFO, "age of a rollout order corrected by another VM"),
+    NEW_VERSION_RESPONSE_BAD(7014, Level.INFO, "response of a new version failed or is slow"),
+    ROLLOUT_HELD(7015, Level.WARNING, "new version is in doubt and keeps its small share");
 
     private final int number;
     private final Level level;
