VMs report to each other what they have seen of a new version

Callers saw a slow version of a plain service completed: seven requests to it were in the kept logs of nine VMs, too few for any VM alone. Until now a VM judged by its own responses only, and halts reached the others only through the store.

Each VM now sends its totals since the order, by measure and backend server, at the pace of the rollout's age.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -80,6 +80,7 @@
     private final CrashBroadcast crashBroadcast;
     private final LoadReports loadReports;
     private final RolloutAges rolloutAges;
+    private final RolloutEvidenceReports rolloutEvidence;
     private final ChangeReports changeReports;
     private final AdmissionMonitor admission;
     private final PeerMessageDispatcher dispatcher;
@@ -191,6 +192,8 @@
         gateway.onServerLimit(limitReports::onLimit);
         gateway.crashes().onDetected(crashBroadcast::onReport, crashBroadcast::onClearedCrashes);
         this.rolloutAges = new RolloutAges(state, peers::allPeers, messenger::send, random);
+        this.rolloutEvidence =
+                new RolloutEvidenceReports(state, peers::allPeers, messenger::send, random);
         this.changeReports =
                 new ChangeReports(
                         settings.vm(),
@@ -224,6 +227,7 @@
                         gateway.crashes(),
                         collection,
                         rolloutAges,
+                        rolloutEvidence,
                         limitReports,
                         permits,
                         changeReports);
@@ -551,6 +555,7 @@
             }
             if (settings.policy().uses(Mechanism.PEER_NEWS)) {
                 rolloutAges.sendDue();
+                rolloutEvidence.sendDue();
             }
             serverFeed.removeExpired();
             state.checkRestoreGrace();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.fennelstage.vm;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,7 +12,10 @@
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.fennelstage.canary.Measure;
+import org.fennelstage.canary.MeasureTotals;
 import org.fennelstage.canary.RolloutAge;
+import org.fennelstage.canary.RolloutEvidence;
 import org.fennelstage.crash.ClearedCrashes;
 import org.fennelstage.crash.CrashReport;
 import org.fennelstage.crash.Fingerprint;
@@ -43,6 +47,7 @@
                 PeerMessage.Loads,
                 PeerMessage.LoadSums,
                 PeerMessage.Rollout,
+                PeerMessage.Evidence,
                 PeerMessage.Crash,
                 PeerMessage.CrashesCleared,
                 PeerMessage.GivesCopies,
@@ -109,6 +114,24 @@
                     "rollout ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([^ ]{1,95}) ([0-9]{1,18})"
                             + " ([0-9]{1,18}) ([0-9]{1,9})");
 
+    /**
+     * Measure, good responses, hundredths of their evidence, and backend servers with hundredths of
+     * the evidence of bad ones.
+     */
+    Pattern MEASURE_TOTALS =
+            Pattern.compile(
+                    "([A-Z_]{1,20}):([0-9]{1,9}):([0-9]{1,12})"
+                            + "((?::[A-Za-z0-9][A-Za-z0-9._-]{0,95},[0-9]{1,12})*)");
+
+    /** Service, version, era and revision, source, and totals of one measure or more. */
+    Pattern EVIDENCE =
+            Pattern.compile(
+                    "evidence ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([^ ]{1,95}) ([0-9]{1,18})"
+                            + " ([0-9]{1,18}) ([0-9]{1,18})((?: [^ ]+)+)");
+
+    /** Backend servers with bad responses that are sent for each measure, the worst ones. */
+    int MAX_EVIDENCE_SERVERS = 8;
+
     /**
      * Id and start time of a backend server, and requests: the fingerprints of the content and of
      * the shared parts, of 16 hexadecimal digits each.
@@ -303,6 +326,45 @@
         }
     }
 
+    /**
+     * What a VM has seen of the new version of a rollout.
+     *
+     * @param evidence all that it has seen since the order
+     */
+    record Evidence(RolloutEvidence evidence) implements PeerMessage {
+
+        public Evidence {
+            Objects.requireNonNull(evidence, "evidence is null");
+        }
+
+        @Override
+        public String text() {
+            final StringBuilder text = new StringBuilder("evidence ");
+            text.append(evidence.service()).append(' ').append(evidence.target());
+            text.append(' ').append(evidence.position().era());
+            text.append(' ').append(evidence.position().revision());
+            text.append(' ').append(evidence.source());
+            evidence.totals().forEach((measure, totals) -> append(text, measure, totals));
+            return text.toString();
+        }
+
+        private static void append(
+                final StringBuilder text, final Measure measure, final MeasureTotals totals) {
+            text.append(' ').append(measure);
+            text.append(':').append(totals.goodResponses());
+            text.append(':').append(totals.good());
+            totals.bad().entrySet().stream()
+                    .sorted(Map.Entry.<BackendServerId, Long>comparingByValue().reversed())
+                    .limit(MAX_EVIDENCE_SERVERS)
+                    .forEach(
+                            entry ->
+                                    text.append(':')
+                                            .append(entry.getKey().value())
+                                            .append(',')
+                                            .append(entry.getValue()));
+        }
+    }
+
     /**
      * A backend server crashed.
      *
@@ -384,6 +446,10 @@
                                             Long.parseLong(rollout.group(4))),
                                     Long.parseLong(rollout.group(5)))));
         }
+        final Matcher evidence = EVIDENCE.matcher(text);
+        if (evidence.matches()) {
+            return evidence(evidence);
+        }
         final Matcher draining = DRAINING.matcher(text);
         if (draining.matches()) {
             return Optional.of(new Draining(incarnation(draining.group(1), draining.group(2))));
@@ -483,6 +549,44 @@
                 Boolean.parseBoolean(departed.group(5)));
     }
 
+    private static Optional<PeerMessage> evidence(final Matcher matcher) {
+        final Map<Measure, MeasureTotals> totals = new EnumMap<>(Measure.class);
+        for (final String word : matcher.group(6).strip().split(" ")) {
+            final Matcher part = MEASURE_TOTALS.matcher(word);
+            // A newer version of this program may compare more.
+            if (part.matches()) {
+                measure(part.group(1)).ifPresent(measure -> totals.put(measure, totals(part)));
+            }
+        }
+        return Optional.of(
+                new Evidence(
+                        new RolloutEvidence(
+                                ServiceName.of(matcher.group(1)),
+                                matcher.group(2),
+                                Position.of(
+                                        Long.parseLong(matcher.group(3)),
+                                        Long.parseLong(matcher.group(4))),
+                                Long.parseLong(matcher.group(5)),
+                                totals)));
+    }
+
+    private static Optional<Measure> measure(final String name) {
+        return Stream.of(Measure.values()).filter(m -> m.name().equals(name)).findFirst();
+    }
+
+    private static MeasureTotals totals(final Matcher part) {
+        final Map<BackendServerId, Long> bad = new HashMap<>();
+        for (final String entry : part.group(4).split(":")) {
+            if (!entry.isEmpty()) {
+                final int comma = entry.indexOf(',');
+                bad.put(
+                        BackendServerId.of(entry.substring(0, comma)),
+                        Long.parseLong(entry.substring(comma + 1)));
+            }
+        }
+        return new MeasureTotals(Long.parseLong(part.group(2)), Long.parseLong(part.group(3)), bad);
+    }
+
     private static Optional<PeerMessage> changed(final Matcher changed) {
         final Position position =
                 Position.of(Long.parseLong(changed.group(2)), Long.parseLong(changed.group(3)));
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
@@ -21,6 +21,7 @@
     private final CrashDetector crashes;
     private final LoadCollection loads;
     private final RolloutAges rolloutAges;
+    private final RolloutEvidenceReports rolloutEvidence;
     private final LimitReports limitReports;
     private final PermitExchange permits;
     private final ChangeReports changeReports;
@@ -30,6 +31,7 @@
             final CrashDetector crashes,
             final LoadCollection loads,
             final RolloutAges rolloutAges,
+            final RolloutEvidenceReports rolloutEvidence,
             final LimitReports limitReports,
             final PermitExchange permits,
             final ChangeReports changeReports) {
@@ -37,6 +39,7 @@
         this.crashes = Objects.requireNonNull(crashes, "crashes is null");
         this.loads = Objects.requireNonNull(loads, "loads is null");
         this.rolloutAges = Objects.requireNonNull(rolloutAges, "rolloutAges is null");
+        this.rolloutEvidence = Objects.requireNonNull(rolloutEvidence, "rolloutEvidence is null");
         this.limitReports = Objects.requireNonNull(limitReports, "limitReports is null");
         this.permits = Objects.requireNonNull(permits, "permits is null");
         this.changeReports = Objects.requireNonNull(changeReports, "changeReports is null");
@@ -59,6 +62,8 @@
             loads.onSums(sums);
         } else if (message instanceof PeerMessage.Rollout rollout) {
             rolloutAges.onAge(rollout.age());
+        } else if (message instanceof PeerMessage.Evidence evidence) {
+            rolloutEvidence.onEvidence(evidence.evidence());
         } else if (message instanceof PeerMessage.Draining draining) {
             onDraining(draining.server());
         } else if (message instanceof PeerMessage.Departed departed) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutAges.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutAges.java
@@ -24,27 +24,13 @@
  */
 final class RolloutAges {
 
-    /**
-     * Time in which each VM receives the age a few times, and initial delay of sending;
-     * milliseconds.
-     */
-    private static final long PERIOD_MILLIS = 500;
-
-    /**
-     * Number of VMs up to which each sends the age once a period. In a larger group about this many
-     * send in a period, at random times, so that the messages a VM receives do not grow with the
-     * group.
-     */
-    private static final int MAX_SENDERS_PER_PERIOD = 6;
-
     /** Smallest correction that is logged; milliseconds. Less is within the delay of messages. */
     private static final long MIN_LOGGED_CHANGE_MILLIS = 50;
 
     private final GatewayState state;
     private final Supplier<List<InetSocketAddress>> peers;
     private final BiConsumer<PeerMessage, List<InetSocketAddress>> send;
-    private final RandomGenerator random;
-    private long dueMillis;
+    private final BroadcastPace pace;
 
     RolloutAges(
             final GatewayState state,
@@ -54,34 +40,19 @@
         this.state = Objects.requireNonNull(state, "state is null");
         this.peers = Objects.requireNonNull(peers, "peers is null");
         this.send = Objects.requireNonNull(send, "send is null");
-        this.random = Objects.requireNonNull(random, "random is null");
-        this.dueMillis = state.clock().millis() + PERIOD_MILLIS;
+        this.pace = new BroadcastPace(state.clock(), () -> peers.get().size(), random);
     }
 
     /** Sends the age of each running rollout if it is due. Called a few times a second. */
     void sendDue() {
-        if (state.clock().millis() < dueMillis) {
+        if (!pace.isDue()) {
             return;
         }
-        dueMillis = state.clock().millis() + nextDelayMillis();
         for (final Canary canary : state.canaries().values()) {
             canary.age().ifPresent(age -> send.accept(new PeerMessage.Rollout(age), peers.get()));
         }
     }
 
-    /**
-     * Returns a random delay in a large group, so that VMs that started together do not send
-     * together.
-     */
-    private long nextDelayMillis() {
-        final int senders = peers.get().size() + 1;
-        if (senders <= MAX_SENDERS_PER_PERIOD) {
-            return PERIOD_MILLIS;
-        }
-        final double mean = (double) PERIOD_MILLIS * senders / MAX_SENDERS_PER_PERIOD;
-        return Math.round(mean * 2 * random.nextDouble());
-    }
-
     /** Applies the age that another VM sent. */
     void onAge(final RolloutAge age) {
         final Optional<Canary> canary = Optional.ofNullable(state.canaries().get(age.service()));
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -15,7 +15,10 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.NotEmpty;
+import org.fennelstage.canary.Measure;
+import org.fennelstage.canary.MeasureTotals;
 import org.fennelstage.canary.RolloutAge;
+import org.fennelstage.canary.RolloutEvidence;
 import org.fennelstage.crash.ClearedCrashes;
 import org.fennelstage.crash.CrashReport;
 import org.fennelstage.crash.Fingerprint;
@@ -47,6 +50,43 @@
         assertThat(PeerMessage.parse(message.text())).contains(message);
     }
 
+    @Property(tries = 200)
+    void rolloutEvidenceRoundTrips(
+            @ForAll @IntRange(max = 999_999) final int good,
+            @ForAll @IntRange(max = PeerMessage.MAX_EVIDENCE_SERVERS) final int servers) {
+        final Map<BackendServerId, Long> bad = new HashMap<>();
+        for (int i = 0; i < servers; i++) {
+            bad.put(BackendServerId.of("i-" + i), 304L * i);
+        }
+        final PeerMessage message = evidence(new MeasureTotals(good, good * 36L, bad));
+        assertThat(PeerMessage.parse(message.text())).contains(message);
+    }
+
+    /** Guards against messages that are dropped because they are too long. */
+    @Test
+    void rolloutEvidenceNamesTheWorstServersOnly() {
+        final Map<BackendServerId, Long> bad = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            bad.put(BackendServerId.of("i-" + i), 100L + i);
+        }
+        final PeerMessage message = evidence(new MeasureTotals(5, 180, bad));
+        final PeerMessage.Evidence received =
+                (PeerMessage.Evidence) PeerMessage.parse(message.text()).orElseThrow();
+        assertThat(received.evidence().totals().get(Measure.PACE).bad())
+                .hasSize(PeerMessage.MAX_EVIDENCE_SERVERS)
+                .containsEntry(BackendServerId.of("i-59"), 159L);
+    }
+
+    private static PeerMessage evidence(final MeasureTotals totals) {
+        return new PeerMessage.Evidence(
+                new RolloutEvidence(
+                        ServiceName.of("models"),
+                        "v2",
+                        Position.of(1, 20),
+                        77,
+                        Map.of(Measure.PACE, totals, Measure.FAILURE, MeasureTotals.NONE)));
+    }
+
     @Property(tries = 200)
     void loadsWithOutcomesRoundTrip(
             @ForAll @IntRange(min = 1, max = 999_999) final int responses,
