A version that is somewhat slower in all responses is found by its mean pace

Cause: a new version gets few requests, so its servers run small batches and are faster than those of the current version. Its responses were slower by 1.7 on average (median 50 ms per event against 30), each within the limit of a slow response; the spread at the current version is 0.3 to 0.5, so single responses say little, and the mean much.

The pace of each response, and of later parts of a stream by half, now adds its log likelihood ratio under a mean that is 1.5 times as slow, less what slows the current version at the moment. After the move of all traffic only what speaks for the version counts.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -29,6 +29,9 @@
  */
 public final class Canary {
 
+    /** Parts of one stream depend on the same batch of its backend server. */
+    private static final double LATER_PACE_WEIGHT = 0.5;
+
     private final MonotonicClock clock;
     private final double allowedShare;
     private final Set<String> versionsInUse = new HashSet<>();
@@ -413,6 +416,9 @@
         if (limit.isPresent()) {
             final boolean slow = millis >= limit.getAsDouble();
             addEvidence(response, measure, slow);
+            if (measure == Measure.PACE) {
+                addMeanEvidence(response, millis, 1);
+            }
             if (slow) {
                 badResponseListener.onBadResponse(
                         response.server(), measure, millis, limit.getAsDouble());
@@ -427,6 +433,29 @@
         haltIfBad();
     }
 
+    /** Adds the pace of a later part of a stream; milliseconds. */
+    void onLaterPace(final ResponseObservation response, final double millis) {
+        if (isTarget(response.version())) {
+            addMeanEvidence(response, millis, LATER_PACE_WEIGHT);
+        } else {
+            currentVersion.onTime(Measure.PACE, response.kind(), millis);
+        }
+    }
+
+    /**
+     * Adds what a pace says about the mean of the new version. After the move only what speaks for
+     * the version counts: its backend servers then read all prompts for the first time, which slows
+     * any version.
+     */
+    private void addMeanEvidence(
+            final ResponseObservation response, final double millis, final double weight) {
+        final OptionalDouble ratio = currentVersion.meanEvidence(response.kind(), millis);
+        if (ratio.isPresent() && (!allMoved || ratio.getAsDouble() <= 0)) {
+            evidence.add(Measure.MEAN_PACE, response.server(), weight * ratio.getAsDouble());
+            haltIfBad();
+        }
+    }
+
     private void haltIfBad() {
         if (isRunning() && evidence.isBad()) {
             badVersions.add(order.get().target());
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
@@ -23,7 +23,11 @@
      * rarely fails; slow responses are less certain and need one more.
      */
     private static final Map<Measure, Double> BAD_SUMS =
-            Map.of(Measure.FAILURE, 6.0, Measure.FIRST_BYTE, 8.0, Measure.PACE, 8.0);
+            Map.of(
+                    Measure.FAILURE, 6.0,
+                    Measure.FIRST_BYTE, 8.0,
+                    Measure.PACE, 8.0,
+                    Measure.MEAN_PACE, 6.0);
 
     /** Part of {@link #BAD_SUMS} that a single backend server can add; two are needed at least. */
     private static final double MAX_SERVER_PART = 0.55;
@@ -64,13 +68,23 @@
             final double usualRate) {
         final double usual = Math.min(MAX_RATE - 0.01, usualRate);
         final double badRate = Math.min(MAX_RATE, usual + BAD_EXCESS);
+        add(measure, server, Math.log(bad ? badRate / usual : (1 - badRate) / (1 - usual)));
+    }
+
+    /**
+     * Adds a response that this VM has received.
+     *
+     * @param measure what was compared
+     * @param server its backend server
+     * @param evidence the log likelihood ratio of a bad and a good version; above 0 if it speaks
+     *     against the version
+     */
+    void add(final Measure measure, final BackendServerId server, final double evidence) {
         final MeasureTotals before = own.getOrDefault(measure, MeasureTotals.NONE);
-        if (bad) {
-            own.put(measure, before.plusBad(server, Math.log(badRate / usual)));
-        } else {
-            own.put(measure, before.plusGood(-Math.log((1 - badRate) / (1 - usual))));
-        }
-        apply(measure, before, own.get(measure));
+        final MeasureTotals after =
+                evidence > 0 ? before.plusBad(server, evidence) : before.plusGood(-evidence);
+        own.put(measure, after);
+        apply(measure, before, after);
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CurrentVersion.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CurrentVersion.java
@@ -27,12 +27,19 @@
     /** Larger than that of failures, since what delays responses comes and goes within seconds. */
     private static final double SLOW_WEIGHT = 0.05;
 
+    /** Weight of a response in how much slower than usual responses are at present. */
+    private static final double DIFFERENCE_WEIGHT = 0.25;
+
+    /** Most that one response contributes to that. */
+    private static final double MAX_DIFFERENCE = 2;
+
     /** Identifies a distribution of times. */
     private record Key(Measure measure, ResponseKind kind) {}
 
     private final Map<String, Double> failureRates = new HashMap<>();
     private final Map<Key, UsualTime> times = new HashMap<>();
     private final Map<Measure, Double> slowRates = new EnumMap<>(Measure.class);
+    private double recentDifference;
 
     /** Adds whether a response failed. */
     void onOutcome(final ResponseKind kind, final boolean failed) {
@@ -48,10 +55,34 @@
         if (limit.isPresent()) {
             final boolean slow = millis >= limit.getAsDouble();
             slowRates.put(measure, average(slowRate(measure), slow, SLOW_WEIGHT));
+            if (measure == Measure.PACE) {
+                onDifference(usual.difference(millis));
+            }
         }
         usual.add(millis);
     }
 
+    private void onDifference(final double difference) {
+        final double counted = Math.max(-MAX_DIFFERENCE, Math.min(MAX_DIFFERENCE, difference));
+        recentDifference += DIFFERENCE_WEIGHT * (counted - recentDifference);
+    }
+
+    /**
+     * Returns what the pace of a response of a new version says about the mean of the version, in
+     * comparison with the present responses of the current one: more load slows both.
+     *
+     * @return a log likelihood ratio, above 0 if it speaks against the version; empty if too little
+     *     is known of the kind
+     */
+    OptionalDouble meanEvidence(final ResponseKind kind, final double millis) {
+        final UsualTime usual = times.get(new Key(Measure.PACE, kind));
+        if (usual == null || usual.limitMillis().isEmpty()) {
+            return OptionalDouble.empty();
+        }
+        final double difference = usual.difference(millis) - Math.max(0, recentDifference);
+        return OptionalDouble.of(usual.meanEvidence(difference));
+    }
+
     /**
      * Returns the time from which a response is slow.
      *
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Measure.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Measure.java
@@ -7,5 +7,7 @@
     /** The time until a stream begins. */
     FIRST_BYTE,
     /** The time per event of a stream, or of the whole response if it is not a stream. */
-    PACE
+    PACE,
+    /** The mean of that time, which reveals a version that is somewhat slower in all responses. */
+    MEAN_PACE
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/ResponseObservation.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/ResponseObservation.java
@@ -12,12 +12,12 @@
  * slower a version is, the fewer of its responses have ended, and many never do, since callers
  * leave or another backend server is asked instead.
  *
- * <p>Invariants: each measure counts at most once, and by the same limit whether the response has
- * ended or not; nothing counts after the end. Not thread-safe.
+ * <p>Invariants: each measure but the mean pace counts at most once, and by the same limit whether
+ * the response has ended or not; nothing counts after the end. Not thread-safe.
  */
 public final class ResponseObservation {
 
-    /** Pauses between events from which a stream's pace is judged. */
+    /** Pauses between events that a pace is taken from; the first of a stream is judged. */
     static final int JUDGED_PAUSES = 8;
 
     /** Pauses that a stream which ends earlier must have at least. */
@@ -40,7 +40,9 @@
     private State firstByte;
     private State pace;
     private State outcome = State.OPEN;
+    private boolean timesParts;
     private long firstEventMillis;
+    private long partMillis;
     private int pauses = -1;
 
     ResponseObservation(
@@ -62,6 +64,7 @@
         this.onPaceClosed = onPaceClosed;
         this.firstByte = stream && timed ? State.OPEN : State.CLOSED;
         this.pace = timed ? State.OPEN : State.CLOSED;
+        this.timesParts = timed;
     }
 
     BackendServerId server() {
@@ -89,13 +92,26 @@
         pauses++;
         if (pauses == 0) {
             firstEventMillis = clock.millis();
-        } else if (pauses == JUDGED_PAUSES) {
-            judgeStream();
+            partMillis = firstEventMillis;
+        } else if (pauses % JUDGED_PAUSES == 0) {
+            onPart();
+        }
+    }
+
+    private void onPart() {
+        final long now = clock.millis();
+        final double millis = (now - partMillis) / (double) JUDGED_PAUSES;
+        partMillis = now;
+        if (pauses == JUDGED_PAUSES) {
+            judge(millis);
+        } else if (timesParts) {
+            canary.onLaterPace(this, millis);
         }
     }
 
     /** Records that the stream is not read for a while, which says nothing about its pace. */
     public void onPaused() {
+        timesParts = false;
         closePace();
     }
 
@@ -162,6 +178,7 @@
     public void close() {
         outcome = State.CLOSED;
         firstByte = State.CLOSED;
+        timesParts = false;
         closePace();
     }
 
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/UsualTime.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/UsualTime.java
@@ -21,6 +21,15 @@
     /** Standard deviations of the logarithm above the mean that nearly all responses stay below. */
     private static final double DEVIATIONS = 2.3;
 
+    /** Least slowdown of all responses that matters to callers. */
+    private static final double MEAN_FACTOR = 1.5;
+
+    /** Smallest standard deviation of the logarithm that is assumed. */
+    private static final double MIN_DEVIATION = 0.4;
+
+    /** Most that one response says about the mean; a log likelihood ratio. */
+    private static final double MAX_MEAN_EVIDENCE = 1.2;
+
     /** Weight of a sample; about the last fifty count. */
     private static final double WEIGHT = 0.02;
 
@@ -47,6 +56,30 @@
         return Math.max(Math.exp(logMean + distance), Math.exp(logMean) + MIN_DELAY_MILLIS);
     }
 
+    /**
+     * Returns by how much a time differs from the usual one.
+     *
+     * @param millis the time; milliseconds
+     * @return the difference of logarithms, above 0 if it is longer
+     */
+    double difference(final double millis) {
+        return Math.log((millis + MIN_DELAY_MILLIS) / (Math.exp(logMean) + MIN_DELAY_MILLIS));
+    }
+
+    /**
+     * Returns what a time says about the mean of a version.
+     *
+     * @param difference its difference from the usual one
+     * @return the log likelihood ratio of a version that is slower by {@link #MEAN_FACTOR} and one
+     *     that is not
+     */
+    double meanEvidence(final double difference) {
+        final double shift = Math.log(MEAN_FACTOR);
+        final double deviation = Math.max(MIN_DEVIATION, deviation());
+        final double ratio = shift / (deviation * deviation) * (difference - shift / 2);
+        return Math.max(-MAX_MEAN_EVIDENCE, Math.min(MAX_MEAN_EVIDENCE, ratio));
+    }
+
     private double deviation() {
         return Math.sqrt(logVariance);
     }
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -502,6 +502,27 @@
         assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
     }
 
+    /** Guards against a version that is slower in all responses, none of them by much. */
+    @Test
+    void aVersionThatIsTwiceAsSlowInAllResponsesIsBad() {
+        begin();
+        respondUsually();
+        for (int i = 0; i < 20; i++) {
+            respond(server(i), "v2", KIND, 100);
+        }
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.ROLLED_BACK);
+    }
+
+    @Test
+    void aVersionThatIsAFifthSlowerIsNotBad() {
+        begin();
+        respondUsually();
+        for (int i = 0; i < 200; i++) {
+            respond(server(i), "v2", KIND, 60);
+        }
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.IN_PROGRESS);
+    }
+
     /** Guards against the halt of a good version because the network delays all responses. */
     @Test
     void responsesThatAreAsSlowAsThoseOfTheCurrentVersionDoNotHaltTheRollout() {
