Responses without end are given up before they use up the heap

A backend server in trouble may send bytes that are no answer until the caller closes. Of 27 cases over loopback 11 failed on the code before: interim responses without end, chunks, a body without a length or with a huge one, a response to another request, and an event without end. The VM read 24 MB and more for one request, up to the deadline; few such responses exceed its heap of 96 MB.

Limits now: 16 interim responses and 1 MB of responses to other calls on a connection, 8 MB for one response that is not a stream and for one event, 16 MB for all responses that a VM buffers. The attempt then counts as failed with an unknown outcome, so that a request that may be repeated goes to another server, and the connection is closed.

EndlessResponsePathTest: all 27 pass.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -68,6 +68,12 @@
      */
     private static final Duration FIRST_USE_DELAY_NON_RETRYABLE = Duration.ofMillis(5);
 
+    /**
+     * Largest response that is not a stream, and largest event of a stream; bytes. Both are kept
+     * until they are whole, and a backend server in trouble may send bytes without end.
+     */
+    private static final long MAX_BUFFERED_BYTES = 8L << 20;
+
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private final RequestExecution execution;
@@ -86,6 +92,7 @@
     private long lastByteMillis;
     private long headMillis;
     private int eventCount;
+    private long takenBytes;
     private boolean promptRead;
     private boolean endsWithConnection;
     private boolean flowing;
@@ -247,13 +254,35 @@
             return;
         }
         onByte();
-        if (isStreaming()) {
+        if (!takeMemory(content.readableBytes())) {
+            onTooLarge();
+        } else if (isStreaming()) {
             events.feed(content);
+            giveBackMemory(takenBytes - events.pendingBytes());
         } else {
             body.writeBytes(ByteBufUtil.getBytes(content));
         }
     }
 
+    private boolean takeMemory(final int bytes) {
+        final boolean taken =
+                takenBytes + bytes <= MAX_BUFFERED_BYTES
+                        && execution.gateway().responseMemory().tryTake(bytes);
+        takenBytes += taken ? bytes : 0;
+        return taken;
+    }
+
+    private void giveBackMemory(final long bytes) {
+        execution.gateway().responseMemory().giveBack(bytes);
+        takenBytes -= bytes;
+    }
+
+    private void onTooLarge() {
+        call.cancel();
+        recordHealth(true);
+        fail(AttemptEnd.UNKNOWN, "response or event too large, over " + takenBytes + " bytes");
+    }
+
     @Override
     public void onEnd() {
         final ResponseHead response = head.orElseThrow();
@@ -485,6 +514,7 @@
         }
         ended = true;
         observation.close();
+        giveBackMemory(takenBytes);
         setFlowing(false);
         execution.gateway().attempts().remove(this);
         markPromptRead();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/EventSplitter.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/EventSplitter.java
@@ -48,6 +48,11 @@
         scan();
     }
 
+    /** Returns the size of the unfinished event that is buffered; bytes. */
+    int pendingBytes() {
+        return length;
+    }
+
     /** Returns whether an unfinished event is buffered. */
     boolean hasPartial() {
         return length > 0;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ServiceName;
+import org.fennelstage.limit.ByteBudget;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.placement.Placement;
@@ -44,6 +45,9 @@
  */
 public final class Gateway implements RequestHandler {
 
+    /** Part of a VM's heap of 96 MB; a buffer may take twice its content while it grows. */
+    private static final long RESPONSE_MEMORY_BYTES = 16L << 20;
+
     private final GatewayState state;
     private final WireCodec codec;
     private final HttpClient client;
@@ -66,6 +70,7 @@
     private boolean acceptsForwarded = true;
     private Optional<Supplier<Duration>> processAge = Optional.empty();
     private final Set<Attempt> attempts = new LinkedHashSet<>();
+    private final ByteBudget responseMemory = ByteBudget.of(RESPONSE_MEMORY_BYTES);
     private int inFlight;
 
     /**
@@ -303,6 +308,11 @@
         return inFlight;
     }
 
+    /** Returns the memory that responses share until they are whole. */
+    ByteBudget responseMemory() {
+        return responseMemory;
+    }
+
     /**
      * Ends attempts at backend servers that exceed the inactivity timeout, and reports unreachable
      * servers that are due. To be called several times a second.
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
@@ -25,6 +25,12 @@
  */
 final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
 
+    /** Interim responses to one call; more come from a server in trouble. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
+    /** Bytes of responses to other calls that are skipped before the connection is given up. */
+    private static final long MAX_DROPPED_BYTES = 1 << 20;
+
     private ChannelHandlerContext handlerContext;
     private Call call;
     private ResponseListener listener;
@@ -37,6 +43,8 @@
     private boolean usedBefore;
     private boolean reused;
     private boolean dropping;
+    private int interimResponses;
+    private long droppedBytes;
     private boolean reusable;
     private boolean responseEnded;
     private Optional<Duration> keepAlive = Optional.empty();
@@ -55,6 +63,8 @@
         reused = usedBefore;
         usedBefore = true;
         dropping = false;
+        interimResponses = 0;
+        droppedBytes = 0;
         reusable = true;
         responseEnded = false;
         keepAlive = Optional.empty();
@@ -90,6 +100,10 @@
         if (message instanceof HttpContent content) {
             onContent(context, content);
         }
+        if (interimResponses > MAX_INTERIM_RESPONSES || droppedBytes > MAX_DROPPED_BYTES) {
+            fail("no response among what the server sends");
+            context.close();
+        }
     }
 
     @Override
@@ -145,6 +159,7 @@
                 response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         dropping = informational || !options.matchesCall().test(response.headers());
         if (dropping) {
+            interimResponses += informational ? 1 : 0;
             reusable = reusable && informational;
             return;
         }
@@ -159,6 +174,7 @@
     private void onContent(final ChannelHandlerContext context, final HttpContent content) {
         final boolean last = content instanceof LastHttpContent;
         if (dropping) {
+            droppedBytes += content.content().readableBytes();
             dropping = !last;
             return;
         }
