A VM that starts during a rollout waits for the others' evidence before it moves all traffic

A VM that starts shortly before the end of a rollout had no evidence and completed what the other VMs held back; a fleet that restarts as a whole could complete a slow version, since nothing can be compared until the current version has responded ten times.

Such a VM now keeps the small share for 1.5 s, in which it receives the others' totals (these are sent again while the rollout runs), and while more responses could not be compared than were good, for at most the rollout's duration again.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.fennelstage.canary.VersionChoice.Reason;
 import org.fennelstage.history.Position;
 import org.fennelstage.id.BackendServerId;
@@ -29,6 +30,12 @@
  */
 public final class Canary {
 
+    /**
+     * Time in which a VM receives the evidence of the others; milliseconds. A VM that starts during
+     * a rollout would otherwise move and complete what the others hold back.
+     */
+    private static final long EVIDENCE_EXCHANGE_MILLIS = 1_500;
+
     /** Parts of one stream depend on the same batch of its backend server. */
     private static final double LATER_PACE_WEIGHT = 0.5;
 
@@ -41,6 +48,7 @@
     private Optional<RolloutOrder> order = Optional.empty();
     private final CurrentVersion currentVersion = new CurrentVersion();
     private CanaryEvidence evidence = new CanaryEvidence();
+    private BooleanSupplier hasOtherVms = () -> false;
     private BadResponseListener badResponseListener = (server, measure, millis, limit) -> {};
     private long startMillis;
 
@@ -363,12 +371,29 @@
      * decide.
      */
     private boolean moveIfDue() {
-        if (!allMoved && plan().allTrafficMoved(elapsed()) && !evidence.isInDoubt()) {
+        if (!allMoved && plan().allTrafficMoved(elapsed()) && !awaitsEvidence() && !isInDoubt()) {
             allMoved = true;
         }
         return allMoved;
     }
 
+    /** Returns whether this VM has had no time yet to receive what others have seen. */
+    private boolean awaitsEvidence() {
+        return receivedLate
+                && hasOtherVms.getAsBoolean()
+                && clock.millis() - receivedMillis < EVIDENCE_EXCHANGE_MILLIS;
+    }
+
+    /**
+     * Returns whether the new version is in doubt. Responses that could not be compared count for a
+     * limited time only, since a service may have too few requests to compare any.
+     */
+    private boolean isInDoubt() {
+        final boolean mayWait =
+                elapsed().compareTo(order.orElseThrow().duration().multipliedBy(2)) < 0;
+        return evidence.isInDoubt() || (mayWait && evidence.isUnproven());
+    }
+
     /**
      * Begins to observe the response to a request that is being sent.
      *
@@ -413,6 +438,9 @@
             return;
         }
         final OptionalDouble limit = limitMillis(measure, response.kind());
+        if (limit.isEmpty() && receivedLate && measure == Measure.PACE) {
+            evidence.onNotComparable();
+        }
         if (limit.isPresent()) {
             final boolean slow = millis >= limit.getAsDouble();
             addEvidence(response, measure, slow);
@@ -467,6 +495,15 @@
         return currentVersion.limitMillis(measure, kind);
     }
 
+    /**
+     * Sets whether there are other VMs, which report what they have seen; none by default.
+     *
+     * @param others the condition, evaluated when it matters
+     */
+    public void awaitEvidenceIf(final BooleanSupplier others) {
+        hasOtherVms = Objects.requireNonNull(others, "others is null");
+    }
+
     /**
      * Sets the listener for responses of new versions that failed or are slow.
      *
@@ -508,17 +545,6 @@
         }
     }
 
-    /**
-     * Returns whether this VM received the order late and has not had time to receive what other
-     * VMs have seen of the new version.
-     *
-     * @param exchangeTime the time in which each VM receives the evidence of the others
-     * @return true if it must not complete the rollout yet
-     */
-    public boolean awaitsEvidence(final Duration exchangeTime) {
-        return receivedLate && clock.millis() - receivedMillis < exchangeTime.toMillis();
-    }
-
     /**
      * Returns the phase that is to be written to the store.
      *
@@ -534,7 +560,7 @@
         if (badVersions.contains(order.get().target())) {
             return Optional.of(RolloutPhase.ROLLED_BACK);
         }
-        if (moveIfDue() && plan().isComplete(elapsed()) && !evidence.isInDoubt()) {
+        if (moveIfDue() && plan().isComplete(elapsed()) && !isInDoubt()) {
             return Optional.of(RolloutPhase.COMPLETED);
         }
         return order.get().phase() == RolloutPhase.ORDERED
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
@@ -25,7 +25,7 @@
     private static final Map<Measure, Double> BAD_SUMS =
             Map.of(
                     Measure.FAILURE, 6.0,
-                    Measure.FIRST_BYTE, 8.0,
+                    Measure.FIRST_BYTE, 10.0,
                     Measure.PACE, 8.0,
                     Measure.MEAN_PACE, 6.0);
 
@@ -48,6 +48,7 @@
     private final Map<Long, Map<Measure, MeasureTotals>> reported = new HashMap<>();
     private long goodPaces;
     private int unjudged;
+    private int notComparable;
 
     CanaryEvidence() {
         BAD_SUMS.forEach((m, bad) -> sums.put(m, new CappedSum(bad * MAX_SERVER_PART)));
@@ -132,6 +133,11 @@
         unjudged--;
     }
 
+    /** Records that the pace of a response is known, but not the usual one. */
+    void onNotComparable() {
+        notComparable++;
+    }
+
     /**
      * Returns whether the new version is bad by the present evidence.
      *
@@ -151,6 +157,16 @@
         return exceeds(DOUBT_PART) || unjudged > goodPaces;
     }
 
+    /**
+     * Returns whether more responses could not be compared than have been good, as on a VM that
+     * started during the rollout.
+     *
+     * @return false for a version without any response
+     */
+    boolean isUnproven() {
+        return unjudged + notComparable > goodPaces;
+    }
+
     private boolean exceeds(final double part) {
         return BAD_SUMS.entrySet().stream()
                 .anyMatch(e -> sums.get(e.getKey()).value() >= e.getValue() * part);
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/CanaryTest.java
@@ -567,6 +567,30 @@
         assertThat(canary.phaseToWrite()).contains(RolloutPhase.IN_PROGRESS);
     }
 
+    /** Guards against a VM that starts late and completes what the others hold back. */
+    @Test
+    void aVmThatStartsDuringARolloutWaitsForTheEvidenceOfTheOthers() {
+        canary.awaitEvidenceIf(() -> true);
+        canary.onVersionWithoutOrder("v1");
+        canary.onOrder(orderInProgress(2), Duration.ofMillis(23_800));
+        assertThat(canary.phaseToWrite()).isEmpty();
+        now.addAndGet(1_500);
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.COMPLETED);
+    }
+
+    /** Guards against the completion of a slow version because all VMs have just started. */
+    @Test
+    void responsesThatCannotBeComparedDoNotCompleteARolloutAtAVmThatStartedLate() {
+        canary.onVersionWithoutOrder("v1");
+        canary.onOrder(orderInProgress(2), Duration.ofMillis(20_000));
+        respond(server(0), "v2", KIND, 400);
+        respond(server(1), "v2", KIND, 400);
+        now.addAndGet(4_000);
+        assertThat(canary.phaseToWrite()).isEmpty();
+        now.addAndGet(DURATION.toMillis());
+        assertThat(canary.phaseToWrite()).contains(RolloutPhase.COMPLETED);
+    }
+
     private static ResponseKind kind(final String model) {
         return new ResponseKind("drafts", Optional.of(ModelId.of(model)));
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
@@ -153,6 +153,7 @@
 
     private Canary newCanary(final ServiceName service) {
         final Canary canary = Canary.of(clock, settings.canaryShare());
+        canary.awaitEvidenceIf(() -> vmCount > 1);
         canary.onBadResponse(
                 (server, measure, millis, limitMillis) ->
                         EventLog.write(
@@ -172,11 +173,6 @@
         return canary;
     }
 
-    /** Returns whether the fleet has other VMs, as far as known. */
-    public boolean hasOtherVms() {
-        return vmCount > 1;
-    }
-
     /**
      * Returns the rollout states created so far, by service.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutEvidenceReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutEvidenceReports.java
@@ -1,9 +1,7 @@
 package org.fennelstage.vm;
 
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -12,29 +10,24 @@
 import org.fennelstage.canary.Canary;
 import org.fennelstage.canary.RolloutEvidence;
 import org.fennelstage.gateway.GatewayState;
-import org.fennelstage.id.ServiceName;
 
 /**
  * Exchanges between VMs what each has seen of the new version of a rollout.
  *
- * <p>A VM sends its totals since the order, so a lost message only delays them. It sends nothing
- * without a rollout, and nothing new is sent a second time only, for a message that was lost. Not
- * thread-safe; confined to the event loop.
+ * <p>A VM sends its totals since the order again and again while the rollout runs: a lost message
+ * only delays them, and a VM that starts late receives them too. Not thread-safe; confined to the
+ * event loop.
  */
 final class RolloutEvidenceReports {
 
     /** Upper bound of the number that identifies this process. */
     private static final long MAX_SOURCE = 1L << 50;
 
-    /** What was sent last for a service, and whether it was repeated. */
-    private record Sent(RolloutEvidence evidence, boolean repeated) {}
-
     private final GatewayState state;
     private final Supplier<List<InetSocketAddress>> peers;
     private final BiConsumer<PeerMessage, List<InetSocketAddress>> send;
     private final BroadcastPace pace;
     private final long source;
-    private final Map<ServiceName, Sent> sent = new HashMap<>();
 
     RolloutEvidenceReports(
             final GatewayState state,
@@ -52,20 +45,12 @@
     void sendDue() {
         if (pace.isDue()) {
             for (final Canary canary : state.canaries().values()) {
-                canary.evidenceToSend(source).ifPresent(this::sendUnlessRepeated);
+                canary.evidenceToSend(source)
+                        .ifPresent(e -> send.accept(new PeerMessage.Evidence(e), peers.get()));
             }
         }
     }
 
-    private void sendUnlessRepeated(final RolloutEvidence evidence) {
-        final Sent last = sent.get(evidence.service());
-        final boolean isNew = last == null || !last.evidence().equals(evidence);
-        if (isNew || !last.repeated()) {
-            sent.put(evidence.service(), new Sent(evidence, !isNew));
-            send.accept(new PeerMessage.Evidence(evidence), peers.get());
-        }
-    }
-
     /** Applies the evidence that another VM sent. */
     void onEvidence(final RolloutEvidence evidence) {
         Optional.ofNullable(state.canaries().get(evidence.service()))
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutFeed.java
@@ -38,12 +38,6 @@
      */
     private static final int MAX_RANK = 4;
 
-    /**
-     * Time in which a VM receives the evidence of the others; milliseconds. A VM that started
-     * during a rollout would otherwise complete what the others hold back.
-     */
-    private static final Duration EVIDENCE_EXCHANGE = Duration.ofMillis(1_500);
-
     /** A phase that is to be written. */
     private record PendingPhase(String target, RolloutPhase phase) {}
 
@@ -138,11 +132,6 @@
         final String target = canary.order().orElseThrow().target();
         final boolean urgent =
                 phase.get() == RolloutPhase.ROLLED_BACK && !canary.rewritesLostPhase();
-        if (phase.get() == RolloutPhase.COMPLETED
-                && state.hasOtherVms()
-                && canary.awaitsEvidence(EVIDENCE_EXCHANGE)) {
-            return;
-        }
         final boolean allowed = urgent || mayWrite(service, new PendingPhase(target, phase.get()));
         if (allowed && writing.add(service)) {
             write(service, canary, phase.get());
