A watch on the configuration that hangs is found in time to apply changes

Callers of a VM whose open connections fell silent without a reset were refused with 404 on a route that had been added: the configuration was in force 3,286 ms after the connections fell silent and 2,386 ms after its acknowledgement (bounds 3,000 and 2,000).

Cause: the watch waits for 2.5 s, however long changes may take, and a watch that hangs is found only 0.8 s after its wait; idle connections that fell silent with it cost 0.8 s more each. Class: a wait longer than what the deployment allows for its result.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -351,7 +351,9 @@
                         changeReports.follow(
                                 watches,
                                 StoreKind.CONFIGURATION,
-                                () -> StoreWatches.CONFIGURATION_PACE,
+                                () ->
+                                        StoreWatches.configurationPace(
+                                                settings.bounds().maxPropagationDelay()),
                                 new ConfigurationFeed(state)))
                 .start();
         rollouts.start();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreWatches.java
@@ -23,6 +23,24 @@
      */
     static final WatchPace CONFIGURATION_PACE = WatchPace.ofMillis(2_500, 100);
 
+    /** Time to list the configuration again after a watch that did not end. */
+    private static final Duration LIST_RESERVE = Duration.ofMillis(300);
+
+    /**
+     * Returns the pace of the watch on the configuration of a deployment. A connection may fall
+     * silent without a reset; the watch on it is found to hang only after its wait and the timeout
+     * of a call, so the wait is shorter than the time in which changes have to be applied.
+     *
+     * @param maxPropagationDelay the longest time until a VM applies a change
+     * @return the pace
+     */
+    static WatchPace configurationPace(final Duration maxPropagationDelay) {
+        final Duration wait = maxPropagationDelay.minus(LIST_RESERVE);
+        return wait.compareTo(CONFIGURATION_PACE.watchTime()) < 0
+                ? WatchPace.ofMillis(wait.toMillis(), CONFIGURATION_PACE.pause().toMillis())
+                : CONFIGURATION_PACE;
+    }
+
     /**
      * Pace of the watch on backend servers. A draining server may receive requests for two seconds.
      */
