A version that fails on one route is found by a sum of that route

Completed, such a version goes on failing.

Failures now have a cumulative sum for each route beside the one for all, pooled like it; VMs send the four worst routes.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -457,7 +457,11 @@
     private void addEvidence(
             final ResponseObservation response, final Measure measure, final boolean bad) {
         final double usualRate = currentVersion.usualRate(measure, response.kind());
-        evidence.add(measure, response.server(), bad, usualRate);
+        evidence.add(EvidenceKey.ofAllRoutes(measure), response.server(), bad, usualRate);
+        if (measure == Measure.FAILURE) {
+            final EvidenceKey ofRoute = new EvidenceKey(measure, response.kind().route());
+            evidence.add(ofRoute, response.server(), bad, usualRate);
+        }
         haltIfBad();
     }
 
@@ -479,7 +483,10 @@
             final ResponseObservation response, final double millis, final double weight) {
         final OptionalDouble ratio = currentVersion.meanEvidence(response.kind(), millis);
         if (ratio.isPresent() && (!allMoved || ratio.getAsDouble() <= 0)) {
-            evidence.add(Measure.MEAN_PACE, response.server(), weight * ratio.getAsDouble());
+            evidence.add(
+                    EvidenceKey.ofAllRoutes(Measure.MEAN_PACE),
+                    response.server(),
+                    weight * ratio.getAsDouble());
             haltIfBad();
         }
     }
@@ -521,7 +528,7 @@
      * @return the evidence, empty if there is none or the rollout has ended
      */
     public Optional<RolloutEvidence> evidenceToSend(final long source) {
-        final Map<Measure, MeasureTotals> totals = evidence.own();
+        final Map<EvidenceKey, MeasureTotals> totals = evidence.own();
         if (totals.isEmpty() || !(isRunning() || isHaltMissingInStore())) {
             return Optional.empty();
         }
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CanaryEvidence.java
@@ -1,6 +1,5 @@
 package org.fennelstage.canary;
 
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import org.fennelstage.id.BackendServerId;
@@ -10,8 +9,9 @@
  *
  * <p>The responses that all VMs have seen count, since one VM may see too few of the new version
  * before the fleet as a whole has exceeded the allowed share of bad ones. Each measure has a
- * cumulative sum of its own: a version that fails need not be slow. Only responses count; broken
- * connections and stopped servers are no evidence against a version.
+ * cumulative sum of its own, and failures have one for each route: a version that fails need not be
+ * slow, or fail on all routes. Only responses count; broken connections and stopped servers are no
+ * evidence against a version.
  *
  * <p>Invariant: what another VM reports counts once, however often and in which order its messages
  * arrive. Not thread-safe.
@@ -43,49 +43,45 @@
 
     private static final double MAX_RATE = 0.95;
 
-    private final Map<Measure, CappedSum> sums = new EnumMap<>(Measure.class);
-    private final Map<Measure, MeasureTotals> own = new EnumMap<>(Measure.class);
-    private final Map<Long, Map<Measure, MeasureTotals>> reported = new HashMap<>();
+    private final Map<EvidenceKey, CappedSum> sums = new HashMap<>();
+    private final Map<EvidenceKey, MeasureTotals> own = new HashMap<>();
+    private final Map<Long, Map<EvidenceKey, MeasureTotals>> reported = new HashMap<>();
     private long goodPaces;
     private int unjudged;
     private int notComparable;
 
-    CanaryEvidence() {
-        BAD_SUMS.forEach((m, bad) -> sums.put(m, new CappedSum(bad * MAX_SERVER_PART)));
-    }
-
     /**
      * Adds a response that this VM has received.
      *
-     * @param measure what was compared
+     * @param key what was compared
      * @param server its backend server
      * @param bad whether it failed or was slow
      * @param usualRate the rate of bad responses that a good version may have
      */
     void add(
-            final Measure measure,
+            final EvidenceKey key,
             final BackendServerId server,
             final boolean bad,
             final double usualRate) {
         final double usual = Math.min(MAX_RATE - 0.01, usualRate);
         final double badRate = Math.min(MAX_RATE, usual + BAD_EXCESS);
-        add(measure, server, Math.log(bad ? badRate / usual : (1 - badRate) / (1 - usual)));
+        add(key, server, Math.log(bad ? badRate / usual : (1 - badRate) / (1 - usual)));
     }
 
     /**
      * Adds a response that this VM has received.
      *
-     * @param measure what was compared
+     * @param key what was compared
      * @param server its backend server
      * @param evidence the log likelihood ratio of a bad and a good version; above 0 if it speaks
      *     against the version
      */
-    void add(final Measure measure, final BackendServerId server, final double evidence) {
-        final MeasureTotals before = own.getOrDefault(measure, MeasureTotals.NONE);
+    void add(final EvidenceKey key, final BackendServerId server, final double evidence) {
+        final MeasureTotals before = own.getOrDefault(key, MeasureTotals.NONE);
         final MeasureTotals after =
                 evidence > 0 ? before.plusBad(server, evidence) : before.plusGood(-evidence);
-        own.put(measure, after);
-        apply(measure, before, after);
+        own.put(key, after);
+        apply(key, before, after);
     }
 
     /**
@@ -94,21 +90,22 @@
      * @param evidence all that it has seen since the order
      */
     void onReported(final RolloutEvidence evidence) {
-        final Map<Measure, MeasureTotals> known =
-                reported.computeIfAbsent(evidence.source(), s -> new EnumMap<>(Measure.class));
+        final Map<EvidenceKey, MeasureTotals> known =
+                reported.computeIfAbsent(evidence.source(), s -> new HashMap<>());
         evidence.totals()
                 .forEach(
-                        (measure, totals) -> {
+                        (key, totals) -> {
                             final MeasureTotals before =
-                                    known.getOrDefault(measure, MeasureTotals.NONE);
-                            known.put(measure, before.max(totals));
-                            apply(measure, before, known.get(measure));
+                                    known.getOrDefault(key, MeasureTotals.NONE);
+                            known.put(key, before.max(totals));
+                            apply(key, before, known.get(key));
                         });
     }
 
     private void apply(
-            final Measure measure, final MeasureTotals before, final MeasureTotals after) {
-        final CappedSum sum = sums.get(measure);
+            final EvidenceKey key, final MeasureTotals before, final MeasureTotals after) {
+        final double maxPerServer = BAD_SUMS.get(key.measure()) * MAX_SERVER_PART;
+        final CappedSum sum = sums.computeIfAbsent(key, k -> new CappedSum(maxPerServer));
         after.bad()
                 .forEach(
                         (server, units) -> {
@@ -118,7 +115,7 @@
                             }
                         });
         sum.decrease((after.good() - before.good()) / MeasureTotals.UNITS);
-        if (measure == Measure.PACE) {
+        if (key.measure() == Measure.PACE) {
             goodPaces += after.goodResponses() - before.goodResponses();
         }
     }
@@ -168,12 +165,15 @@
     }
 
     private boolean exceeds(final double part) {
-        return BAD_SUMS.entrySet().stream()
-                .anyMatch(e -> sums.get(e.getKey()).value() >= e.getValue() * part);
+        return sums.entrySet().stream()
+                .anyMatch(
+                        entry ->
+                                entry.getValue().value()
+                                        >= BAD_SUMS.get(entry.getKey().measure()) * part);
     }
 
     /** Returns what this VM has seen. */
-    Map<Measure, MeasureTotals> own() {
+    Map<EvidenceKey, MeasureTotals> own() {
         return Map.copyOf(own);
     }
 
@@ -181,11 +181,12 @@
     public String toString() {
         final StringBuilder text = new StringBuilder();
         sums.forEach(
-                (measure, sum) ->
-                        text.append(measure)
-                                .append('=')
-                                .append(Math.round(sum.value() * 10) / 10.0)
-                                .append(' '));
+                (key, sum) -> {
+                    if (sum.value() > 0) {
+                        text.append(key).append('=');
+                        text.append(Math.round(sum.value() * 10) / 10.0).append(' ');
+                    }
+                });
         return text + "good=" + goodPaces + " running=" + unjudged + " vms=" + reported.size();
     }
 }
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/RolloutEvidence.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/RolloutEvidence.java
@@ -12,14 +12,14 @@
  * @param target the new version
  * @param position the position at which the sender received the order's present state
  * @param source identifies the process of the sender, which starts from nothing after a restart
- * @param totals what it has seen, by measure; measures without responses are left out
+ * @param totals what it has seen; measures and routes without responses are left out
  */
 public record RolloutEvidence(
         ServiceName service,
         String target,
         Position position,
         long source,
-        Map<Measure, MeasureTotals> totals) {
+        Map<EvidenceKey, MeasureTotals> totals) {
 
     public RolloutEvidence {
         Objects.requireNonNull(service, "service is null");
--- a/fennelstage-core/src/test/java/org/fennelstage/canary/SharedEvidenceTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/canary/SharedEvidenceTest.java
@@ -78,6 +78,21 @@
         assertThat(isHalted(second)).isTrue();
     }
 
+    /** Guards against a version that fails on one route beside good responses on all others. */
+    @Test
+    void failuresOnOneRouteHaltTheRolloutBesideGoodResponsesOnOthers() {
+        final Canary first = vm();
+        final Canary second = vm();
+        fail(first, 1);
+        for (int i = 0; i < 20; i++) {
+            first.observe(server(i), "v2", new ResponseKind("tags", Optional.empty()), false, true)
+                    .onEnd(false);
+        }
+        fail(second, 2);
+        first.onEvidence(second.evidenceToSend(2).orElseThrow());
+        assertThat(isHalted(first)).isTrue();
+    }
+
     /** Guards against the halt of a good version because a message arrives twice or late. */
     @Test
     void repeatedAndLateReportsCountOnce() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -1,6 +1,6 @@
 package org.fennelstage.vm;
 
-import java.util.EnumMap;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +12,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.fennelstage.canary.EvidenceKey;
 import org.fennelstage.canary.Measure;
 import org.fennelstage.canary.MeasureTotals;
 import org.fennelstage.canary.RolloutAge;
@@ -115,14 +116,17 @@
                             + " ([0-9]{1,18}) ([0-9]{1,9})");
 
     /**
-     * Measure, good responses, hundredths of their evidence, and backend servers with hundredths of
-     * the evidence of bad ones.
+     * Measure, route if it is for one, good responses, hundredths of their evidence, and backend
+     * servers with hundredths of the evidence of bad ones.
      */
     Pattern MEASURE_TOTALS =
             Pattern.compile(
-                    "([A-Z_]{1,20}):([0-9]{1,9}):([0-9]{1,12})"
+                    "([A-Z_]{1,20})(?:/([A-Za-z0-9._-]{1,95}))?:([0-9]{1,9}):([0-9]{1,12})"
                             + "((?::[A-Za-z0-9][A-Za-z0-9._-]{0,95},[0-9]{1,12})*)");
 
+    /** Names of routes that can be sent; what is seen of others stays with each VM. */
+    Pattern SENDABLE_ROUTE = Pattern.compile("[A-Za-z0-9._-]{1,95}");
+
     /** Service, version, era and revision, source, and totals of one measure or more. */
     Pattern EVIDENCE =
             Pattern.compile(
@@ -132,6 +136,9 @@
     /** Backend servers with bad responses that are sent for each measure, the worst ones. */
     int MAX_EVIDENCE_SERVERS = 8;
 
+    /** Routes with bad responses that are sent, the worst ones. */
+    int MAX_EVIDENCE_ROUTES = 4;
+
     /**
      * Id and start time of a backend server, and requests: the fingerprints of the content and of
      * the shared parts, of 16 hexadecimal digits each.
@@ -344,13 +351,25 @@
             text.append(' ').append(evidence.position().era());
             text.append(' ').append(evidence.position().revision());
             text.append(' ').append(evidence.source());
-            evidence.totals().forEach((measure, totals) -> append(text, measure, totals));
+            evidence.totals().entrySet().stream()
+                    .filter(entry -> entry.getKey().route().isEmpty())
+                    .forEach(entry -> append(text, entry.getKey(), entry.getValue()));
+            evidence.totals().entrySet().stream()
+                    .filter(entry -> !entry.getValue().bad().isEmpty())
+                    .filter(entry -> SENDABLE_ROUTE.matcher(entry.getKey().route()).matches())
+                    .sorted(Comparator.comparingLong(entry -> -badSum(entry.getValue())))
+                    .limit(MAX_EVIDENCE_ROUTES)
+                    .forEach(entry -> append(text, entry.getKey(), entry.getValue()));
             return text.toString();
         }
 
+        private static long badSum(final MeasureTotals totals) {
+            return totals.bad().values().stream().mapToLong(Long::longValue).sum();
+        }
+
         private static void append(
-                final StringBuilder text, final Measure measure, final MeasureTotals totals) {
-            text.append(' ').append(measure);
+                final StringBuilder text, final EvidenceKey key, final MeasureTotals totals) {
+            text.append(' ').append(key);
             text.append(':').append(totals.goodResponses());
             text.append(':').append(totals.good());
             totals.bad().entrySet().stream()
@@ -550,12 +569,14 @@
     }
 
     private static Optional<PeerMessage> evidence(final Matcher matcher) {
-        final Map<Measure, MeasureTotals> totals = new EnumMap<>(Measure.class);
+        final Map<EvidenceKey, MeasureTotals> totals = new HashMap<>();
         for (final String word : matcher.group(6).strip().split(" ")) {
             final Matcher part = MEASURE_TOTALS.matcher(word);
             // A newer version of this program may compare more.
             if (part.matches()) {
-                measure(part.group(1)).ifPresent(measure -> totals.put(measure, totals(part)));
+                measure(part.group(1))
+                        .ifPresent(
+                                measure -> totals.put(key(measure, part.group(2)), totals(part)));
             }
         }
         return Optional.of(
@@ -574,9 +595,13 @@
         return Stream.of(Measure.values()).filter(m -> m.name().equals(name)).findFirst();
     }
 
+    private static EvidenceKey key(final Measure measure, final String route) {
+        return new EvidenceKey(measure, route == null ? "" : route);
+    }
+
     private static MeasureTotals totals(final Matcher part) {
         final Map<BackendServerId, Long> bad = new HashMap<>();
-        for (final String entry : part.group(4).split(":")) {
+        for (final String entry : part.group(5).split(":")) {
             if (!entry.isEmpty()) {
                 final int comma = entry.indexOf(',');
                 bad.put(
@@ -584,7 +609,7 @@
                         Long.parseLong(entry.substring(comma + 1)));
             }
         }
-        return new MeasureTotals(Long.parseLong(part.group(2)), Long.parseLong(part.group(3)), bad);
+        return new MeasureTotals(Long.parseLong(part.group(3)), Long.parseLong(part.group(4)), bad);
     }
 
     private static Optional<PeerMessage> changed(final Matcher changed) {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.NotEmpty;
+import org.fennelstage.canary.EvidenceKey;
 import org.fennelstage.canary.Measure;
 import org.fennelstage.canary.MeasureTotals;
 import org.fennelstage.canary.RolloutAge;
@@ -39,6 +40,7 @@
 class PeerMessageTest {
 
     private static final long START_MILLIS = 1_700_000_000_000L;
+    private static final EvidenceKey PACE = EvidenceKey.ofAllRoutes(Measure.PACE);
 
     @Property(tries = 200)
     void loadsRoundTrip(@ForAll final List<@IntRange(max = 999_999) Integer> counts) {
@@ -72,7 +74,7 @@
         final PeerMessage message = evidence(new MeasureTotals(5, 180, bad));
         final PeerMessage.Evidence received =
                 (PeerMessage.Evidence) PeerMessage.parse(message.text()).orElseThrow();
-        assertThat(received.evidence().totals().get(Measure.PACE).bad())
+        assertThat(received.evidence().totals().get(PACE).bad())
                 .hasSize(PeerMessage.MAX_EVIDENCE_SERVERS)
                 .containsEntry(BackendServerId.of("i-59"), 159L);
     }
@@ -84,7 +86,14 @@
                         "v2",
                         Position.of(1, 20),
                         77,
-                        Map.of(Measure.PACE, totals, Measure.FAILURE, MeasureTotals.NONE)));
+                        Map.of(
+                                PACE,
+                                totals,
+                                EvidenceKey.ofAllRoutes(Measure.FAILURE),
+                                MeasureTotals.NONE,
+                                new EvidenceKey(Measure.FAILURE, "r-1"),
+                                new MeasureTotals(
+                                        3, 108, Map.of(BackendServerId.of("i-1"), 304L)))));
     }
 
     @Property(tries = 200)
