--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.fennelstage.canary.VersionChoice.Reason;
@@ -36,9 +35,6 @@
      */
     private static final long EVIDENCE_EXCHANGE_MILLIS = 1_500;
 
-    /** Parts of one stream depend on the same batch of its backend server. */
-    private static final double LATER_PACE_WEIGHT = 0.5;
-
     private final MonotonicClock clock;
     private final double allowedShare;
     private final Set<String> versionsInUse = new HashSet<>();
@@ -46,10 +42,8 @@
     private final ReportedVersions reportedVersions;
     private final EndedOrders endedOrders = EndedOrders.empty();
     private Optional<RolloutOrder> order = Optional.empty();
-    private final CurrentVersion currentVersion = new CurrentVersion();
-    private CanaryEvidence evidence = new CanaryEvidence();
+    private final VersionComparison comparison;
     private BooleanSupplier hasOtherVms = () -> false;
-    private BadResponseListener badResponseListener = (server, measure, millis, limit) -> {};
     private long startMillis;
 
     /** When this VM received the present order, and whether others may have begun it before. */
@@ -79,6 +73,7 @@
         this.clock = clock;
         this.allowedShare = allowedShare;
         this.reportedVersions = ReportedVersions.of(clock);
+        this.comparison = new VersionComparison(clock, this::isTarget, this::haltIfBad);
     }
 
     /**
@@ -191,7 +186,7 @@
             receivedMillis = clock.millis();
             receivedLate = !elapsed.isZero();
             allMoved = false;
-            evidence = new CanaryEvidence();
+            comparison.begin(receivedLate);
             endPhase = Optional.empty();
             badVersions.remove(newer.target());
             if (!newer.phase().ended()) {
@@ -373,6 +368,7 @@
     private boolean moveIfDue() {
         if (!allMoved && plan().allTrafficMoved(elapsed()) && !awaitsEvidence() && !isInDoubt()) {
             allMoved = true;
+            comparison.onAllMoved();
         }
         return allMoved;
     }
@@ -391,7 +387,7 @@
     private boolean isInDoubt() {
         final boolean mayWait =
                 elapsed().compareTo(order.orElseThrow().duration().multipliedBy(2)) < 0;
-        return evidence.isInDoubt() || (mayWait && evidence.isUnproven());
+        return comparison.isInDoubt(mayWait);
     }
 
     /**
@@ -410,98 +406,15 @@
             final ResponseKind kind,
             final boolean stream,
             final boolean timed) {
-        Runnable onPaceClosed = () -> {};
-        if (timed && isTarget(version)) {
-            evidence.onBegun();
-            onPaceClosed = evidence::onJudged;
-        }
-        return new ResponseObservation(
-                this, clock, server, version, kind, stream, timed, onPaceClosed);
-    }
-
-    /** Adds whether a response failed. */
-    void onOutcome(final ResponseObservation response, final boolean failed) {
-        if (isTarget(response.version())) {
-            addEvidence(response, Measure.FAILURE, failed);
-            if (failed) {
-                badResponseListener.onBadResponse(response.server(), Measure.FAILURE, 0, 0);
-            }
-        } else {
-            currentVersion.onOutcome(response.kind(), failed);
-        }
-    }
-
-    /** Adds a time of a response; milliseconds. */
-    void onTime(final ResponseObservation response, final Measure measure, final double millis) {
-        if (!isTarget(response.version())) {
-            currentVersion.onTime(measure, response.kind(), millis);
-            return;
-        }
-        final OptionalDouble limit = limitMillis(measure, response.kind());
-        if (limit.isEmpty() && receivedLate && measure == Measure.PACE) {
-            evidence.onNotComparable();
-        }
-        if (limit.isPresent()) {
-            final boolean slow = millis >= limit.getAsDouble();
-            addEvidence(response, measure, slow);
-            if (measure == Measure.PACE) {
-                addMeanEvidence(response, millis, 1);
-            }
-            if (slow) {
-                badResponseListener.onBadResponse(
-                        response.server(), measure, millis, limit.getAsDouble());
-            }
-        }
-    }
-
-    private void addEvidence(
-            final ResponseObservation response, final Measure measure, final boolean bad) {
-        final double usualRate = currentVersion.usualRate(measure, response.kind());
-        evidence.add(EvidenceKey.ofAllRoutes(measure), response.server(), bad, usualRate);
-        if (measure == Measure.FAILURE) {
-            final EvidenceKey ofRoute = new EvidenceKey(measure, response.kind().route());
-            evidence.add(ofRoute, response.server(), bad, usualRate);
-        }
-        haltIfBad();
-    }
-
-    /** Adds the pace of a later part of a stream; milliseconds. */
-    void onLaterPace(final ResponseObservation response, final double millis) {
-        if (isTarget(response.version())) {
-            addMeanEvidence(response, millis, LATER_PACE_WEIGHT);
-        } else {
-            currentVersion.onTime(Measure.PACE, response.kind(), millis);
-        }
-    }
-
-    /**
-     * Adds what a pace says about the mean of the new version. After the move only what speaks for
-     * the version counts: its backend servers then read all prompts for the first time, which slows
-     * any version.
-     */
-    private void addMeanEvidence(
-            final ResponseObservation response, final double millis, final double weight) {
-        final OptionalDouble ratio = currentVersion.meanEvidence(response.kind(), millis);
-        if (ratio.isPresent() && (!allMoved || ratio.getAsDouble() <= 0)) {
-            evidence.add(
-                    EvidenceKey.ofAllRoutes(Measure.MEAN_PACE),
-                    response.server(),
-                    weight * ratio.getAsDouble());
-            haltIfBad();
-        }
+        return comparison.observe(server, version, kind, stream, timed);
     }
 
     private void haltIfBad() {
-        if (isRunning() && evidence.isBad()) {
+        if (isRunning() && comparison.isBad()) {
             badVersions.add(order.get().target());
         }
     }
 
-    /** Returns the time from which a response is slow; milliseconds; empty if not known yet. */
-    OptionalDouble limitMillis(final Measure measure, final ResponseKind kind) {
-        return currentVersion.limitMillis(measure, kind);
-    }
-
     /**
      * Sets whether there are other VMs, which report what they have seen; none by default.
      *
@@ -517,7 +430,7 @@
      * @param listener the listener
      */
     public void onBadResponse(final BadResponseListener listener) {
-        badResponseListener = Objects.requireNonNull(listener, "listener is null");
+        comparison.onBadResponse(listener);
     }
 
     /**
@@ -528,7 +441,7 @@
      * @return the evidence, empty if there is none or the rollout has ended
      */
     public Optional<RolloutEvidence> evidenceToSend(final long source) {
-        final Map<EvidenceKey, MeasureTotals> totals = evidence.own();
+        final Map<EvidenceKey, MeasureTotals> totals = comparison.seenHere();
         if (totals.isEmpty() || !(isRunning() || isHaltMissingInStore())) {
             return Optional.empty();
         }
@@ -547,8 +460,7 @@
         if (isRunning()
                 && order.get().target().equals(reported.target())
                 && !firstPosition.isAfter(reported.position())) {
-            evidence.onReported(reported);
-            haltIfBad();
+            comparison.onReported(reported);
         }
     }
 
@@ -595,7 +507,7 @@
      * @return the text
      */
     public String evidence() {
-        return evidence.toString();
+        return comparison.toString();
     }
 
     private boolean isRunning() {
--- a/fennelstage-core/src/main/java/org/fennelstage/canary/ResponseObservation.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/ResponseObservation.java
@@ -29,7 +29,7 @@
         CLOSED
     }
 
-    private final Canary canary;
+    private final VersionComparison comparison;
     private final MonotonicClock clock;
     private final BackendServerId server;
     private final String version;
@@ -46,7 +46,7 @@
     private int pauses = -1;
 
     ResponseObservation(
-            final Canary canary,
+            final VersionComparison comparison,
             final MonotonicClock clock,
             final BackendServerId server,
             final String version,
@@ -54,7 +54,7 @@
             final boolean stream,
             final boolean timed,
             final Runnable onPaceClosed) {
-        this.canary = canary;
+        this.comparison = comparison;
         this.clock = clock;
         this.server = Objects.requireNonNull(server, "server is null");
         this.version = Objects.requireNonNull(version, "version is null");
@@ -83,7 +83,7 @@
     public void onFirstByte() {
         if (firstByte == State.OPEN) {
             firstByte = State.CLOSED;
-            canary.onTime(this, Measure.FIRST_BYTE, sinceSent());
+            comparison.onTime(this, Measure.FIRST_BYTE, sinceSent());
         }
     }
 
@@ -105,7 +105,7 @@
         if (pauses == JUDGED_PAUSES) {
             judge(millis);
         } else if (timesParts) {
-            canary.onLaterPace(this, millis);
+            comparison.onLaterPace(this, millis);
         }
     }
 
@@ -123,7 +123,7 @@
     public void onEnd(final boolean failed) {
         if (outcome == State.OPEN) {
             outcome = State.CLOSED;
-            canary.onOutcome(this, failed);
+            comparison.onOutcome(this, failed);
             if (!failed) {
                 judgeAtEnd();
             }
@@ -146,7 +146,7 @@
     private void judge(final double millis) {
         if (pace == State.OPEN) {
             closePace();
-            canary.onTime(this, Measure.PACE, millis);
+            comparison.onTime(this, Measure.PACE, millis);
         }
     }
 
@@ -171,7 +171,7 @@
     }
 
     private OptionalDouble limit(final State state, final Measure measure) {
-        return state == State.OPEN ? canary.limitMillis(measure, kind) : OptionalDouble.empty();
+        return state == State.OPEN ? comparison.limitMillis(measure, kind) : OptionalDouble.empty();
     }
 
     /** Ends the observation of a response that broke, was cancelled or was given up. */
