Evidence of rollouts fits into a datagram whatever the length of ids

With ids of 96 characters a message exceeded a datagram and was dropped, so that VMs would not have pooled what they saw. Servers and routes are added until the message has 1,000 characters, the worst first. PeerMessageTest with the longest names allowed.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -139,6 +139,12 @@
     /** Routes with bad responses that are sent, the worst ones. */
     int MAX_EVIDENCE_ROUTES = 4;
 
+    /**
+     * Length from which no further route or backend server is added; characters. Ids may be long,
+     * and a message that exceeds a datagram is dropped.
+     */
+    int FULL_EVIDENCE_LENGTH = 1_000;
+
     /**
      * Id and start time of a backend server, and requests: the fingerprints of the content and of
      * the shared parts, of 16 hexadecimal digits each.
@@ -359,6 +365,7 @@
                     .filter(entry -> SENDABLE_ROUTE.matcher(entry.getKey().route()).matches())
                     .sorted(Comparator.comparingLong(entry -> -badSum(entry.getValue())))
                     .limit(MAX_EVIDENCE_ROUTES)
+                    .filter(entry -> text.length() < FULL_EVIDENCE_LENGTH)
                     .forEach(entry -> append(text, entry.getKey(), entry.getValue()));
             return text.toString();
         }
@@ -375,6 +382,7 @@
             totals.bad().entrySet().stream()
                     .sorted(Map.Entry.<BackendServerId, Long>comparingByValue().reversed())
                     .limit(MAX_EVIDENCE_SERVERS)
+                    .filter(entry -> text.length() < FULL_EVIDENCE_LENGTH)
                     .forEach(
                             entry ->
                                     text.append(':')
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -79,6 +79,31 @@
                 .containsEntry(BackendServerId.of("i-59"), 159L);
     }
 
+    /** Guards against messages that are dropped because ids are long. */
+    @Test
+    void rolloutEvidenceFitsIntoADatagramWithTheLongestIds() {
+        final Map<BackendServerId, Long> bad = new HashMap<>();
+        for (int i = 10; i < 70; i++) {
+            bad.put(BackendServerId.of("i" + "x".repeat(93) + i), 9_999_999L);
+        }
+        final MeasureTotals totals = new MeasureTotals(999_999_999, 999_999_999_999L, bad);
+        final Map<EvidenceKey, MeasureTotals> all = new HashMap<>();
+        for (final Measure measure : Measure.values()) {
+            all.put(EvidenceKey.ofAllRoutes(measure), totals);
+            all.put(new EvidenceKey(measure, "r".repeat(95)), totals);
+        }
+        final PeerMessage message =
+                new PeerMessage.Evidence(
+                        new RolloutEvidence(
+                                ServiceName.of("s".repeat(96)),
+                                "v".repeat(95),
+                                Position.of(Long.MAX_VALUE / 10, Long.MAX_VALUE / 10),
+                                1L << 50,
+                                all));
+        assertThat(message.text().length()).isLessThanOrEqualTo(PeerMessenger.MAX_BYTES);
+        assertThat(PeerMessage.parse(message.text())).isPresent();
+    }
+
     private static PeerMessage evidence(final MeasureTotals totals) {
         return new PeerMessage.Evidence(
                 new RolloutEvidence(
