--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessageDispatcher.java
@@ -62,7 +62,7 @@
             loads.onSums(sums);
         } else if (message instanceof PeerMessage.Rollout rollout) {
             rolloutAges.onAge(rollout.age());
-        } else if (message instanceof PeerMessage.Evidence evidence) {
+        } else if (message instanceof EvidenceMessage evidence) {
             rolloutEvidence.onEvidence(evidence.evidence());
         } else if (message instanceof PeerMessage.Draining draining) {
             onDraining(draining.server());
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutEvidenceReports.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/RolloutEvidenceReports.java
@@ -46,7 +46,7 @@
         if (pace.isDue()) {
             for (final Canary canary : state.canaries().values()) {
                 canary.evidenceToSend(source)
-                        .ifPresent(e -> send.accept(new PeerMessage.Evidence(e), peers.get()));
+                        .ifPresent(e -> send.accept(new EvidenceMessage(e), peers.get()));
             }
         }
     }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PeerMessageTest.java
@@ -55,7 +55,7 @@
     @Property(tries = 200)
     void rolloutEvidenceRoundTrips(
             @ForAll @IntRange(max = 999_999) final int good,
-            @ForAll @IntRange(max = PeerMessage.MAX_EVIDENCE_SERVERS) final int servers) {
+            @ForAll @IntRange(max = EvidenceMessage.MAX_SERVERS) final int servers) {
         final Map<BackendServerId, Long> bad = new HashMap<>();
         for (int i = 0; i < servers; i++) {
             bad.put(BackendServerId.of("i-" + i), 304L * i);
@@ -72,10 +72,10 @@
             bad.put(BackendServerId.of("i-" + i), 100L + i);
         }
         final PeerMessage message = evidence(new MeasureTotals(5, 180, bad));
-        final PeerMessage.Evidence received =
-                (PeerMessage.Evidence) PeerMessage.parse(message.text()).orElseThrow();
+        final EvidenceMessage received =
+                (EvidenceMessage) PeerMessage.parse(message.text()).orElseThrow();
         assertThat(received.evidence().totals().get(PACE).bad())
-                .hasSize(PeerMessage.MAX_EVIDENCE_SERVERS)
+                .hasSize(EvidenceMessage.MAX_SERVERS)
                 .containsEntry(BackendServerId.of("i-59"), 159L);
     }
 
@@ -93,7 +93,7 @@
             all.put(new EvidenceKey(measure, "r".repeat(95)), totals);
         }
         final PeerMessage message =
-                new PeerMessage.Evidence(
+                new EvidenceMessage(
                         new RolloutEvidence(
                                 ServiceName.of("s".repeat(96)),
                                 "v".repeat(95),
@@ -105,7 +105,7 @@
     }
 
     private static PeerMessage evidence(final MeasureTotals totals) {
-        return new PeerMessage.Evidence(
+        return new EvidenceMessage(
                 new RolloutEvidence(
                         ServiceName.of("models"),
                         "v2",
