--- a/fennelstage-core/src/main/java/org/fennelstage/canary/CurrentVersion.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/CurrentVersion.java
@@ -43,9 +43,8 @@
 
     /** Adds whether a response failed. */
     void onOutcome(final ResponseKind kind, final boolean failed) {
-        failureRates.merge(kind.route(), 0.0, (rate, none) -> rate);
-        failureRates.computeIfPresent(
-                kind.route(), (route, rate) -> average(rate, failed, FAILURE_WEIGHT));
+        final double before = failureRates.getOrDefault(kind.route(), 0.0);
+        failureRates.put(kind.route(), average(before, failed, FAILURE_WEIGHT));
     }
 
     /** Adds a time; milliseconds. */
