--- a/fennelstage-core/src/main/java/org/fennelstage/limit/package-info.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/limit/package-info.java
@@ -1,2 +1,2 @@
-/** Rate limits. */
+/** Limits of rates and of memory. */
 package org.fennelstage.limit;
