A silent backend server keeps its request until another one accepts it

Callers saw streams end without their last event although their backend server was still at work. Class: a part ends something sound before it has its replacement. An attempt that exceeded its inactivity timeout was cancelled first, and only then another server was chosen, a permit asked for and a connection opened; where one of these failed, a stream that had started was broken off.

Takeover keeps the silent attempt open until the other server has accepted a connection and, where one is needed, there is a permit for it; retry budget is taken last. FS4036 says why a request stays where it is, which the log did not tell.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -62,7 +62,7 @@
     private static final long RESTART_GRACE_MILLIS = 500;
 
     /** Maximum idle time of a connection that is reused for a request that may be retried. */
-    private static final Duration MAX_IDLE_RETRYABLE = Duration.ofSeconds(4);
+    static final Duration MAX_IDLE_RETRYABLE = Duration.ofSeconds(4);
 
     /**
      * How long a new connection is kept open before a request that must not be retried is sent on
@@ -369,12 +369,7 @@
             failAfterRestart();
             return;
         }
-        final Inactivity inactivity =
-                new Inactivity(
-                        now() - lastByteMillis,
-                        server.health().millisSinceLastByte(),
-                        server.stalledMillis(),
-                        usesStallDetection() ? server.begunResponses() : 0);
+        final Inactivity inactivity = inactivity();
         if (!inactivity.exceeds(inactivityTimeoutMillis())) {
             return;
         }
@@ -388,7 +383,20 @@
                         + inactivity.begunResponses();
         reportBroken();
         execution.gateway().onInactive(server);
-        execution.onInactive(detail);
+        execution.onInactive(this, detail);
+    }
+
+    private Inactivity inactivity() {
+        return new Inactivity(
+                now() - lastByteMillis,
+                server.health().millisSinceLastByte(),
+                server.stalledMillis(),
+                usesStallDetection() ? server.begunResponses() : 0);
+    }
+
+    /** Returns whether the attempt is open and has exceeded its inactivity timeout. */
+    boolean isSilent() {
+        return !ended && !isPaused() && inactivity().exceeds(inactivityTimeoutMillis());
     }
 
     /** The request may have run in the previous incarnation; no response will arrive. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -17,7 +17,6 @@
 import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.crash.RequestFingerprints;
-import org.fennelstage.fleet.ServerHealth;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ModelId;
@@ -58,6 +57,7 @@
     private final ModelChoice models;
     private final WaitEstimator waitEstimator;
     private final PermitCheck permits;
+    private final Takeover takeover;
     private final Forwarding forwarding;
     private final boolean forwarded;
     private final ErrorResponder errors;
@@ -115,6 +115,7 @@
         this.models = ModelChoice.of(route, gateway);
         this.waitEstimator = new WaitEstimator(gateway, request);
         this.permits = new PermitCheck(gateway, route, log, traffic());
+        this.takeover = new Takeover(this, permits, log);
         this.forwarding = new Forwarding(this, !forwarded);
         this.errors = new ErrorResponder(gateway, exchange, request.id(), waitEstimator, log);
         this.arrivedMillis = now();
@@ -402,23 +403,50 @@
     }
 
     /**
-     * Abandons an attempt that exceeded its inactivity timeout and tries another backend server, if
-     * the request may be retried and there is another.
+     * Searches another backend server for a request whose open attempt exceeded its inactivity
+     * timeout.
      *
+     * @param silent the open attempt
      * @param detail what was observed, for the log
      */
-    void onInactive(final String detail) {
-        final boolean keep =
-                !route.retryable()
-                        || attempts.sent() >= route.maxServers()
-                        || !hasOtherServer()
-                        || !gateway.state().retryBudget(service).tryRetry();
-        if (keep) {
-            return;
+    void onInactive(final Attempt silent, final String detail) {
+        takeover.start(silent, detail);
+    }
+
+    /** Returns why the request may not be sent to another backend server, empty if it may. */
+    Optional<Takeover.KeptBecause> obstacleToMove() {
+        if (!route.retryable() || attempts.remaining() == 0) {
+            return Optional.of(Takeover.KeptBecause.NO_FURTHER_ATTEMPT);
         }
+        return gateway.crashes().rejectionTime(fingerprints).isPresent()
+                ? Optional.of(Takeover.KeptBecause.QUARANTINED)
+                : Optional.empty();
+    }
+
+    /** Chooses a backend server that the request was not sent to. */
+    Optional<TrackedServer> chooseOther(final Job job) {
+        return gateway.placement().choose(candidates(), job, false, this::isExcluded);
+    }
+
+    /** Returns whether the request may be sent to a backend server that was chosen before. */
+    boolean mayUse(final TrackedServer server) {
+        return candidates().contains(server);
+    }
+
+    boolean tryRetry() {
+        return gateway.state().retryBudget(service).tryRetry();
+    }
+
+    Job job() {
+        return waitEstimator.job(service, models.model());
+    }
+
+    /** Ends the open attempt and sends the request to another backend server. */
+    void move(final TrackedServer server, final Job job, final Permit permit, final String detail) {
         abandonOpenAttempt(AttemptEnd.UNKNOWN);
         log.attemptFailed(AttemptEnd.UNKNOWN, detail, elapsedMillis());
-        startAttempt();
+        testsLoad = false;
+        send(server, job, candidates().size(), permit);
     }
 
     /** Ends the request with the error that follows from its attempts. */
@@ -444,7 +472,7 @@
             notSent++;
             return notSent < MAX_NOT_SENT;
         }
-        return gateway.state().retryBudget(service).tryRetry();
+        return tryRetry();
     }
 
     private void startAttempt() {
@@ -461,7 +489,7 @@
         if (!mayProbe) {
             gateway.recoveryProbe().probeDue(candidates);
         }
-        final Job job = waitEstimator.job(service, models.model());
+        final Job job = job();
         final List<TrackedServer> tested = drawForLoadTest(candidates, job);
         testsLoad = !tested.isEmpty();
         final Optional<TrackedServer> server =
@@ -565,12 +593,6 @@
         return isStream() && route.retryable() && !response.started();
     }
 
-    private boolean hasOtherServer() {
-        return candidates().stream()
-                .filter(s -> !attempts.tried(s.entry().id()))
-                .anyMatch(s -> s.health().tier() != ServerHealth.Tier.UNREACHABLE);
-    }
-
     /** Returns the priority to send; requests without a prompt have none. */
     private OptionalInt sentPriority() {
         if (request.prompt().isEmpty() || !gateway.policy().uses(Mechanism.URGENCY)) {
@@ -659,7 +681,7 @@
         return route.kind() == RouteKind.STREAM;
     }
 
-    private Duration remaining() {
+    Duration remaining() {
         return Duration.ofMillis(deadlineMillis - now());
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestLog.java
@@ -265,6 +265,23 @@
                 elapsedMillis);
     }
 
+    /** Logs that a request stays at a silent backend server. */
+    void attemptKept(
+            final Takeover.KeptBecause reason, final String detail, final long elapsedMillis) {
+        EventLog.write(
+                Event.ATTEMPT_KEPT,
+                "request",
+                request.id(),
+                "reason",
+                reason,
+                "detail",
+                detail,
+                "sent",
+                attempts.sent(),
+                "elapsed_ms",
+                elapsedMillis);
+    }
+
     void responseDropped(
             final String model,
             final OptionalInt confidence,
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -107,6 +107,7 @@
             Level.INFO,
             "backend server began or ceased to fail more often than others of its service"),
     ADMISSION_LIMITED(
+    ATTEMPT_KEPT(4036, Level.INFO, "request stays at a silent backend server"),
             4035,
             Level.INFO,
             "requests of a priority and team at a saturated backend server began or ceased to be"
