The silence of others is measured in the time in which this VM listens

Callers lost streams, and for up to two seconds all requests of a VM were refused, after the VM had stood still for a second: suspended, or without a processor. Class: this VM's own pause is taken for the silence of others. What servers sent in the meantime lay unread in its sockets, and after a pause the event loop runs due tasks before it reads.

ListeningClock leaves out the time by which a turn of the event loop is too long. Health and reachability of servers, inactivity of attempts, latencies, speeds and the comparison of versions are measured by it; deadlines, warm-ups and rate limits stay on the clock. After a pause the periodic tasks, timeouts of permits and waits for change reports run 20 ms later, when what arrived is read. FS1011 and fennelstage_gateway_paused_seconds tell of pauses, which no log did.

--- a/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/canary/Canary.java
@@ -72,11 +72,12 @@
     /** Whether the store was restored from a copy and what it lost may not be rewritten yet. */
     private boolean rewritePending;
 
-    private Canary(final MonotonicClock clock, final double allowedShare) {
+    private Canary(
+            final MonotonicClock clock, final MonotonicClock listening, final double allowedShare) {
         this.clock = clock;
         this.allowedShare = allowedShare;
         this.reportedVersions = ReportedVersions.of(clock);
-        this.comparison = new VersionComparison(clock, this::isTarget, this::haltIfBad);
+        this.comparison = new VersionComparison(listening, this::isTarget, this::haltIfBad);
     }
 
     /**
@@ -87,7 +88,23 @@
      * @return the state
      */
     public static Canary of(final MonotonicClock clock, final double allowedShare) {
-        return new Canary(Objects.requireNonNull(clock, "clock is null"), allowedShare);
+        return of(clock, clock, allowedShare);
+    }
+
+    /**
+     * Returns the state of a service without known versions.
+     *
+     * @param clock the clock
+     * @param listening measures how long responses take
+     * @param allowedShare the largest share of all requests that a bad version may get
+     * @return the state
+     */
+    public static Canary of(
+            final MonotonicClock clock, final MonotonicClock listening, final double allowedShare) {
+        return new Canary(
+                Objects.requireNonNull(clock, "clock is null"),
+                Objects.requireNonNull(listening, "listening is null"),
+                allowedShare);
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/ServerTable.java
@@ -52,6 +52,7 @@
     static final long MIN_OUTAGE_MILLIS = 1_000;
 
     private final MonotonicClock clock;
+    private final MonotonicClock listening;
     private final Map<BackendServerId, TrackedServer> servers = new LinkedHashMap<>();
     private final Set<BackendServerId> missing = new HashSet<>();
     private final Map<ServiceName, List<TrackedServer>> usable = new HashMap<>();
@@ -66,8 +67,9 @@
     private long firstFailureMillis;
     private long graceUntilMillis = Long.MIN_VALUE;
 
-    private ServerTable(final MonotonicClock clock) {
+    private ServerTable(final MonotonicClock clock, final MonotonicClock listening) {
         this.clock = clock;
+        this.listening = listening;
         this.drainOverrides = DrainOverrides.of(clock);
     }
 
@@ -78,7 +80,20 @@
      * @return the table
      */
     public static ServerTable of(final MonotonicClock clock) {
-        return new ServerTable(Objects.requireNonNull(clock, "clock is null"));
+        return of(clock, clock);
+    }
+
+    /**
+     * Returns an empty table.
+     *
+     * @param clock the clock
+     * @param listening measures the silence of backend servers
+     * @return the table
+     */
+    public static ServerTable of(final MonotonicClock clock, final MonotonicClock listening) {
+        return new ServerTable(
+                Objects.requireNonNull(clock, "clock is null"),
+                Objects.requireNonNull(listening, "listening is null"));
     }
 
     /**
@@ -118,11 +133,12 @@
             return;
         }
         final Reachability reachability =
-                dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(clock));
+                dataCentres.computeIfAbsent(entry.dataCentre(), dc -> Reachability.of(listening));
         final Optional<TrackedServer> before = expired.take(entry.incarnation());
         before.ifPresent(server -> server.update(entry));
         servers.put(
-                entry.id(), before.orElseGet(() -> TrackedServer.of(entry, clock, reachability)));
+                entry.id(),
+                before.orElseGet(() -> TrackedServer.of(entry, clock, listening, reachability)));
         if (known != null) {
             known.onRestarted();
             restartListener.accept(known);
--- a/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/fleet/TrackedServer.java
@@ -34,6 +34,7 @@
 
     private final ServerHealth health;
     private final MonotonicClock clock;
+    private final MonotonicClock listening;
     private final long idHash;
     private ServerEntry entry;
     private int running;
@@ -51,10 +52,14 @@
     private double slowness = 1;
 
     private TrackedServer(
-            final ServerEntry entry, final ServerHealth health, final MonotonicClock clock) {
+            final ServerEntry entry,
+            final ServerHealth health,
+            final MonotonicClock clock,
+            final MonotonicClock listening) {
         this.entry = entry;
         this.health = health;
         this.clock = clock;
+        this.listening = listening;
         this.idHash = Rendezvous.hash(entry.id().value());
         this.rejectsUntilMillis = clock.millis();
         this.warmUpUntilMillis = clock.millis() + entry.warmUpLeft().toMillis();
@@ -73,8 +78,26 @@
      */
     public static TrackedServer of(
             final ServerEntry entry, final MonotonicClock clock, final Reachability dataCentre) {
+        return of(entry, clock, clock, dataCentre);
+    }
+
+    /**
+     * Returns a backend server without requests.
+     *
+     * @param entry its entry
+     * @param clock the clock
+     * @param listening measures the silence of the backend server and the age of what this VM has
+     *     observed of it
+     * @param dataCentre the state of its data centre
+     * @return the backend server
+     */
+    public static TrackedServer of(
+            final ServerEntry entry,
+            final MonotonicClock clock,
+            final MonotonicClock listening,
+            final Reachability dataCentre) {
         Objects.requireNonNull(entry, "entry is null");
-        return new TrackedServer(entry, ServerHealth.of(clock, dataCentre), clock);
+        return new TrackedServer(entry, ServerHealth.of(listening, dataCentre), clock, listening);
     }
 
     public ServerEntry entry() {
@@ -183,7 +206,7 @@
     /** Records that a response began, or that this VM resumed reading it. */
     public void beginResponse() {
         if (begunResponses == 0) {
-            stalledFromMillis = clock.millis();
+            stalledFromMillis = listening.millis();
         }
         begunResponses++;
     }
@@ -210,7 +233,7 @@
     public long stalledMillis() {
         return begunResponses == 0
                 ? 0
-                : Math.min(health.millisSinceLastByte(), clock.millis() - stalledFromMillis);
+                : Math.min(health.millisSinceLastByte(), listening.millis() - stalledFromMillis);
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -91,6 +91,7 @@
     private Optional<ResponseHead> head = Optional.empty();
     private Call call;
     private long sentMillis;
+    private long sentClockMillis;
     private long lastByteMillis;
     private long headMillis;
     private int eventCount;
@@ -148,6 +149,7 @@
     void send(final AttemptMetadata metadata) {
         server.begin(prefillMillis);
         sentMillis = now();
+        sentClockMillis = execution.gateway().state().clock().millis();
         final CallOptions options =
                 new CallOptions(
                         CONNECT_TIMEOUT,
@@ -249,7 +251,7 @@
         if (decoded.limit().isPresent()) {
             execution.gateway().onLimitReported(server, decoded.limit().get());
         } else if (decoded.isSuccess()) {
-            execution.gateway().onUnlimitedResponse(server, sentMillis);
+            execution.gateway().onUnlimitedResponse(server, sentClockMillis);
         }
     }
 
@@ -595,7 +597,8 @@
         return execution.gateway().codec();
     }
 
+    /** Returns the time by the clock of what this VM observes; milliseconds. */
     private long now() {
-        return execution.gateway().state().clock().millis();
+        return execution.gateway().state().listening().millis();
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayState.java
@@ -58,6 +58,7 @@
     public static final long REWRITE_MILLIS = 4_000;
 
     private final MonotonicClock clock;
+    private final MonotonicClock listening;
     private GatewaySettings settings;
     private final ServerTable servers;
     private final Evacuations evacuations;
@@ -83,9 +84,24 @@
      * @param settings the bounds set by the deployment
      */
     public GatewayState(final MonotonicClock clock, final GatewaySettings settings) {
+        this(clock, clock, settings);
+    }
+
+    /**
+     * Creates the state of a VM that has read nothing from the store.
+     *
+     * @param clock the clock
+     * @param listening measures what this VM observes of others; leaves out its own pauses
+     * @param settings the bounds set by the deployment
+     */
+    public GatewayState(
+            final MonotonicClock clock,
+            final MonotonicClock listening,
+            final GatewaySettings settings) {
         this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.listening = Objects.requireNonNull(listening, "listening is null");
         this.settings = Objects.requireNonNull(settings, "settings is null");
-        this.servers = ServerTable.of(clock);
+        this.servers = ServerTable.of(clock, listening);
         this.evacuations = Evacuations.empty(clock);
         this.brittleServices = BrittleServices.empty(clock);
         this.eligibility =
@@ -97,6 +113,11 @@
         return clock;
     }
 
+    /** Returns the clock that measures what this VM observes of others. */
+    MonotonicClock listening() {
+        return listening;
+    }
+
     public ServerTable servers() {
         return servers;
     }
@@ -152,7 +173,7 @@
     }
 
     private Canary newCanary(final ServiceName service) {
-        final Canary canary = Canary.of(clock, settings.canaryShare());
+        final Canary canary = Canary.of(clock, listening, settings.canaryShare());
         canary.awaitEvidenceIf(() -> vmCount > 1);
         canary.onBadResponse(
                 (server, measure, millis, limitMillis) ->
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -61,6 +61,9 @@
     /** Time between two runs of the periodic tasks; milliseconds. */
     private static final long PERIODIC_TASK_MILLIS = 100;
 
+    /** Time to read what has arrived during a pause of the process; milliseconds. */
+    private static final long READ_MILLIS = 20;
+
     /** Upper bound of the number of the first permit. */
     private static final long MAX_FIRST_PERMIT = 1L << 50;
 
@@ -74,6 +77,7 @@
     private final RolloutFeed rolloutFeed;
     private final QuarantineFeed quarantineFeed;
     private final OverloadDetector overload;
+    private final PauseMonitor pauses;
     private final OutlierDetection outliers;
     private final ServerSpeeds speeds;
     private final EvacuationFeed evacuationFeed;
@@ -103,7 +107,8 @@
         final MonotonicClock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
         // RandomGenerator.of would load every algorithm of the JDK during the start.
         final RandomGenerator random = new SplittableRandom();
-        this.state = new GatewayState(clock, settings.bounds());
+        this.pauses = PauseMonitor.of(clock);
+        this.state = new GatewayState(clock, pauses.listening(), settings.bounds());
         final HttpClient serverClient = new HttpClient(loop);
         final HttpClient storeClient = new HttpClient(loop);
         final Peers peers =
@@ -242,7 +247,7 @@
                     final boolean shared = settings.policy().uses(Mechanism.SHARED_CALLS);
                     follow(new StoreWatches(loop, shared ? coalesced : store, random, eras), peers);
                     loop.scheduleWithFixedDelay(
-                            this::runPeriodicTasks,
+                            this::onPeriod,
                             PERIODIC_TASK_MILLIS,
                             PERIODIC_TASK_MILLIS,
                             TimeUnit.MILLISECONDS);
@@ -280,8 +285,19 @@
         return CopyExchange.of(given, asked);
     }
 
+    /** Runs a task after a delay; after a pause, once what others have sent meanwhile is read. */
     private void schedule(final Runnable task, final Duration delay) {
-        loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+        final long dueMillis = state.clock().millis() + delay.toMillis();
+        loop.schedule(
+                () -> {
+                    if (pauses.isLate(dueMillis)) {
+                        loop.schedule(task, READ_MILLIS, TimeUnit.MILLISECONDS);
+                    } else {
+                        task.run();
+                    }
+                },
+                delay.toMillis(),
+                TimeUnit.MILLISECONDS);
     }
 
     private void onMessage(final PeerMessage message, final double draw) {
@@ -315,6 +331,7 @@
                             eras,
                             serverClient,
                             readiness::startProcessorSeconds,
+                            pauses::pausedSeconds,
                             copies);
             HttpServer.start(group, settings.metrics().get(), ServerLimits.DEFAULT, vmMetrics);
         }
@@ -550,6 +567,18 @@
         }
     }
 
+    /**
+     * Runs the periodic tasks. After a pause the event loop runs due tasks before it reads its
+     * sockets, so they wait until what others have sent meanwhile is read.
+     */
+    private void onPeriod() {
+        if (pauses.onPeriod(gateway.inFlight(), LogSetup.dropped())) {
+            loop.schedule(this::runPeriodicTasks, READ_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            runPeriodicTasks();
+        }
+    }
+
     private void runPeriodicTasks() {
         try {
             checkOverload();
--- /dev/null
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PauseMonitor.java
@@ -0,0 +1,80 @@
+package org.fennelstage.vm;
+
+import java.time.Duration;
+import java.util.Objects;
+import org.fennelstage.log.Event;
+import org.fennelstage.log.EventLog;
+import org.fennelstage.time.ListeningClock;
+import org.fennelstage.time.MonotonicClock;
+
+/**
+ * Notices when the event loop has not run for a while: the process was suspended, or had no
+ * processor.
+ *
+ * <p>Not thread-safe; confined to the event loop.
+ */
+final class PauseMonitor {
+
+    /**
+     * Longest time between two periodic tasks that is no pause. Exceeds the time for which a VM
+     * without processor quota stands still in each tenth of a second.
+     */
+    static final Duration MAX_TURN = Duration.ofMillis(250);
+
+    private final MonotonicClock clock;
+    private final ListeningClock listening;
+
+    private PauseMonitor(final MonotonicClock clock, final ListeningClock listening) {
+        this.clock = clock;
+        this.listening = listening;
+    }
+
+    /**
+     * Returns a monitor that has seen no pause.
+     *
+     * @param clock the clock
+     * @return the monitor
+     */
+    static PauseMonitor of(final MonotonicClock clock) {
+        Objects.requireNonNull(clock, "clock is null");
+        return new PauseMonitor(clock, ListeningClock.of(clock, MAX_TURN));
+    }
+
+    /** Returns the clock that leaves out pauses. */
+    MonotonicClock listening() {
+        return listening;
+    }
+
+    /** Returns the time for which the process has been paused; seconds. */
+    double pausedSeconds() {
+        return listening.missed().toNanos() / 1e9;
+    }
+
+    /** Returns whether a task runs so late that the event loop was paused when it was due. */
+    boolean isLate(final long dueMillis) {
+        return clock.millis() - dueMillis >= MAX_TURN.toMillis();
+    }
+
+    /**
+     * Records that the periodic tasks are due.
+     *
+     * @param inFlight the number of requests whose response is not complete, for the log
+     * @param logLinesDropped the number of log lines dropped so far, for the log
+     * @return whether the event loop was paused before, so that what has arrived may be unread
+     */
+    boolean onPeriod(final int inFlight, final long logLinesDropped) {
+        final Duration missed = listening.onTurn();
+        if (missed.isZero()) {
+            return false;
+        }
+        EventLog.write(
+                Event.PAUSED,
+                "ms",
+                missed.plus(MAX_TURN).toMillis(),
+                "in_flight",
+                inFlight,
+                "log_lines_dropped",
+                logLinesDropped);
+        return true;
+    }
+}
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmMetrics.java
@@ -33,6 +33,7 @@
             final EraTracker eras,
             final HttpClient serverClient,
             final DoubleSupplier startProcessorSeconds,
+            final DoubleSupplier pausedSeconds,
             final CopyExchange copies) {
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         metrics.gauge(
@@ -43,6 +44,10 @@
                 "fennelstage_gateway_start_cpu_seconds",
                 "Processor time of the process until the VM was ready; 0 before",
                 startProcessorSeconds);
+        metrics.gauge(
+                "fennelstage_gateway_paused_seconds",
+                "Time for which the event loop did not run although it was due",
+                pausedSeconds);
         metrics.gauge(
                 "fennelstage_log_lines_dropped",
                 "Log lines dropped because the queue was full",
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -17,6 +17,7 @@
     SETTINGS_UNREADABLE(
             1009, Level.ERROR, "cannot read settings; the previous settings stay in use"),
     INTERNAL_ERROR(1010, Level.ERROR, "unexpected error; task aborted"),
+    PAUSED(1011, Level.WARNING, "process did not run for a while"),
     TLS_RELOADED(1006, Level.INFO, "TLS keys reloaded"),
     TLS_UNREADABLE(1007, Level.ERROR, "cannot read TLS keys; the previous keys stay in use"),
 
@@ -106,8 +107,8 @@
             4032,
             Level.INFO,
             "backend server began or ceased to fail more often than others of its service"),
-    ADMISSION_LIMITED(
     ATTEMPT_KEPT(4036, Level.INFO, "request stays at a silent backend server"),
+    ADMISSION_LIMITED(
             4035,
             Level.INFO,
             "requests of a priority and team at a saturated backend server began or ceased to be"
