Calls and idle connections are given up only after what has arrived is read

A call to the store or to another VM failed, and an idle connection of a caller was closed, although the response or the next request lay unread in the socket: after a pause of the process due timers run before sockets are read. The limit on request heads already left a moment for reading; the same now holds for calls and idle connections.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -14,14 +14,12 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.ssl.SslContext;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -255,9 +253,7 @@
                 new HeaderTimeout(limits.headerTimeout(), decoder::hasPartialHead);
         tls.ifPresent(c -> channel.pipeline().addLast(c.newHandler(channel.alloc())));
         channel.pipeline()
-                .addLast(
-                        new IdleStateHandler(
-                                0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
+                .addLast(new CallerIdleTimeout(limits.idleTimeout()))
                 .addLast(headerTimeout)
                 .addLast(decoder)
                 .addLast(headerTimeout.headListener())
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
@@ -32,6 +32,12 @@
     /** Bytes of responses to other calls that are skipped before the connection is given up. */
     private static final long MAX_DROPPED_BYTES = 1 << 20;
 
+    /**
+     * Time to read what has arrived when the call is overdue; nanoseconds. After a pause of the
+     * process, the event loop runs due timers before it reads.
+     */
+    private static final long READ_NANOS = 20_000_000;
+
     private ChannelHandlerContext handlerContext;
     private Call call;
     private ResponseListener listener;
@@ -39,6 +45,7 @@
     private Consumer<Optional<Duration>> returnToPool;
     private ScheduledFuture<?> inactivityTimer;
     private long lastReadNanos;
+    private boolean overdue;
     private boolean requestWritten;
     private boolean headSeen;
     private boolean usedBefore;
@@ -70,6 +77,7 @@
         responseEnded = false;
         keepAlive = Optional.empty();
         lastReadNanos = System.nanoTime();
+        overdue = false;
         startInactivityTimer(options.inactivityTimeout().toNanos());
     }
 
@@ -157,9 +165,15 @@
         final long remainingNanos =
                 options.inactivityTimeout().toNanos() - (System.nanoTime() - lastReadNanos);
         if (remainingNanos > 0) {
+            overdue = false;
             startInactivityTimer(remainingNanos);
             return;
         }
+        if (!overdue) {
+            overdue = true;
+            startInactivityTimer(READ_NANOS);
+            return;
+        }
         fail("no data for " + options.inactivityTimeout().toMillis() + " ms");
         handlerContext.close();
     }
