A connect timeout that a pause has delayed says nothing about the server

After a pause of this VM, connections that were being opened had timed out: their servers were excluded as unreachable, and reported to other VMs, though they may have accepted. Found by looking for the same cause elsewhere. Such a timeout is now treated like a connection that the server closes at once: the request goes to another server, and this one stays in use.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/CallFailure.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/CallFailure.java
@@ -19,7 +19,8 @@
         NOT_SENT,
         /**
          * The server accepted the connection and closed it before the request was sent; it cannot
-         * have run. A healthy server does this at its connection limit.
+         * have run. A healthy server does this at its connection limit. Also reported for a
+         * connection that could not be opened because this process was paused.
          */
         CONNECTION_REJECTED,
         /** The request may have reached the server; it may have run. */
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -54,6 +54,9 @@
     private static final ChannelOption<Integer> KEEP_ALIVE_COUNT =
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
 
+    /** How late a connect timeout is noticed without a pause of the process; nanoseconds. */
+    private static final long MAX_LATENESS_NANOS = 250_000_000;
+
     private final EventLoop loop;
     private final ConnectionPool pool = new ConnectionPool();
     private long connectionsOpened;
@@ -137,6 +140,7 @@
             final Duration timeout,
             final ConnectionPolicy policy,
             final Consumer<ProbeResult> result) {
+        final long dueNanos = System.nanoTime() + timeout.toNanos();
         final ChannelFuture connected = open(address, timeout);
         connected.addListener(
                 f -> {
@@ -148,7 +152,10 @@
                                 TimeUnit.NANOSECONDS);
                         return;
                     }
-                    result.accept(toProbeResult(f.cause()));
+                    result.accept(
+                            wasPaused(f.cause(), dueNanos)
+                                    ? ProbeResult.CLOSED
+                                    : toProbeResult(f.cause()));
                 });
     }
 
@@ -182,6 +189,15 @@
                 && !(cause instanceof NoRouteToHostException);
     }
 
+    /**
+     * Returns whether a connect timeout was noticed so late that this process was paused meanwhile.
+     * The server may have accepted the connection, so that the timeout says nothing about it.
+     */
+    private static boolean wasPaused(final Throwable cause, final long dueNanos) {
+        return cause instanceof ConnectTimeoutException
+                && System.nanoTime() - dueNanos >= MAX_LATENESS_NANOS;
+    }
+
     private ChannelFuture open(final InetSocketAddress address, final Duration timeout) {
         final ChannelFuture connected =
                 new Bootstrap()
@@ -222,6 +238,7 @@
             final CallOptions options,
             final Call call,
             final ResponseListener listener) {
+        final long dueNanos = System.nanoTime() + options.connectTimeout().toNanos();
         final ChannelFuture connected = open(address, options.connectTimeout());
         connected.addListener(
                 f -> {
@@ -231,7 +248,7 @@
                         return;
                     }
                     failNotSent(
-                            wasResetWhileConnecting(f.cause())
+                            wasResetWhileConnecting(f.cause()) || wasPaused(f.cause(), dueNanos)
                                     ? CallFailure.Phase.CONNECTION_REJECTED
                                     : CallFailure.Phase.NOT_SENT,
                             "cannot connect to " + address,
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ProbeResult.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ProbeResult.java
@@ -4,7 +4,10 @@
 public enum ProbeResult {
     /** The server accepted the connection and kept it open. */
     ACCEPTED,
-    /** The server accepted the connection and closed it at once: it is at its limit or stopping. */
+    /**
+     * Nothing is known of the server, or it accepted the connection and closed it at once since it
+     * is at its limit or stopping.
+     */
     CLOSED,
     /** The connection was refused: no process listens at the address. */
     REFUSED,
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -21,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -239,6 +241,58 @@
         assertThat(probe(address)).isEqualTo(ProbeResult.REFUSED);
     }
 
+    @Test
+    void probeReportsThatTheServerDoesNotRespond() throws Exception {
+        assertThat(probeFullServer(() -> {})).isEqualTo(ProbeResult.NO_RESPONSE);
+    }
+
+    /** Guards against taking a pause of this process for a server that cannot be reached. */
+    @Test
+    void aConnectTimeoutThatIsNoticedAfterAPauseDoesNotMakeTheServerUnreachable() throws Exception {
+        final ProbeResult result =
+                probeFullServer(() -> LockSupport.parkNanos(Duration.ofMillis(600).toNanos()));
+        assertThat(result).isEqualTo(ProbeResult.CLOSED);
+    }
+
+    /**
+     * Probes a server that accepts no more connections, with a connect timeout of 100 ms.
+     *
+     * @param pause runs on the event loop while the connection is being opened
+     */
+    private ProbeResult probeFullServer(final Runnable pause) throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            final InetSocketAddress address =
+                    new InetSocketAddress(full.getInetAddress(), full.getLocalPort());
+            fill(address);
+            final CompletableFuture<ProbeResult> result = new CompletableFuture<>();
+            final Duration timeout = Duration.ofMillis(100);
+            client.eventLoop()
+                    .execute(
+                            () -> {
+                                client.probe(
+                                        address,
+                                        timeout,
+                                        ConnectionPolicy.pooled(),
+                                        result::complete);
+                                pause.run();
+                            });
+            return result.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Opens connections until the server accepts no more. */
+    private void fill(final InetSocketAddress address) throws IOException {
+        while (true) {
+            final Socket socket = new Socket();
+            accepted.add(socket);
+            try {
+                socket.connect(address, 200);
+            } catch (final SocketTimeoutException e) {
+                return;
+            }
+        }
+    }
+
     /** Sends a request; completes with the time between sending and writing it. */
     private CompletableFuture<Duration> timeUntilWritten(final CallOptions options) {
         final CompletableFuture<Duration> result = new CompletableFuture<>();
