--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -425,7 +425,9 @@
 
     /** Chooses a backend server that the request was not sent to. */
     Optional<TrackedServer> chooseOther(final Job job) {
-        return gateway.placement().choose(candidates(), job, false, this::isExcluded);
+        final List<TrackedServer> others =
+                candidates().stream().filter(s -> !attempts.tried(s.entry().id())).toList();
+        return gateway.placement().choose(others, job, false, permits::isDenied);
     }
 
     /** Returns whether the request may be sent to a backend server that was chosen before. */
