The log says when lines are missing from it, and when memory ended a connection

An incident could not be traced since the log of its VM named none of the lost requests: lines that are dropped because the reader of the log is slow were counted at a stop and on the metrics address only. FS1012 says so once a second at most. An error such as a lack of buffer memory, which ends a connection that is sound, was logged on a level that nobody sees; it is now a warning.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -78,6 +78,7 @@
     private final QuarantineFeed quarantineFeed;
     private final OverloadDetector overload;
     private final PauseMonitor pauses;
+    private final DroppedLinesReport droppedLines;
     private final OutlierDetection outliers;
     private final ServerSpeeds speeds;
     private final EvacuationFeed evacuationFeed;
@@ -108,6 +109,7 @@
         // RandomGenerator.of would load every algorithm of the JDK during the start.
         final RandomGenerator random = new SplittableRandom();
         this.pauses = PauseMonitor.of(clock);
+        this.droppedLines = new DroppedLinesReport(LogSetup::dropped, clock);
         this.state = new GatewayState(clock, pauses.listening(), settings.bounds());
         final HttpClient serverClient = new HttpClient(loop);
         final HttpClient storeClient = new HttpClient(loop);
@@ -581,6 +583,7 @@
 
     private void runPeriodicTasks() {
         try {
+            droppedLines.writeDue();
             checkOverload();
             if (settings.policy().uses(Mechanism.OUTLIER_DETECTION)) {
                 checkOutliers();
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -121,7 +121,7 @@
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
         if (!(cause instanceof IOException)) {
-            LOG.log(System.Logger.Level.DEBUG, "connection failed", cause);
+            LOG.log(ConnectionErrors.level(cause), "connection failed", cause);
         }
         context.close();
     }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,8 @@
  */
 final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
 
+    private static final System.Logger LOG = System.getLogger(ResponseHandler.class.getName());
+
     /** Interim responses to one call; more come from a server in trouble. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
@@ -142,6 +145,9 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOG.log(ConnectionErrors.level(cause), "call failed", cause);
+        }
         fail(String.valueOf(cause.getMessage()));
         context.close();
     }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -18,6 +18,7 @@
             1009, Level.ERROR, "cannot read settings; the previous settings stay in use"),
     INTERNAL_ERROR(1010, Level.ERROR, "unexpected error; task aborted"),
     PAUSED(1011, Level.WARNING, "process did not run for a while"),
+    LOG_LINES_DROPPED(1012, Level.WARNING, "log lines were dropped; the reader of the log is slow"),
     TLS_RELOADED(1006, Level.INFO, "TLS keys reloaded"),
     TLS_UNREADABLE(1007, Level.ERROR, "cannot read TLS keys; the previous keys stay in use"),
 
