A stopping VM serves the callers that reached it during a pause

Callers lost requests that they had sent to a VM which was suspended after SIGTERM: on waking, the time after which the load balancer sends no more callers was over, and the listener was closed with connections in its queue that had never been accepted. Class: this VM's own pause counts as time in which others acted on what it said. That time now leaves pauses out, as the silence of others does; the grace period does not, and the wait for the drain ends only after what arrived is read.

DrainTest fails without the change.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
@@ -8,7 +8,10 @@
  * Decides when a stopping process may exit.
  *
  * <p>The load balancer detects the failing health check with a delay; an earlier exit would reset
- * the connections that it opens until then. Not thread-safe.
+ * the connections that it opens until then. Those that it opened during a pause of the process wait
+ * to be accepted, so that the delay does not run in a pause; the grace period does.
+ *
+ * <p>Not thread-safe.
  */
 final class Drain {
 
@@ -22,18 +25,32 @@
     private static final long RESERVE_MILLIS = 400;
 
     private final MonotonicClock clock;
+    private final MonotonicClock listening;
     private final long startMillis;
+    private final long listeningStartMillis;
     private final long graceMillis;
 
-    private Drain(final MonotonicClock clock, final long graceMillis) {
+    private Drain(
+            final MonotonicClock clock, final MonotonicClock listening, final long graceMillis) {
         this.clock = clock;
+        this.listening = listening;
         this.startMillis = clock.millis();
+        this.listeningStartMillis = listening.millis();
         this.graceMillis = graceMillis;
     }
 
-    static Drain of(final MonotonicClock clock, final Duration grace) {
-        Objects.requireNonNull(grace, "grace is null");
-        return new Drain(Objects.requireNonNull(clock, "clock is null"), grace.toMillis());
+    /**
+     * Returns a drain that begins now.
+     *
+     * @param clock the clock
+     * @param listening the clock that leaves out pauses of the process
+     * @param grace the time until the process is killed
+     */
+    static Drain of(
+            final MonotonicClock clock, final MonotonicClock listening, final Duration grace) {
+        Objects.requireNonNull(clock, "clock is null");
+        Objects.requireNonNull(listening, "listening is null");
+        return new Drain(clock, listening, grace.toMillis());
     }
 
     /**
@@ -42,7 +59,7 @@
      * period.
      */
     boolean isBalancerInformed() {
-        return elapsedMillis() >= BALANCER_DELAY_MILLIS;
+        return listening.millis() - listeningStartMillis >= BALANCER_DELAY_MILLIS;
     }
 
     /**
@@ -53,10 +70,6 @@
      */
     boolean mayExit(final int unfinished) {
         final boolean idle = unfinished == 0 && isBalancerInformed();
-        return idle || elapsedMillis() >= graceMillis - RESERVE_MILLIS;
-    }
-
-    private long elapsedMillis() {
-        return clock.millis() - startMillis;
+        return idle || clock.millis() - startMillis >= graceMillis - RESERVE_MILLIS;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -489,7 +489,7 @@
                 gateway.inFlight(),
                 "connections",
                 callerListener.openConnections());
-        final Drain drain = Drain.of(state.clock(), settings.bounds().grace());
+        final Drain drain = Drain.of(state.clock(), pauses.listening(), settings.bounds().grace());
         awaitDrained(drain, whenStopped);
     }
 
@@ -514,10 +514,7 @@
         if (drain.isBalancerInformed()) {
             callerListener.closeIdle();
         }
-        loop.schedule(
-                () -> awaitDrained(drain, whenStopped),
-                PERIODIC_TASK_MILLIS,
-                TimeUnit.MILLISECONDS);
+        schedule(() -> awaitDrained(drain, whenStopped), Duration.ofMillis(PERIODIC_TASK_MILLIS));
     }
 
     private void checkOverload() {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
@@ -9,7 +9,9 @@
 class DrainTest {
 
     private final AtomicLong now = new AtomicLong(1_000_000);
-    private final Drain drain = Drain.of(now::get, Duration.ofSeconds(8));
+    private final AtomicLong pausedMillis = new AtomicLong();
+    private final Drain drain =
+            Drain.of(now::get, () -> now.get() - pausedMillis.get(), Duration.ofSeconds(8));
 
     /**
      * Guards against connections that are reset because the process exits before the balancer stops
@@ -33,6 +35,17 @@
         assertThat(drain.isBalancerInformed()).isTrue();
     }
 
+    /** Guards against closing connections that were opened during a pause and are not accepted. */
+    @Test
+    void aPauseIsNoTimeInWhichTheBalancerIsInformed() {
+        now.addAndGet(5_000);
+        pausedMillis.set(4_000);
+        assertThat(drain.isBalancerInformed()).isFalse();
+        assertThat(drain.mayExit(0)).isFalse();
+        now.addAndGet(2_600);
+        assertThat(drain.mayExit(0)).isTrue();
+    }
+
     @Test
     void requestsInFlightDelayExitUntilEndOfGrace() {
         now.addAndGet(7_000);
