One place for the limits of a pause, one connection probe, and no search state for requests that need none

The time to read after a pause stood in four classes and the delay that is a pause in two; the search for another server had its own probe and its own copy of the first-use delay, and was created for each request although few are ever silent. Behaviour is as before.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -65,10 +65,11 @@
     static final Duration MAX_IDLE_RETRYABLE = Duration.ofSeconds(4);
 
     /**
-     * How long a new connection is kept open before a request that must not be retried is sent on
-     * it, so that the reset of a backend server at its connection limit arrives first.
+     * How long a new connection is kept open before it is used, by a request that must not be
+     * retried or that gives up another attempt for it, so that the reset of a backend server at its
+     * connection limit arrives first.
      */
-    private static final Duration FIRST_USE_DELAY_NON_RETRYABLE = Duration.ofMillis(5);
+    static final Duration FIRST_USE_DELAY = Duration.ofMillis(5);
 
     /**
      * Largest response that is not a stream, and largest event of a stream; bytes. Both are kept
@@ -170,16 +171,10 @@
     }
 
     private ConnectionPolicy connectionPolicy() {
-        final int maxIdleConnections =
-                execution
-                        .gateway()
-                        .state()
-                        .connectionShare(execution.service())
-                        .maxIdleConnections();
+        final int maxIdleConnections = execution.maxIdleConnections();
         return execution.route().retryable()
                 ? new ConnectionPolicy(MAX_IDLE_RETRYABLE, maxIdleConnections, Duration.ZERO)
-                : new ConnectionPolicy(
-                        MAX_IDLE_NON_RETRYABLE, maxIdleConnections, FIRST_USE_DELAY_NON_RETRYABLE);
+                : new ConnectionPolicy(MAX_IDLE_NON_RETRYABLE, maxIdleConnections, FIRST_USE_DELAY);
     }
 
     RequestExecution execution() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ConnectionProbe.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ConnectionProbe.java
@@ -39,6 +39,20 @@
      * @param listener receives the result once
      */
     void run(final TrackedServer server, final Consumer<ProbeResult> listener) {
-        client.probe(Sockets.address(server.entry().address()), TIMEOUT, CONNECTION, listener);
+        run(server, CONNECTION, listener);
+    }
+
+    /**
+     * Probes a backend server.
+     *
+     * @param server the backend server
+     * @param policy how long the connection must stay open, and whether it is kept
+     * @param listener receives the result once
+     */
+    void run(
+            final TrackedServer server,
+            final ConnectionPolicy policy,
+            final Consumer<ProbeResult> listener) {
+        client.probe(Sockets.address(server.entry().address()), TIMEOUT, policy, listener);
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -57,7 +57,6 @@
     private final ModelChoice models;
     private final WaitEstimator waitEstimator;
     private final PermitCheck permits;
-    private final Takeover takeover;
     private final Forwarding forwarding;
     private final boolean forwarded;
     private final ErrorResponder errors;
@@ -65,6 +64,7 @@
     private final long deadlineMillis;
     private final CallerResponse response;
     private Optional<OpenAttempt> openAttempt = Optional.empty();
+    private Optional<Takeover> takeover = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private ServiceName service;
     private OptionalInt confidence = OptionalInt.empty();
@@ -115,7 +115,6 @@
         this.models = ModelChoice.of(route, gateway);
         this.waitEstimator = new WaitEstimator(gateway, request);
         this.permits = new PermitCheck(gateway, route, log, traffic());
-        this.takeover = new Takeover(this, permits, log);
         this.forwarding = new Forwarding(this, !forwarded);
         this.errors = new ErrorResponder(gateway, exchange, request.id(), waitEstimator, log);
         this.arrivedMillis = now();
@@ -410,7 +409,10 @@
      * @param detail what was observed, for the log
      */
     void onInactive(final Attempt silent, final String detail) {
-        takeover.start(silent, detail);
+        if (takeover.isEmpty()) {
+            takeover = Optional.of(new Takeover(this, permits, log));
+        }
+        takeover.get().start(silent, detail);
     }
 
     /** Returns why the request may not be sent to another backend server, empty if it may. */
@@ -439,6 +441,11 @@
         return gateway.state().retryBudget(service).tryRetry();
     }
 
+    /** Returns how many idle connections to each backend server of the service are kept. */
+    int maxIdleConnections() {
+        return gateway.state().connectionShare(service).maxIdleConnections();
+    }
+
     Job job() {
         return waitEstimator.job(service, models.model());
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
@@ -39,18 +39,13 @@
         NO_RETRY_BUDGET
     }
 
-    /**
-     * How long a new connection is kept open before the request is sent on it, so that the reset of
-     * a backend server at its connection limit arrives first.
-     */
-    private static final Duration FIRST_USE_DELAY = Duration.ofMillis(5);
-
     /** Time after a failed search before the next one; milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
     private final RequestExecution execution;
     private final PermitCheck permits;
     private final RequestLog log;
+    private final ConnectionProbe probe;
     private final Set<KeptBecause> logged = EnumSet.noneOf(KeptBecause.class);
     private boolean searching;
     private long notBeforeMillis = Long.MIN_VALUE;
@@ -59,6 +54,7 @@
         this.execution = Objects.requireNonNull(execution, "execution is null");
         this.permits = Objects.requireNonNull(permits, "permits is null");
         this.log = Objects.requireNonNull(log, "log is null");
+        this.probe = new ConnectionProbe(execution.gateway().client());
     }
 
     /**
@@ -129,18 +125,12 @@
 
         /** Opens the connection that the request is then sent on. */
         private void connect() {
-            final Gateway gateway = execution.gateway();
-            gateway.client()
-                    .probe(
-                            Sockets.address(server.entry().address()),
-                            ConnectionProbe.TIMEOUT,
-                            new ConnectionPolicy(
-                                    Attempt.MAX_IDLE_RETRYABLE,
-                                    gateway.state()
-                                            .connectionShare(server.entry().service())
-                                            .maxIdleConnections(),
-                                    FIRST_USE_DELAY),
-                            this::onProbed);
+            final ConnectionPolicy policy =
+                    new ConnectionPolicy(
+                            Attempt.MAX_IDLE_RETRYABLE,
+                            execution.maxIdleConnections(),
+                            Attempt.FIRST_USE_DELAY);
+            probe.run(server, policy, this::onProbed);
         }
 
         private void onPermit(final Permit reply) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -25,6 +25,7 @@
 import org.fennelstage.gateway.GatewayState;
 import org.fennelstage.gateway.Sockets;
 import org.fennelstage.gateway.WireCodec;
+import org.fennelstage.http.EventLoopPause;
 import org.fennelstage.http.HttpClient;
 import org.fennelstage.http.HttpServer;
 import org.fennelstage.http.ServerExchange;
@@ -61,9 +62,6 @@
     /** Time between two runs of the periodic tasks; milliseconds. */
     private static final long PERIODIC_TASK_MILLIS = 100;
 
-    /** Time to read what has arrived during a pause of the process; milliseconds. */
-    private static final long READ_MILLIS = 20;
-
     /** Upper bound of the number of the first permit. */
     private static final long MAX_FIRST_PERMIT = 1L << 50;
 
@@ -293,7 +291,8 @@
         loop.schedule(
                 () -> {
                     if (pauses.isLate(dueMillis)) {
-                        loop.schedule(task, READ_MILLIS, TimeUnit.MILLISECONDS);
+                        loop.schedule(
+                                task, EventLoopPause.READ_TIME.toMillis(), TimeUnit.MILLISECONDS);
                     } else {
                         task.run();
                     }
@@ -572,7 +571,10 @@
      */
     private void onPeriod() {
         if (pauses.onPeriod(gateway.inFlight(), LogSetup.dropped())) {
-            loop.schedule(this::runPeriodicTasks, READ_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    this::runPeriodicTasks,
+                    EventLoopPause.READ_TIME.toMillis(),
+                    TimeUnit.MILLISECONDS);
         } else {
             runPeriodicTasks();
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PauseMonitor.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PauseMonitor.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.fennelstage.http.EventLoopPause;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.time.ListeningClock;
@@ -15,12 +16,6 @@
  */
 final class PauseMonitor {
 
-    /**
-     * Longest time between two periodic tasks that is no pause. Exceeds the time for which a VM
-     * without processor quota stands still in each tenth of a second.
-     */
-    static final Duration MAX_TURN = Duration.ofMillis(250);
-
     private final MonotonicClock clock;
     private final ListeningClock listening;
 
@@ -37,7 +32,7 @@
      */
     static PauseMonitor of(final MonotonicClock clock) {
         Objects.requireNonNull(clock, "clock is null");
-        return new PauseMonitor(clock, ListeningClock.of(clock, MAX_TURN));
+        return new PauseMonitor(clock, ListeningClock.of(clock, EventLoopPause.MIN_DELAY));
     }
 
     /** Returns the clock that leaves out pauses. */
@@ -52,7 +47,7 @@
 
     /** Returns whether a task runs so late that the event loop was paused when it was due. */
     boolean isLate(final long dueMillis) {
-        return clock.millis() - dueMillis >= MAX_TURN.toMillis();
+        return clock.millis() - dueMillis >= EventLoopPause.MIN_DELAY.toMillis();
     }
 
     /**
@@ -70,7 +65,7 @@
         EventLog.write(
                 Event.PAUSED,
                 "ms",
-                missed.plus(MAX_TURN).toMillis(),
+                missed.plus(EventLoopPause.MIN_DELAY).toMillis(),
                 "in_flight",
                 inFlight,
                 "log_lines_dropped",
--- a/fennelstage-http/src/main/java/org/fennelstage/http/CallerIdleTimeout.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/CallerIdleTimeout.java
@@ -16,8 +16,6 @@
  */
 final class CallerIdleTimeout extends IdleStateHandler {
 
-    private static final long READ_MILLIS = 20;
-
     private boolean readSinceDue;
 
     /**
@@ -40,7 +38,10 @@
     protected void channelIdle(final ChannelHandlerContext context, final IdleStateEvent event) {
         readSinceDue = false;
         context.executor()
-                .schedule(() -> report(context, event), READ_MILLIS, TimeUnit.MILLISECONDS);
+                .schedule(
+                        () -> report(context, event),
+                        EventLoopPause.READ_TIME.toMillis(),
+                        TimeUnit.MILLISECONDS);
     }
 
     private void report(final ChannelHandlerContext context, final IdleStateEvent event) {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HeaderTimeout.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HeaderTimeout.java
@@ -25,12 +25,6 @@
  */
 final class HeaderTimeout extends ChannelInboundHandlerAdapter {
 
-    /**
-     * Time to read what has arrived when the limit is due; milliseconds. After a pause of the
-     * process, the event loop runs due timers before it reads.
-     */
-    private static final long READ_MILLIS = 20;
-
     private final Duration timeout;
     private final BooleanSupplier hasPartialHead;
     private boolean inRequest;
@@ -101,7 +95,7 @@
     }
 
     private void onDue(final ChannelHandlerContext context) {
-        timer = schedule(context, () -> reject(context), READ_MILLIS);
+        timer = schedule(context, () -> reject(context), EventLoopPause.READ_TIME.toMillis());
     }
 
     private void reject(final ChannelHandlerContext context) {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -54,9 +54,6 @@
     private static final ChannelOption<Integer> KEEP_ALIVE_COUNT =
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
 
-    /** How late a connect timeout is noticed without a pause of the process; nanoseconds. */
-    private static final long MAX_LATENESS_NANOS = 250_000_000;
-
     private final EventLoop loop;
     private final ConnectionPool pool = new ConnectionPool();
     private long connectionsOpened;
@@ -195,7 +192,7 @@
      */
     private static boolean wasPaused(final Throwable cause, final long dueNanos) {
         return cause instanceof ConnectTimeoutException
-                && System.nanoTime() - dueNanos >= MAX_LATENESS_NANOS;
+                && System.nanoTime() - dueNanos >= EventLoopPause.MIN_DELAY.toNanos();
     }
 
     private ChannelFuture open(final InetSocketAddress address, final Duration timeout) {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
@@ -35,12 +35,6 @@
     /** Bytes of responses to other calls that are skipped before the connection is given up. */
     private static final long MAX_DROPPED_BYTES = 1 << 20;
 
-    /**
-     * Time to read what has arrived when the call is overdue; nanoseconds. After a pause of the
-     * process, the event loop runs due timers before it reads.
-     */
-    private static final long READ_NANOS = 20_000_000;
-
     private ChannelHandlerContext handlerContext;
     private Call call;
     private ResponseListener listener;
@@ -177,7 +171,7 @@
         }
         if (!overdue) {
             overdue = true;
-            startInactivityTimer(READ_NANOS);
+            startInactivityTimer(EventLoopPause.READ_TIME.toNanos());
             return;
         }
         fail("no data for " + options.inactivityTimeout().toMillis() + " ms");
