A stopping server answers what it has read, and does not reset what it writes

Callers saw: after SIGTERM the connection closed behind the response of the request that ran, although the next request had been read whole behind it; and a response cut short, since closing a socket with unread bytes resets it.

Cause: ServerExchange decided to close by the state of the server alone, and closed at once. Now the connection closes after the responses to all requests read before the one that announces its end, refuses with 503 what it reads behind a running request once idle connections are closed, and shuts its output down first.

Suspected only as a part of the reported case: it needs requests sent before the response to the one before.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -17,7 +17,9 @@
  * Passes the requests of one connection to the handler one at a time, in order.
  *
  * <p>Invariants: responses are written in the order of requests, that to a refused one included;
- * nothing that is read after a refused request is handled.
+ * nothing that is read after a refused request is handled; while the server stops, the connection
+ * is closed after the responses to all requests that were read before the response that announces
+ * its end.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -32,6 +34,7 @@
     private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
     private ServerExchange current;
     private Optional<Refusal> refusal = Optional.empty();
+    private boolean refusesFurther;
 
     ConnectionHandler(
             final RequestHandler handler,
@@ -47,6 +50,15 @@
         return current != null || !waiting.isEmpty();
     }
 
+    /** Refuses requests that are read from now on behind one that has no response yet. */
+    void refuseFurtherRequests() {
+        refusesFurther = true;
+    }
+
+    private boolean closesAfterResponse() {
+        return closing.getAsBoolean() && waiting.isEmpty() && refusal.isEmpty();
+    }
+
     private void refuse(final ChannelHandlerContext context, final Refusal newRefusal) {
         if (refusal.isPresent()) {
             return;
@@ -73,6 +85,8 @@
         }
         if (current == null) {
             start(context, request);
+        } else if (refusesFurther) {
+            refuse(context, Refusal.STOPPING);
         } else if (waiting.size() < MAX_PIPELINED) {
             waiting.add(request.retain());
         } else {
@@ -129,7 +143,11 @@
     private void start(final ChannelHandlerContext context, final FullHttpRequest request) {
         final ServerExchange exchange =
                 new ServerExchange(
-                        context, request, closing, unwrittenResponses, () -> startNext(context));
+                        context,
+                        request,
+                        this::closesAfterResponse,
+                        unwrittenResponses,
+                        () -> startNext(context));
         current = exchange;
         // A caller may have closed its connection after sending the request. The close is read in
         // the same event loop iteration as the request, and this task runs after it, so the handler
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -204,8 +204,9 @@
     }
 
     /**
-     * Stops accepting connections and closes idle ones. Others close after their response if {@link
-     * #closeAfterResponses} was called. Does not block.
+     * Stops accepting connections and closes idle ones. Others close after their responses if
+     * {@link #closeAfterResponses} was called, and refuse what is read behind their requests from
+     * now on. Does not block.
      */
     public void closeIdle() {
         listener.close();
@@ -227,6 +228,8 @@
                                             || headerTimeout.isReading();
                             if (!busy) {
                                 connection.close();
+                            } else if (handler != null) {
+                                handler.refuseFurtherRequests();
                             }
                         });
     }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/LingeringClose.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/LingeringClose.java
@@ -4,14 +4,17 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.ssl.SslHandler;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes a connection after a rejection that was sent before the whole request was read.
+ * Closes a connection after a response that its caller may not expect to be the last, since it may
+ * have sent more.
  *
  * <p>Closing a socket with unread bytes sends a reset, which can discard the response before the
  * caller has read it. So the output is shut down first, and input is read and discarded for a
- * moment before the close. Stateless and thread-safe.
+ * moment before the close. An encrypted connection is closed at once, since its end is a message of
+ * its own. Stateless and thread-safe.
  */
 final class LingeringClose implements ChannelFutureListener {
 
@@ -24,7 +27,8 @@
     @Override
     public void operationComplete(final ChannelFuture written) {
         final Channel channel = written.channel();
-        if (!written.isSuccess() || !(channel instanceof DuplexChannel duplex)) {
+        final boolean encrypted = channel.pipeline().get(SslHandler.class) != null;
+        if (!written.isSuccess() || encrypted || !(channel instanceof DuplexChannel duplex)) {
             channel.close();
             return;
         }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/Refusal.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/Refusal.java
@@ -9,23 +9,37 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
- * The event that a request is refused before all of it was read. {@link ConnectionHandler} responds
- * to it in the order of requests, handles nothing that is read later, and closes the connection.
+ * The event that a request is refused before it is handled. {@link ConnectionHandler} responds to
+ * it in the order of requests, handles nothing that is read later, and closes the connection.
  * Immutable.
  *
  * @param status the status of the response
  * @param body its body, which may be empty
+ * @param retryAfter the value of {@code Retry-After}; seconds
  */
-record Refusal(HttpResponseStatus status, String body) {
+record Refusal(HttpResponseStatus status, String body, Optional<String> retryAfter) {
 
     /** The head of a request was not complete within its time limit. */
     static final Refusal HEADER_TIMEOUT = new Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "");
 
+    /** The server stops; another one handles the request at once. */
+    static final Refusal STOPPING =
+            new Refusal(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    ErrorBodies.body("stopping", "the server stops"),
+                    Optional.of("0"));
+
     Refusal {
         Objects.requireNonNull(status, "status is null");
         Objects.requireNonNull(body, "body is null");
+        Objects.requireNonNull(retryAfter, "retryAfter is null");
+    }
+
+    Refusal(final HttpResponseStatus status, final String body) {
+        this(status, body, Optional.empty());
     }
 
     /** Returns a new response, which says that the connection will be closed. */
@@ -37,6 +51,7 @@
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, bytes.length)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        retryAfter.ifPresent(time -> response.headers().set(HttpHeaderNames.RETRY_AFTER, time));
         if (bytes.length > 0) {
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
@@ -275,7 +275,7 @@
         state = State.ENDED;
         // Evaluated again at the end of a stream: the server may have begun to close after the head
         // was sent, and the connection must not accept another request then.
-        closeAfter = !keepAlive || closing.getAsBoolean();
+        closeAfter = closeAfter || !keepAlive || closing.getAsBoolean();
         if (isFullResponse && closeAfter) {
             ((DefaultFullHttpResponse) last)
                     .headers()
@@ -284,7 +284,9 @@
         unwrittenResponses.incrementAndGet();
         final var written = context.writeAndFlush(last);
         written.addListener(f -> unwrittenResponses.decrementAndGet());
-        if (closeAfter) {
+        if (closeAfter && keepAlive) {
+            written.addListener(LingeringClose.AFTER_WRITE);
+        } else if (closeAfter) {
             written.addListener(ChannelFutureListener.CLOSE);
         } else {
             written.addListener(f -> afterEnd.run());
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -28,13 +28,24 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
+    private static final byte[] REQUEST =
+            "GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
     private static Socket send(final HttpServer server) throws Exception {
         final Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port());
-        socket.getOutputStream()
-                .write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+        socket.getOutputStream().write(REQUEST);
         return socket;
     }
 
+    private static void awaitUninterruptibly(final CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private HttpServer start(final RequestHandler handler) throws Exception {
         return HttpServer.start(
                 group,
@@ -153,4 +164,30 @@
             assertThat(server.unwrittenResponses()).isZero();
         }
     }
+
+    /** Guards against a reset that discards a response because later bytes are unread. */
+    @Test
+    void aResponseReachesItsCallerThoughMoreBytesFollowItsRequest() throws Exception {
+        final byte[] body = new byte[1 << 16];
+        final CompletableFuture<ServerExchange> running = new CompletableFuture<>();
+        try (HttpServer server = start(running::complete);
+                Socket socket = new Socket()) {
+            // The response waits in the server's socket when the connection is closed.
+            socket.setReceiveBufferSize(1 << 12);
+            socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
+            socket.getOutputStream().write(REQUEST);
+            final ServerExchange exchange = running.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            server.closeAfterResponses();
+            final CountDownLatch sent = new CountDownLatch(1);
+            group.execute(
+                    () -> {
+                        awaitUninterruptibly(sent);
+                        exchange.respond(200, Map.of(), body);
+                    });
+            socket.getOutputStream().write(REQUEST);
+            sent.countDown();
+            assertThat(socket.getInputStream().readAllBytes().length).isGreaterThan(body.length);
+        }
+    }
 }
