A stopping VM rejects what it cannot finish before its exit

Callers saw: a stream that a stopping VM had accepted after a pause ended without its last event when the grace period was over.

Cause: a stopping VM accepts callers until the balancer knows of the stop, a time that leaves out pauses, and asked nobody whether the grace period, which goes on in a pause, is long enough for them. A signal that is handled after a pause was taken to be sent at its end. Now requests are rejected at once with 503, not run, if the mean response of their service takes longer than what is left for certain.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -70,6 +70,7 @@
     private Supplier<List<InetSocketAddress>> peers = List::of;
     private final Map<ServiceName, ForwardingPeers> forwardingPeers = new HashMap<>();
     private boolean acceptsForwarded = true;
+    private Optional<Supplier<Duration>> untilExit = Optional.empty();
     private Optional<Supplier<Duration>> processAge = Optional.empty();
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private final ByteBudget responseMemory = ByteBudget.of(RESPONSE_MEMORY_BYTES);
@@ -162,6 +163,20 @@
         acceptsForwarded = false;
     }
 
+    /**
+     * From now on rejects requests whose responses would not be whole when the process exits.
+     *
+     * @param remaining supplies the time until the exit
+     */
+    public void exitAfter(final Supplier<Duration> remaining) {
+        untilExit = Optional.of(remaining);
+    }
+
+    /** Returns whether the process exits before a response that takes some time is whole. */
+    boolean exitsWithin(final double responseMillis) {
+        return untilExit.isPresent() && responseMillis > untilExit.get().get().toMillis();
+    }
+
     /**
      * Returns whether another VM has forwarded a request.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayError.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayError.java
@@ -33,6 +33,8 @@
     OVERLOADED(503, "no_room", Optional.empty()),
     /** Backend servers rejected the request; it was not run. */
     REJECTED(503, "rejected_by_servers", Optional.of(Duration.ofMillis(200))),
+    /** This VM exits before the response would be whole; nothing was sent. */
+    STOPPING(503, "stopping", Optional.of(Duration.ofMillis(100))),
     /** The deadline passed before any backend server accepted the request; it was not run. */
     TIMEOUT_NOT_RUN(503, "timeout_not_run", Optional.of(Duration.ofMillis(200))),
     /** A backend server received the request but returned no complete response; it may have run. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -156,6 +156,10 @@
             rejectAsNotReached();
             return;
         }
+        if (gateway.exitsWithin(job().responseMillis())) {
+            reject(GatewayError.STOPPING);
+            return;
+        }
         final OptionalDouble excessiveWait =
                 waitEstimator.excessiveWaitMillis(service, candidates, models.model(), remaining());
         if (excessiveWait.isPresent()) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
@@ -28,12 +28,17 @@
     private final MonotonicClock listening;
     private final long startMillis;
     private final long listeningStartMillis;
+    private final long earliestStartMillis;
     private final long graceMillis;
 
     private Drain(
-            final MonotonicClock clock, final MonotonicClock listening, final long graceMillis) {
+            final MonotonicClock clock,
+            final MonotonicClock listening,
+            final long earliestStartMillis,
+            final long graceMillis) {
         this.clock = clock;
         this.listening = listening;
+        this.earliestStartMillis = earliestStartMillis;
         this.startMillis = clock.millis();
         this.listeningStartMillis = listening.millis();
         this.graceMillis = graceMillis;
@@ -44,13 +49,17 @@
      *
      * @param clock the clock
      * @param listening the clock that leaves out pauses of the process
-     * @param grace the time until the process is killed
+     * @param earliestStartMillis when the signal to stop was sent at the earliest, by the clock
+     * @param grace the time from the signal until the process is killed
      */
     static Drain of(
-            final MonotonicClock clock, final MonotonicClock listening, final Duration grace) {
+            final MonotonicClock clock,
+            final MonotonicClock listening,
+            final long earliestStartMillis,
+            final Duration grace) {
         Objects.requireNonNull(clock, "clock is null");
         Objects.requireNonNull(listening, "listening is null");
-        return new Drain(clock, listening, grace.toMillis());
+        return new Drain(clock, listening, earliestStartMillis, grace.toMillis());
     }
 
     /**
@@ -62,6 +71,15 @@
         return listening.millis() - listeningStartMillis >= BALANCER_DELAY_MILLIS;
     }
 
+    /** Returns the time that is left in any case before the process exits or is killed. */
+    Duration certainlyLeft() {
+        return Duration.ofMillis(Math.max(0, leftMillis(earliestStartMillis)));
+    }
+
+    private long leftMillis(final long sinceMillis) {
+        return graceMillis - RESERVE_MILLIS - (clock.millis() - sinceMillis);
+    }
+
     /**
      * Returns whether the process may exit.
      *
@@ -70,6 +88,6 @@
      */
     boolean mayExit(final int unfinished) {
         final boolean idle = unfinished == 0 && isBalancerInformed();
-        return idle || clock.millis() - startMillis >= graceMillis - RESERVE_MILLIS;
+        return idle || leftMillis(startMillis) <= 0;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -488,7 +488,13 @@
                 gateway.inFlight(),
                 "connections",
                 callerListener.openConnections());
-        final Drain drain = Drain.of(state.clock(), pauses.listening(), settings.bounds().grace());
+        final Drain drain =
+                Drain.of(
+                        state.clock(),
+                        pauses.listening(),
+                        pauses.earliestSignalMillis(),
+                        settings.bounds().grace());
+        gateway.exitAfter(drain::certainlyLeft);
         awaitDrained(drain, whenStopped);
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PauseMonitor.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PauseMonitor.java
@@ -19,9 +19,20 @@
     private final MonotonicClock clock;
     private final ListeningClock listening;
 
+    /**
+     * When the periodic tasks were due the last time before the last pause, and the first after.
+     */
+    private long beforePauseMillis;
+
+    private long afterPauseMillis;
+    private long periodMillis;
+
     private PauseMonitor(final MonotonicClock clock, final ListeningClock listening) {
         this.clock = clock;
         this.listening = listening;
+        this.periodMillis = clock.millis();
+        this.beforePauseMillis = periodMillis;
+        this.afterPauseMillis = periodMillis - EventLoopPause.MIN_DELAY.toMillis();
     }
 
     /**
@@ -50,6 +61,21 @@
         return clock.millis() - dueMillis >= EventLoopPause.MIN_DELAY.toMillis();
     }
 
+    /**
+     * Returns when a signal that is handled now was sent at the earliest: one that arrives in a
+     * pause is handled after it.
+     *
+     * @return the time by the clock; milliseconds
+     */
+    long earliestSignalMillis() {
+        final long now = clock.millis();
+        if (isLate(periodMillis)) {
+            return periodMillis;
+        }
+        final boolean justPaused = now - afterPauseMillis < EventLoopPause.MIN_DELAY.toMillis();
+        return justPaused ? beforePauseMillis : now;
+    }
+
     /**
      * Records that the periodic tasks are due.
      *
@@ -59,9 +85,13 @@
      */
     boolean onPeriod(final int inFlight, final long logLinesDropped) {
         final Duration missed = listening.onTurn();
+        final long lastPeriodMillis = periodMillis;
+        periodMillis = clock.millis();
         if (missed.isZero()) {
             return false;
         }
+        beforePauseMillis = lastPeriodMillis;
+        afterPauseMillis = periodMillis;
         EventLog.write(
                 Event.PAUSED,
                 "ms",
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
@@ -11,7 +11,11 @@
     private final AtomicLong now = new AtomicLong(1_000_000);
     private final AtomicLong pausedMillis = new AtomicLong();
     private final Drain drain =
-            Drain.of(now::get, () -> now.get() - pausedMillis.get(), Duration.ofSeconds(8));
+            Drain.of(
+                    now::get,
+                    () -> now.get() - pausedMillis.get(),
+                    now.get() - 3_000,
+                    Duration.ofSeconds(8));
 
     /**
      * Guards against connections that are reset because the process exits before the balancer stops
@@ -46,6 +50,14 @@
         assertThat(drain.mayExit(0)).isTrue();
     }
 
+    @Test
+    void theTimeLeftCountsFromTheEarliestSignalAndLeavesOutTheReserve() {
+        assertThat(drain.certainlyLeft()).isEqualTo(Duration.ofMillis(4_600));
+        now.addAndGet(5_000);
+        assertThat(drain.certainlyLeft()).isZero();
+        assertThat(drain.mayExit(1)).isFalse();
+    }
+
     @Test
     void requestsInFlightDelayExitUntilEndOfGrace() {
         now.addAndGet(7_000);
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/PauseMonitorTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/PauseMonitorTest.java
@@ -31,4 +31,29 @@
         now.addAndGet(100);
         assertThat(pauses.onPeriod(3, 0)).isFalse();
     }
+
+    @Test
+    void aSignalWithoutAPauseWasSentWhenItIsHandled() {
+        runAfter(100);
+        now.addAndGet(60);
+        assertThat(pauses.earliestSignalMillis()).isEqualTo(160);
+    }
+
+    /** Guards against taking the end of a pause for the time at which a signal was sent. */
+    @Test
+    void aSignalThatIsHandledAfterAPauseMayHaveBeenSentInIt() {
+        runAfter(100);
+        now.addAndGet(5_000);
+        assertThat(pauses.earliestSignalMillis()).isEqualTo(100);
+        runAfter(10);
+        runAfter(100);
+        assertThat(pauses.earliestSignalMillis()).isEqualTo(100);
+        runAfter(200);
+        assertThat(pauses.earliestSignalMillis()).isEqualTo(5_410);
+    }
+
+    private void runAfter(final long millis) {
+        now.addAndGet(millis);
+        pauses.onPeriod(0, 0);
+    }
 }
