An overloaded VM refuses new connections with a response

Callers saw: while a VM was overloaded, as after its start, new connections were closed unread. They had waited for 250 ms and more, so that a caller saw a reset after its request was sent, without a word on whether it has run: one that must not be repeated is lost for its caller.

Closing unread was the design (overload.md), since reading costs most of what serving costs. Now the first bytes get 503 with Retry-After 0 undecoded, which costs little more than the close; the bytes behind are discarded. FS4030 counts the refused connections, so that logs tell these ends from others. Encrypted connections are closed as before, since a response would need the handshake.

The test refusedConnectionsAreClosedUnread stated the old design. Its place is taken by two: nothing is handled, as before, and the response, its end and the end of a silent connection are checked.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -531,7 +531,9 @@
                     "in_flight",
                     gateway.inFlight(),
                     "connections",
-                    callerListener.openConnections());
+                    callerListener.openConnections(),
+                    "refused_since_start",
+                    callerListener.refusedConnections());
         }
     }
 
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -54,6 +55,7 @@
     private final AtomicReference<BooleanSupplier> refusing;
     private final AcceptQueueMonitor acceptQueue;
     private final AtomicInteger unwrittenResponses;
+    private final AtomicLong refusedConnections;
 
     private HttpServer(
             final Channel listener,
@@ -61,13 +63,15 @@
             final AtomicBoolean closing,
             final AtomicReference<BooleanSupplier> refusing,
             final AcceptQueueMonitor acceptQueue,
-            final AtomicInteger unwrittenResponses) {
+            final AtomicInteger unwrittenResponses,
+            final AtomicLong refusedConnections) {
         this.listener = listener;
         this.connections = connections;
         this.closing = closing;
         this.refusing = refusing;
         this.acceptQueue = acceptQueue;
         this.unwrittenResponses = unwrittenResponses;
+        this.refusedConnections = refusedConnections;
     }
 
     /**
@@ -112,6 +116,7 @@
         final AtomicReference<BooleanSupplier> refusing = new AtomicReference<>(() -> false);
         final AcceptQueueMonitor acceptQueue = new AcceptQueueMonitor(MAX_ACCEPTED);
         final AtomicInteger unwrittenResponses = new AtomicInteger();
+        final AtomicLong refusedConnections = new AtomicLong();
         final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         final ServerBootstrap bootstrap =
                 new ServerBootstrap()
@@ -131,7 +136,8 @@
                                     @Override
                                     protected void initChannel(final SocketChannel channel) {
                                         if (refusing.get().getAsBoolean()) {
-                                            channel.close();
+                                            refusedConnections.incrementAndGet();
+                                            refuse(channel, tls.get().isPresent());
                                             return;
                                         }
                                         connections.add(channel);
@@ -146,7 +152,13 @@
             throw new IOException("cannot listen on " + address, bound.cause());
         }
         return new HttpServer(
-                bound.channel(), connections, closing, refusing, acceptQueue, unwrittenResponses);
+                bound.channel(),
+                connections,
+                closing,
+                refusing,
+                acceptQueue,
+                unwrittenResponses,
+                refusedConnections);
     }
 
     /**
@@ -159,7 +171,8 @@
     }
 
     /**
-     * Closes new connections, without reading from them, while a condition holds.
+     * Refuses the first request of each new connection while a condition holds, without decoding
+     * it; encrypted connections are closed unread.
      *
      * @param condition called for each new connection, on its event loop
      */
@@ -167,6 +180,15 @@
         refusing.set(Objects.requireNonNull(condition, "condition is null"));
     }
 
+    /**
+     * Returns how many new connections were refused since the start.
+     *
+     * @return the number of connections
+     */
+    public long refusedConnections() {
+        return refusedConnections.get();
+    }
+
     /**
      * Returns for how long new connections have been waiting to be accepted.
      *
@@ -246,6 +268,16 @@
         connections.close().awaitUninterruptibly();
     }
 
+    private static void refuse(final SocketChannel channel, final boolean encrypted) {
+        if (encrypted) {
+            channel.close();
+            return;
+        }
+        channel.pipeline()
+                .addLast(new HttpResponseEncoder())
+                .addLast(new UndecodedRefusal(Refusal.OVERLOADED));
+    }
+
     private static void initPipeline(
             final SocketChannel channel,
             final ServerLimits limits,
--- a/fennelstage-http/src/main/java/org/fennelstage/http/Refusal.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/Refusal.java
@@ -32,6 +32,13 @@
                     ErrorBodies.body("stopping", "the server stops"),
                     Optional.of("0"));
 
+    /** The server has more to do than it completes; another one may handle the request at once. */
+    static final Refusal OVERLOADED =
+            new Refusal(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    ErrorBodies.body("overloaded", "too many new connections"),
+                    Optional.of("0"));
+
     Refusal {
         Objects.requireNonNull(status, "status is null");
         Objects.requireNonNull(body, "body is null");
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -1,13 +1,12 @@
 package org.fennelstage.http;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -28,8 +27,7 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
-    private static final byte[] REQUEST =
-            "GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(US_ASCII);
 
     private static Socket send(final HttpServer server) throws Exception {
         final Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port());
@@ -88,13 +86,13 @@
                 Socket socket = send(server)) {
             socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
             final byte[] status = socket.getInputStream().readNBytes(15);
-            assertThat(new String(status, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 200 OK");
+            assertThat(new String(status, US_ASCII)).isEqualTo("HTTP/1.1 200 OK");
         }
     }
 
-    /** Guards against reading a request that a server will not handle in time. */
+    /** Guards against callers who cannot tell whether a request on a refused connection has run. */
     @Test
-    void refusedConnectionsAreClosedUnread() throws Exception {
+    void requestsOnRefusedConnectionsGetAResponseThatTheyWereNotRun() throws Exception {
         final AtomicBoolean refusing = new AtomicBoolean(true);
         final AtomicInteger handled = new AtomicInteger();
         try (HttpServer server =
@@ -104,21 +102,33 @@
                             exchange.respond(200, "text/plain", "ok");
                         })) {
             server.refuseConnectionsWhile(refusing::get);
-            assertThat(isAnswered(server)).isFalse();
+            try (Socket socket = send(server)) {
+                socket.getOutputStream().write(REQUEST);
+                assertThat(new String(socket.getInputStream().readAllBytes(), US_ASCII))
+                        .startsWith("HTTP/1.1 503 ")
+                        .containsIgnoringCase("\r\nretry-after: 0\r\n")
+                        .containsIgnoringCase("\r\nconnection: close\r\n")
+                        .containsOnlyOnce("refused-not-run");
+            }
             assertThat(handled).hasValue(0);
+            assertThat(server.refusedConnections()).isEqualTo(1);
             refusing.set(false);
-            assertThat(isAnswered(server)).isTrue();
+            try (Socket socket = send(server)) {
+                assertThat(new String(socket.getInputStream().readNBytes(12), US_ASCII))
+                        .isEqualTo("HTTP/1.1 200");
+            }
         }
     }
 
-    private static boolean isAnswered(final HttpServer server) {
-        try (Socket socket = send(server)) {
-            socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
-            return socket.getInputStream().read() >= 0;
-        } catch (final IOException e) {
-            return false;
-        } catch (final Exception e) {
-            throw new IllegalStateException(e);
+    /** Guards against refused connections of callers that send nothing and are never closed. */
+    @Test
+    void aRefusedConnectionWithoutARequestIsClosed() throws Exception {
+        try (HttpServer server = start(exchange -> exchange.respond(200, "text/plain", "ok"))) {
+            server.refuseConnectionsWhile(() -> true);
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+                socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+                assertThat(socket.getInputStream().read()).isEqualTo(-1);
+            }
         }
     }
 
@@ -168,12 +178,12 @@
     /** Guards against a reset that discards a response because later bytes are unread. */
     @Test
     void aResponseReachesItsCallerThoughMoreBytesFollowItsRequest() throws Exception {
-        final byte[] body = new byte[1 << 16];
+        final byte[] body = new byte[1 << 19];
         final CompletableFuture<ServerExchange> running = new CompletableFuture<>();
         try (HttpServer server = start(running::complete);
                 Socket socket = new Socket()) {
             // The response waits in the server's socket when the connection is closed.
-            socket.setReceiveBufferSize(1 << 12);
+            socket.setReceiveBufferSize(1 << 16);
             socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
             socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
             socket.getOutputStream().write(REQUEST);
@@ -187,6 +197,9 @@
                     });
             socket.getOutputStream().write(REQUEST);
             sent.countDown();
+            while (server.openConnections() > 0) {
+                group.submit(() -> {}).get();
+            }
             assertThat(socket.getInputStream().readAllBytes().length).isGreaterThan(body.length);
         }
     }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -103,7 +103,7 @@
     OVERLOAD_CHANGED(
             4030,
             Level.INFO,
-            "event loop began or ceased to be overloaded; meanwhile new connections are closed"),
+            "event loop began or ceased to be overloaded; meanwhile new connections get 503"),
     SERVER_OUTLIER_CHANGED(
             4032,
             Level.INFO,
