A stopping VM accepts and reads what waits before it closes

Callers saw: a stopping VM whose event loop was behind reset connections whose requests had been sent long before: those in its accept queue, and those accepted but not read yet, which look idle.

The new test of HttpServerTest failed with Connection reset on (and fails so without the condition on the queue); HttpServerTest and DrainTest pass.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
@@ -83,11 +83,12 @@
     /**
      * Returns whether the process may exit.
      *
+     * @param idleClosed whether idle connections were closed, with time to read what had arrived
      * @param unfinished the number of requests in flight, and of responses whose callers have not
      *     read them yet
      */
-    boolean mayExit(final int unfinished) {
-        final boolean idle = unfinished == 0 && isBalancerInformed();
+    boolean mayExit(final boolean idleClosed, final int unfinished) {
+        final boolean idle = unfinished == 0 && idleClosed;
         return idle || leftMillis(startMillis) <= 0;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -495,14 +495,16 @@
                         pauses.earliestSignalMillis(),
                         settings.bounds().grace());
         gateway.exitAfter(drain::certainlyLeft);
-        awaitDrained(drain, whenStopped);
+        awaitDrained(drain, false, whenStopped);
     }
 
-    private void awaitDrained(final Drain drain, final Runnable whenStopped) {
+    private void awaitDrained(
+            final Drain drain, final boolean idleClosed, final Runnable whenStopped) {
         final int unwritten =
                 callerListener.unwrittenResponses() + peerListener.unwrittenResponses();
-        final int unfinished = gateway.inFlight() + unwritten;
-        if (drain.mayExit(unfinished)) {
+        final int notAccepted = callerListener.hasWaitingConnections() ? 1 : 0;
+        final int unfinished = gateway.inFlight() + unwritten + notAccepted;
+        if (drain.mayExit(idleClosed, unfinished)) {
             EventLog.write(
                     unfinished == 0 ? Event.STOPPED : Event.DRAIN_TIMED_OUT,
                     "vm",
@@ -516,10 +518,13 @@
             whenStopped.run();
             return;
         }
-        if (drain.isBalancerInformed()) {
+        final boolean closesIdle = drain.isBalancerInformed();
+        if (closesIdle) {
             callerListener.closeIdle();
         }
-        schedule(() -> awaitDrained(drain, whenStopped), Duration.ofMillis(PERIODIC_TASK_MILLIS));
+        schedule(
+                () -> awaitDrained(drain, closesIdle, whenStopped),
+                Duration.ofMillis(PERIODIC_TASK_MILLIS));
     }
 
     private void checkOverload() {
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
@@ -24,9 +24,9 @@
     @Test
     void idleVmDoesNotExitBeforeBalancerIsInformed() {
         now.addAndGet(2_000);
-        assertThat(drain.mayExit(0)).isFalse();
+        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isFalse();
         now.addAndGet(500);
-        assertThat(drain.mayExit(0)).isTrue();
+        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isTrue();
     }
 
     /**
@@ -45,9 +45,9 @@
         now.addAndGet(5_000);
         pausedMillis.set(4_000);
         assertThat(drain.isBalancerInformed()).isFalse();
-        assertThat(drain.mayExit(0)).isFalse();
+        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isFalse();
         now.addAndGet(2_600);
-        assertThat(drain.mayExit(0)).isTrue();
+        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isTrue();
     }
 
     @Test
@@ -55,14 +55,22 @@
         assertThat(drain.certainlyLeft()).isEqualTo(Duration.ofMillis(4_600));
         now.addAndGet(5_000);
         assertThat(drain.certainlyLeft()).isZero();
-        assertThat(drain.mayExit(1)).isFalse();
+        assertThat(drain.mayExit(drain.isBalancerInformed(), 1)).isFalse();
+    }
+
+    /** Guards against an exit that resets connections whose requests have just arrived. */
+    @Test
+    void idleVmDoesNotExitBeforeItHasClosedIdleConnections() {
+        now.addAndGet(2_500);
+        assertThat(drain.mayExit(false, 0)).isFalse();
+        assertThat(drain.mayExit(true, 0)).isTrue();
     }
 
     @Test
     void requestsInFlightDelayExitUntilEndOfGrace() {
         now.addAndGet(7_000);
-        assertThat(drain.mayExit(1)).isFalse();
+        assertThat(drain.mayExit(drain.isBalancerInformed(), 1)).isFalse();
         now.addAndGet(600);
-        assertThat(drain.mayExit(1)).isTrue();
+        assertThat(drain.mayExit(drain.isBalancerInformed(), 1)).isTrue();
     }
 }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/AcceptQueueMonitor.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/AcceptQueueMonitor.java
@@ -50,6 +50,11 @@
         waiting = more;
     }
 
+    /** Returns whether connections were left waiting. */
+    boolean isWaiting() {
+        return waiting;
+    }
+
     /** Returns for how long connections have been waiting all the time; zero if none is. */
     Duration delay() {
         return waiting ? Duration.ofNanos(System.nanoTime() - waitingSinceNanos) : Duration.ZERO;
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -20,6 +20,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -198,6 +199,15 @@
         return acceptQueue.delay();
     }
 
+    /**
+     * Returns whether new connections are waiting to be accepted.
+     *
+     * @return true if more were waiting than could be accepted at a time
+     */
+    public boolean hasWaitingConnections() {
+        return acceptQueue.isWaiting();
+    }
+
     /**
      * From now on, closes each connection after the response to its current or next request, with
      * {@code Connection: close}. Idle connections stay open.
@@ -226,34 +236,37 @@
     }
 
     /**
-     * Stops accepting connections and closes idle ones. Others close after their responses if
-     * {@link #closeAfterResponses} was called, and refuse what is read behind their requests from
-     * now on. Does not block.
+     * Closes idle connections, and stops accepting new ones once none is waiting to be accepted,
+     * since its request may have been sent long ago; to be called until then. Other connections
+     * close after their responses if {@link #closeAfterResponses} was called, and refuse what is
+     * read behind their requests from now on. Does not block.
      */
     public void closeIdle() {
-        listener.close();
+        if (!acceptQueue.isWaiting()) {
+            listener.close();
+        }
         connections.forEach(HttpServer::closeIfIdle);
     }
 
+    /** Closes a connection that is idle, after time to read a request that has just arrived. */
     private static void closeIfIdle(final Channel connection) {
         connection
                 .eventLoop()
-                .execute(
-                        () -> {
-                            final ConnectionHandler handler =
-                                    connection.pipeline().get(ConnectionHandler.class);
-                            final HeaderTimeout headerTimeout =
-                                    connection.pipeline().get(HeaderTimeout.class);
-                            final boolean busy =
-                                    handler == null
-                                            || handler.isBusy()
-                                            || headerTimeout.isReading();
-                            if (!busy) {
-                                connection.close();
-                            } else if (handler != null) {
-                                handler.refuseFurtherRequests();
-                            }
-                        });
+                .schedule(
+                        () -> closeUnlessBusy(connection),
+                        EventLoopPause.READ_TIME.toMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private static void closeUnlessBusy(final Channel connection) {
+        final ConnectionHandler handler = connection.pipeline().get(ConnectionHandler.class);
+        final HeaderTimeout headerTimeout = connection.pipeline().get(HeaderTimeout.class);
+        final boolean busy = handler == null || handler.isBusy() || headerTimeout.isReading();
+        if (!busy) {
+            connection.close();
+        } else if (handler != null) {
+            handler.refuseFurtherRequests();
+        }
     }
 
     /** Stops accepting connections; open ones stay open. */
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -7,6 +7,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -203,4 +205,29 @@
             assertThat(socket.getInputStream().readAllBytes().length).isGreaterThan(body.length);
         }
     }
+
+    /** Guards against resetting connections whose requests were sent long before the stop. */
+    @Test
+    void connectionsThatWaitToBeAcceptedAreServedBeforeTheServerStopsAccepting() throws Exception {
+        final int callers = 40;
+        try (HttpServer server = start(exchange -> exchange.respond(200, "text/plain", "ok"))) {
+            final CountDownLatch connected = new CountDownLatch(1);
+            group.execute(
+                    () -> {
+                        awaitUninterruptibly(connected);
+                        // Runs after the first connections of the queue were accepted.
+                        group.schedule(server::closeIdle, 1, TimeUnit.NANOSECONDS);
+                    });
+            final List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < callers; i++) {
+                sockets.add(send(server));
+            }
+            connected.countDown();
+            for (final Socket socket : sockets) {
+                assertThat(new String(socket.getInputStream().readNBytes(12), US_ASCII))
+                        .isEqualTo("HTTP/1.1 200");
+                socket.close();
+            }
+        }
+    }
 }
