A signal that arrives while a VM starts is applied once it runs

A VM accepts callers before its start has returned, and its handlers of SIGTERM and SIGHUP were installed after that: a SIGTERM in between cut all its requests (exit 143), a SIGHUP ended the process (exit 129). The handlers now come first.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Objects;
+import java.util.Optional;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.log.LogSetup;
@@ -12,7 +13,7 @@
  * The process of one VM: reads its settings, handles signals and exits.
  *
  * <p>SIGTERM stops gracefully; SIGHUP and a change of the settings file apply new bounds.
- * Thread-safe.
+ * Invariant: a signal that arrives while the VM starts is applied once it runs. Thread-safe.
  */
 public final class VmProcess {
 
@@ -46,12 +47,13 @@
 
     private final Path file;
     private final SettingsReader reader;
-    private final GatewayVm vm;
+    private Optional<GatewayVm> vm = Optional.empty();
+    private boolean stopDue;
+    private boolean reloadDue;
 
-    private VmProcess(final Path file, final SettingsReader reader, final GatewayVm vm) {
-        this.file = file;
-        this.reader = reader;
-        this.vm = vm;
+    private VmProcess(final Path file, final SettingsReader reader) {
+        this.file = Objects.requireNonNull(file, "file is null");
+        this.reader = Objects.requireNonNull(reader, "reader is null");
     }
 
     /**
@@ -65,18 +67,58 @@
      */
     public static void run(final Path file, final SettingsReader reader, final Starter starter)
             throws IOException, SettingsException {
-        Objects.requireNonNull(file, "file is null");
-        final VmSettings settings = reader.read(file);
         LogSetup.applyForLogCollector();
-        final VmProcess process = new VmProcess(file, reader, starter.start(settings));
-        Signal.handle(new Signal("TERM"), signal -> process.vm.stop(VmProcess::exit));
+        final VmProcess process = new VmProcess(file, reader);
+        // A VM accepts callers before its start has returned. Without a handler, the signals end
+        // the process.
+        Signal.handle(new Signal("TERM"), signal -> process.stop());
         Signal.handle(new Signal("HUP"), signal -> process.reload());
+        process.onStarted(starter.start(reader.read(file)));
         SettingsWatch.start(file, process::reload);
     }
 
+    /** Applies the signals that arrived during the start. */
+    private void onStarted(final GatewayVm started) {
+        final boolean reloads;
+        final boolean stops;
+        synchronized (this) {
+            vm = Optional.of(started);
+            reloads = reloadDue;
+            stops = stopDue;
+        }
+        if (reloads) {
+            reload(started);
+        }
+        if (stops) {
+            stop(started);
+        }
+    }
+
+    private void stop() {
+        final Optional<GatewayVm> running;
+        synchronized (this) {
+            stopDue = true;
+            running = vm;
+        }
+        running.ifPresent(VmProcess::stop);
+    }
+
+    private static void stop(final GatewayVm running) {
+        running.stop(VmProcess::exit);
+    }
+
     private void reload() {
+        final Optional<GatewayVm> running;
+        synchronized (this) {
+            reloadDue = true;
+            running = vm;
+        }
+        running.ifPresent(this::reload);
+    }
+
+    private void reload(final GatewayVm running) {
         try {
-            vm.apply(reader.read(file));
+            running.apply(reader.read(file));
         } catch (final SettingsException e) {
             EventLog.write(Event.SETTINGS_UNREADABLE, "mistakes", e.getMessage());
         }
