A server keeps its listening socket when accepting a connection fails

Netty keeps a listening socket open on an IOException only. A lack of memory or any other error while a connection is accepted closed it for good: the process went on, with its health check passing, and refused all callers. Such an error now pauses accepting for a second, as too many open files do.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -11,7 +11,6 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -122,7 +121,7 @@
         final ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group)
-                        .channel(NioServerSocketChannel.class)
+                        .channelFactory(ServerSocketListener::new)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, 1024)
                         .option(
