A request whose handler fails gets a response

The handler of a request runs as a task of the event loop, which logs what it throws and goes on: the caller waited without a response until its own time was up, and what was read behind it on its connection with it. It now gets 500 with an unknown outcome, or a broken connection if a response has begun, and what was started for it is cancelled.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -152,7 +152,17 @@
         // A caller may have closed its connection after sending the request. The close is read in
         // the same event loop iteration as the request, and this task runs after it, so the handler
         // can skip requests whose caller is gone.
-        context.channel().eventLoop().execute(() -> handler.handle(exchange));
+        context.channel().eventLoop().execute(() -> handle(exchange));
+    }
+
+    private void handle(final ServerExchange exchange) {
+        try {
+            handler.handle(exchange);
+        } catch (final RuntimeException | Error e) {
+            // The event loop would only log it, and the caller would wait for a response in vain.
+            LOG.log(System.Logger.Level.ERROR, "request failed", e);
+            exchange.fail();
+        }
     }
 
     private void startNext(final ChannelHandlerContext context) {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ServerExchange.java
@@ -40,6 +40,7 @@
     }
 
     private static final int NO_CONTENT = 204;
+    private static final int INTERNAL_ERROR = 500;
     private static final int NOT_MODIFIED = 304;
     private static final Runnable NO_ACTION = () -> {};
 
@@ -255,6 +256,24 @@
         context.close();
     }
 
+    /**
+     * Ends the exchange after an unexpected error of its handler: with an error response if none
+     * was begun. What the handler has started for it is told as if the caller had disconnected.
+     */
+    void fail() {
+        if (state == State.ENDED) {
+            return;
+        }
+        final Runnable told = onClosed;
+        onClosed = () -> {};
+        if (state == State.OPEN) {
+            respond(INTERNAL_ERROR, "application/json", ErrorBodies.INTERNAL);
+        } else {
+            abort();
+        }
+        told.run();
+    }
+
     void closed() {
         if (state == State.ENDED) {
             return;
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -4,9 +4,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,8 +19,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class HttpServerTest {
 
@@ -82,6 +89,53 @@
         }
     }
 
+    /** Guards against callers that wait in vain for a request whose handler failed. */
+    @ParameterizedTest
+    @MethodSource("failures")
+    void aRequestWhoseHandlerFailsGetsAnErrorAndTheConnectionServesTheNext(final Throwable failure)
+            throws Exception {
+        final AtomicInteger told = new AtomicInteger();
+        final AtomicBoolean fails = new AtomicBoolean(true);
+        final RequestHandler handler =
+                exchange -> {
+                    exchange.onClosed(told::incrementAndGet);
+                    if (fails.getAndSet(false)) {
+                        throwUnchecked(failure);
+                    }
+                    exchange.respond(200, "text/plain", "ok");
+                };
+        try (HttpServer server = start(handler);
+                Socket socket = send(server)) {
+            final BufferedReader in =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.US_ASCII));
+            assertThat(in.readLine()).startsWith("HTTP/1.1 500 ");
+            socket.getOutputStream().write(REQUEST);
+            String line = in.readLine();
+            while (line != null && !line.contains("HTTP/1.1 200 ")) {
+                line = in.readLine();
+            }
+            assertThat(line).contains("HTTP/1.1 200 ");
+            assertThat(told).hasValue(1);
+        }
+    }
+
+    static Stream<Throwable> failures() {
+        return Stream.of(
+                new IllegalStateException("unexpected"),
+                new StackOverflowError(),
+                new NoClassDefFoundError("missing"),
+                new OutOfMemoryError("Java heap space"));
+    }
+
+    private static void throwUnchecked(final Throwable failure) {
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        throw (RuntimeException) failure;
+    }
+
     @Test
     void connectedCallerGetsResponse() throws Exception {
         try (HttpServer server = start(exchange -> exchange.respond(200, "text/plain", "ok"));
