An error in a periodic task ends neither the task nor the log, and a VM without its event loop ends

Executors cancel a periodic task that throws. The VM's periodic tasks caught exceptions only, so that one error (a lack of memory, a class that cannot be loaded) would have left a VM that serves without health checks, expiry and readiness; one that failed kept those behind it from running. The watch on the settings ended with any failure, the thread that writes the log with any error. Each is contained now and logged (FS1010).

A process whose event loop had ended exited with 0 and without a line, as if told to stop. It now writes FS1013 and exits with 70.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -30,6 +31,7 @@
 import org.fennelstage.http.HttpServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.http.ServerLimits;
+import org.fennelstage.log.ContainedTask;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.log.LogSetup;
@@ -92,6 +94,7 @@
     private final EraTracker eras = EraTracker.empty();
     private final Readiness readiness;
     private final CopyExchange copies;
+    private final List<ContainedTask> periodicTasks;
     private boolean stopping;
 
     private GatewayVm(
@@ -240,6 +243,7 @@
         this.loadReports =
                 new LoadReports(
                         settings.vm(), state.servers(), peers, collection, messenger::send, clock);
+        this.periodicTasks = periodicTasks();
         // Runs on the loop, to which the store client and the state are confined: started from
         // this thread, the first responses would race with the calls that are still being made.
         loop.execute(
@@ -247,7 +251,7 @@
                     final boolean shared = settings.policy().uses(Mechanism.SHARED_CALLS);
                     follow(new StoreWatches(loop, shared ? coalesced : store, random, eras), peers);
                     loop.scheduleWithFixedDelay(
-                            this::onPeriod,
+                            ContainedTask.of("period", this::onPeriod),
                             PERIODIC_TASK_MILLIS,
                             PERIODIC_TASK_MILLIS,
                             TimeUnit.MILLISECONDS);
@@ -467,6 +471,17 @@
                 });
     }
 
+    /**
+     * Sets an action for the end of the event loop. Unless the VM was killed, only an error ends
+     * it: what it runs for requests and as tasks cannot.
+     *
+     * @param action runs once, on another thread
+     */
+    public void whenEventLoopEnds(final Runnable action) {
+        Objects.requireNonNull(action, "action is null");
+        loop.terminationFuture().addListener(ended -> action.run());
+    }
+
     /** Stops at once and drops all connections; for tests. */
     public void kill() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
@@ -543,6 +558,9 @@
     }
 
     private void checkOutliers() {
+        if (!settings.policy().uses(Mechanism.OUTLIER_DETECTION)) {
+            return;
+        }
         for (final OutlierDetection.Change change : outliers.update(state.servers().all())) {
             EventLog.write(
                     Event.SERVER_OUTLIER_CHANGED,
@@ -560,6 +578,9 @@
     }
 
     private void checkSpeeds() {
+        if (!settings.policy().uses(Mechanism.SERVER_SPEEDS)) {
+            return;
+        }
         for (final ServerSpeeds.Change change : speeds.update(state.servers().all())) {
             EventLog.write(
                     Event.SERVER_SPEED_CHANGED,
@@ -594,36 +615,40 @@
     }
 
     private void runPeriodicTasks() {
-        try {
-            droppedLines.writeDue();
-            checkOverload();
-            if (settings.policy().uses(Mechanism.OUTLIER_DETECTION)) {
-                checkOutliers();
-            }
-            admission.logChanges();
-            if (settings.policy().uses(Mechanism.SERVER_SPEEDS)) {
-                checkSpeeds();
-            }
-            gateway.checkInactivity();
-            if (settings.policy().uses(Mechanism.LOAD_REPORTS)) {
-                loadReports.sendDue();
-            }
-            if (settings.policy().uses(Mechanism.PEER_NEWS)) {
-                rolloutAges.sendDue();
-                rolloutEvidence.sendDue();
-            }
-            serverFeed.removeExpired();
-            state.checkRestoreGrace();
-            evacuationFeed.endUnconfirmed();
-            rolloutFeed.writeDue();
-            crashBroadcast.sendDue();
-            quarantineFeed.writeDue();
-            copies.runPeriodicTask();
-            readiness.update();
-        } catch (final RuntimeException e) {
-            // Netty cancels a periodic task that throws, which would silently end the periodic
-            // tasks of a VM that keeps serving.
-            EventLog.write(Event.INTERNAL_ERROR, "task", "periodic tasks", "error", e);
+        periodicTasks.forEach(ContainedTask::run);
+    }
+
+    /** Returns the periodic tasks; one that fails does not keep the others from running. */
+    private List<ContainedTask> periodicTasks() {
+        return List.of(
+                ContainedTask.of("dropped lines", droppedLines::writeDue),
+                ContainedTask.of("overload", this::checkOverload),
+                ContainedTask.of("outliers", this::checkOutliers),
+                ContainedTask.of("admission", admission::logChanges),
+                ContainedTask.of("speeds", this::checkSpeeds),
+                ContainedTask.of("inactivity", gateway::checkInactivity),
+                ContainedTask.of("load reports", this::sendLoadReports),
+                ContainedTask.of("peer news", this::sendPeerNews),
+                ContainedTask.of("expired servers", serverFeed::removeExpired),
+                ContainedTask.of("restore grace", state::checkRestoreGrace),
+                ContainedTask.of("evacuations", evacuationFeed::endUnconfirmed),
+                ContainedTask.of("rollouts", rolloutFeed::writeDue),
+                ContainedTask.of("crashes", crashBroadcast::sendDue),
+                ContainedTask.of("quarantine", quarantineFeed::writeDue),
+                ContainedTask.of("copies", copies::runPeriodicTask),
+                ContainedTask.of("readiness", readiness::update));
+    }
+
+    private void sendLoadReports() {
+        if (settings.policy().uses(Mechanism.LOAD_REPORTS)) {
+            loadReports.sendDue();
+        }
+    }
+
+    private void sendPeerNews() {
+        if (settings.policy().uses(Mechanism.PEER_NEWS)) {
+            rolloutAges.sendDue();
+            rolloutEvidence.sendDue();
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/SettingsWatch.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/SettingsWatch.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fennelstage.log.ContainedTask;
 
 /**
  * Detects changes of the settings file by polling its modification time.
@@ -20,11 +21,13 @@
 
     private final Path file;
     private final Runnable onChange;
+    private final long periodMillis;
     private Optional<FileTime> lastModified;
 
-    private SettingsWatch(final Path file, final Runnable onChange) {
+    private SettingsWatch(final Path file, final Runnable onChange, final long periodMillis) {
         this.file = file;
         this.onChange = onChange;
+        this.periodMillis = periodMillis;
         this.lastModified = readLastModified();
     }
 
@@ -36,10 +39,16 @@
      * @return the watch
      */
     static SettingsWatch start(final Path file, final Runnable onChange) {
+        return start(file, onChange, PERIOD_MILLIS);
+    }
+
+    /** Starts watching a file, with a given time between two checks. */
+    static SettingsWatch start(final Path file, final Runnable onChange, final long periodMillis) {
         final SettingsWatch watch =
                 new SettingsWatch(
                         Objects.requireNonNull(file, "file is null"),
-                        Objects.requireNonNull(onChange, "onChange is null"));
+                        Objects.requireNonNull(onChange, "onChange is null"),
+                        periodMillis);
         final Thread thread = new Thread(watch::run, "settings-watch");
         thread.setDaemon(true);
         thread.start();
@@ -56,10 +65,11 @@
     }
 
     private void run() {
+        final Runnable check = ContainedTask.of("settings watch", this::check);
         try {
             while (true) {
-                TimeUnit.MILLISECONDS.sleep(PERIOD_MILLIS);
-                check();
+                TimeUnit.MILLISECONDS.sleep(periodMillis);
+                check.run();
             }
         } catch (final InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
@@ -45,6 +45,11 @@
         GatewayVm start(VmSettings settings) throws IOException;
     }
 
+    private static final int STOPPED = 0;
+
+    /** Exit code of a process that cannot go on. */
+    private static final int FAILED = 70;
+
     private final Path file;
     private final SettingsReader reader;
     private Optional<GatewayVm> vm = Optional.empty();
@@ -73,7 +78,9 @@
         // the process.
         Signal.handle(new Signal("TERM"), signal -> process.stop());
         Signal.handle(new Signal("HUP"), signal -> process.reload());
-        process.onStarted(starter.start(reader.read(file)));
+        final GatewayVm vm = starter.start(reader.read(file));
+        vm.whenEventLoopEnds(VmProcess::onEventLoopEnded);
+        process.onStarted(vm);
         SettingsWatch.start(file, process::reload);
     }
 
@@ -104,7 +111,13 @@
     }
 
     private static void stop(final GatewayVm running) {
-        running.stop(VmProcess::exit);
+        running.stop(() -> exit(STOPPED));
+    }
+
+    /** Without its event loop, the process would listen and serve nothing. */
+    private static void onEventLoopEnded() {
+        EventLog.write(Event.PROCESS_FAILED, "reason", "event loop ended", "exit", FAILED);
+        exit(FAILED);
     }
 
     private void reload() {
@@ -121,12 +134,14 @@
             running.apply(reader.read(file));
         } catch (final SettingsException e) {
             EventLog.write(Event.SETTINGS_UNREADABLE, "mistakes", e.getMessage());
+        } catch (final RuntimeException e) {
+            EventLog.write(Event.SETTINGS_UNREADABLE, "mistakes", e);
         }
     }
 
     /** Exits without shutdown hooks, so that none can block the exit. */
-    private static void exit() {
+    private static void exit(final int code) {
         LogSetup.close();
-        Runtime.getRuntime().halt(0);
+        Runtime.getRuntime().halt(code);
     }
 }
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -19,6 +19,7 @@
     INTERNAL_ERROR(1010, Level.ERROR, "unexpected error; task aborted"),
     PAUSED(1011, Level.WARNING, "process did not run for a while"),
     LOG_LINES_DROPPED(1012, Level.WARNING, "log lines were dropped; the reader of the log is slow"),
+    PROCESS_FAILED(1013, Level.ERROR, "process cannot go on; it ends"),
     TLS_RELOADED(1006, Level.INFO, "TLS keys reloaded"),
     TLS_UNREADABLE(1007, Level.ERROR, "cannot read TLS keys; the previous keys stay in use"),
 
--- a/fennelstage-log/src/main/java/org/fennelstage/log/LogSetup.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/LogSetup.java
@@ -64,7 +64,7 @@
     public static void applyForLogCollector() {
         final LoggerContext context = context();
         context.reset();
-        final ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        final ConsoleAppender<ILoggingEvent> console = new ContainedConsole();
         console.setContext(context);
         console.setTarget("System.out");
         console.setEncoder(json(context));
