A follower of the store goes on after a result that its listener failed on

A listener that threw on a list or a change ended the follower's calls for good: the VM went on with the servers or the configuration that it had. The result is now logged (FS1010) and the list is read again after a backoff that grows while the listener fails.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/store/Follower.java
@@ -107,6 +107,10 @@
     private int round;
 
     private int failures;
+
+    /** Results in a row that the listener failed on. */
+    private int unhandled;
+
     private boolean unavailable;
     private boolean refreshing;
     private boolean started;
@@ -272,7 +276,7 @@
                 after,
                 result -> {
                     if (callRound == round) {
-                        onListed(result);
+                        orRetry(() -> onListed(result));
                     }
                 });
     }
@@ -347,7 +351,7 @@
                 pace.get().watchTime(),
                 result -> {
                     if (callRound == round) {
-                        onWatched(since, result);
+                        orRetry(() -> onWatched(since, result));
                     }
                 });
     }
@@ -483,6 +487,23 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Handles a result; a listener that fails on one must not end the calls after it. */
+    private void orRetry(final Runnable handling) {
+        final int handledRound = round;
+        try {
+            handling.run();
+            unhandled = 0;
+        } catch (final RuntimeException | Error e) {
+            EventLog.write(Event.INTERNAL_ERROR, "task", "follower of " + kind, "error", e);
+            if (handledRound == round) {
+                // The call itself succeeded, which has reset the backoff.
+                failures = Math.max(failures, unhandled);
+                unhandled++;
+                retry(e.toString());
+            }
+        }
+    }
+
     private static String describe(final StoreResult<?> result) {
         return result instanceof StoreResult.Unavailable<?> failure
                 ? failure.detail()
--- a/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/store/FollowerTest.java
@@ -52,6 +52,7 @@
     private final List<String> received = new CopyOnWriteArrayList<>();
     private final EventLoop loop = new DefaultEventLoop();
     private final EraTracker eras = EraTracker.empty();
+    private Optional<Throwable> failure = Optional.empty();
     private final Follower<VmEntry> follower =
             new Follower<>(
                     loop,
@@ -69,14 +70,27 @@
 
     @Override
     public void onAll(final List<StoredValue<VmEntry>> values) {
+        failOnce();
         received.add("all " + values.stream().map(StoredValue::name).toList());
     }
 
     @Override
     public void onChange(final StoredValue<VmEntry> value) {
+        failOnce();
         received.add((value.value().isPresent() ? "put " : "deleted ") + value.name());
     }
 
+    private void failOnce() {
+        final Optional<Throwable> due = failure;
+        failure = Optional.empty();
+        if (due.isPresent() && due.get() instanceof Error error) {
+            throw error;
+        }
+        if (due.isPresent()) {
+            throw (RuntimeException) due.get();
+        }
+    }
+
     @Override
     public void onStoreCallFailed() {
         received.add("call failed");
@@ -107,6 +121,22 @@
         assertThat(received).containsExactly("all [a, b, c]", "deleted a");
     }
 
+    /** Guards against a list that is followed no more after the listener failed on a result. */
+    @Test
+    void aResultThatTheListenerFailsOnIsListedAgain() throws InterruptedException {
+        follower.start();
+        failure = Optional.of(new IllegalStateException("unexpected"));
+        complete("list -", page(Optional.empty(), 5, entry("a", 1)));
+        failure = Optional.of(new OutOfMemoryError("Java heap space"));
+        complete("list -", page(Optional.empty(), 5, entry("a", 1)));
+        complete("list -", page(Optional.empty(), 5, entry("a", 1)));
+        failure = Optional.of(new IllegalStateException("unexpected"));
+        complete("watch 5", page(Optional.empty(), 6, deleted("a", 6)));
+        complete("list -", page(Optional.empty(), 6, entry("b", 6)));
+        expect("watch 6");
+        assertThat(received).contains("all [a]", "all [b]");
+    }
+
     /**
      * Guards against keeping the copy of another VM once the store responds, and against replacing
      * what the store returned by a copy, also by one that claims a later position.
