A request keeps what it has until another server has taken it

A silent server's request was moved to another that accepted the connection and then rejected the request, failed it or closed: the silent attempt had been cancelled by then, so that callers lost streams that had started (FS4014 stream_broken) and got 502 for others. Likewise an answer of a small model was dropped before the server of the larger model had taken the request: callers got an error though there was an answer.

--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/AttemptLog.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/AttemptLog.java
@@ -8,10 +8,11 @@
 /**
  * The attempts of one request.
  *
- * <p>Invariants: {@code maySend()} is false while an attempt is open, and once a request that must
- * not be retried may have run; after {@code mayHaveRun()} was true because of an ended attempt, it
- * stays true. This class is the only source of the "not run" promise to callers, which keeps all
- * rejections consistent. Not thread-safe.
+ * <p>Invariants: at most one attempt is open, and at most one is set aside; {@code maySend()} is
+ * false while an attempt is open, and once a request that must not be retried may have run; after
+ * {@code mayHaveRun()} was true because of an ended attempt, it stays true. This class is the only
+ * source of the "not run" promise to callers, which keeps all rejections consistent. Not
+ * thread-safe.
  */
 public final class AttemptLog {
 
@@ -20,6 +21,7 @@
     private final Set<BackendServerId> tried = new HashSet<>();
     private int sent;
     private boolean open;
+    private boolean aside;
     private boolean mayHaveRun;
 
     private AttemptLog(final boolean retryable, final int maxServers) {
@@ -44,7 +46,7 @@
      * @return true if no attempt is open and another one is allowed
      */
     public boolean maySend() {
-        final boolean safe = retryable || !mayHaveRun;
+        final boolean safe = retryable || !(mayHaveRun || aside);
         return !open && safe && sent < maxServers;
     }
 
@@ -104,13 +106,54 @@
         }
     }
 
+    /**
+     * Sets the open attempt aside: it may still be taken up again, and another one may begin.
+     *
+     * @throws IllegalStateException if no attempt is open, or one is set aside
+     */
+    public void setAside() {
+        if (!open || aside) {
+            throw new IllegalStateException("no attempt can be set aside: " + this);
+        }
+        open = false;
+        aside = true;
+    }
+
+    /**
+     * Takes up the attempt that was set aside; it is the open one again.
+     *
+     * @throws IllegalStateException if an attempt is open, or none is set aside
+     */
+    public void takeUp() {
+        if (open || !aside) {
+            throw new IllegalStateException("no attempt can be taken up: " + this);
+        }
+        open = true;
+        aside = false;
+    }
+
+    /**
+     * Records the end of the attempt that was set aside.
+     *
+     * @param end how the attempt ended
+     * @throws IllegalStateException if none is set aside
+     */
+    public void endAside(final AttemptEnd end) {
+        if (!aside) {
+            throw new IllegalStateException("no attempt is set aside");
+        }
+        aside = false;
+        mayHaveRun = mayHaveRun || end.mayHaveRun();
+    }
+
     /**
      * Returns whether the request may have run or may still run.
      *
-     * @return false only if no attempt is open and the request certainly did not run in any
+     * @return false only if no attempt is open or set aside and the request certainly did not run
+     *     in any
      */
     public boolean mayHaveRun() {
-        return mayHaveRun || open;
+        return mayHaveRun || open || aside;
     }
 
     /**
--- a/fennelstage-core/src/test/java/org/fennelstage/attempt/AttemptLogTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/attempt/AttemptLogTest.java
@@ -64,6 +64,46 @@
         assertThatThrownBy(() -> log.begin(OTHER)).isInstanceOf(IllegalStateException.class);
     }
 
+    /** Guards against the promise "not run" for a request whose first attempt is still running. */
+    @Test
+    void aRequestMayHaveRunWhileAnAttemptIsSetAside() {
+        final AttemptLog log = AttemptLog.of(true, 3);
+        log.begin(SERVER);
+        log.setAside();
+        assertThat(log.maySend()).isTrue();
+        log.begin(OTHER);
+        log.end(AttemptEnd.REJECTED);
+        assertThat(log.mayHaveRun()).isTrue();
+        log.takeUp();
+        assertThat(log.maySend()).isFalse();
+        log.end(AttemptEnd.REJECTED);
+        assertThat(log.mayHaveRun()).isFalse();
+    }
+
+    /** Guards against a second execution of a request that is set aside. */
+    @Test
+    void aRequestThatMustNotBeRetriedIsNotSentWhileAnAttemptIsSetAside() {
+        final AttemptLog log = AttemptLog.of(false, 3);
+        log.begin(SERVER);
+        log.setAside();
+        assertThat(log.maySend()).isFalse();
+        log.endAside(AttemptEnd.UNKNOWN);
+        assertThat(log.maySend()).isFalse();
+        assertThat(log.mayHaveRun()).isTrue();
+    }
+
+    @Test
+    void onlyOneAttemptIsSetAside() {
+        final AttemptLog log = AttemptLog.of(true, 3);
+        assertThatThrownBy(log::setAside).isInstanceOf(IllegalStateException.class);
+        assertThatThrownBy(log::takeUp).isInstanceOf(IllegalStateException.class);
+        log.begin(SERVER);
+        log.setAside();
+        log.begin(OTHER);
+        assertThatThrownBy(log::setAside).isInstanceOf(IllegalStateException.class);
+        assertThatThrownBy(log::takeUp).isInstanceOf(IllegalStateException.class);
+    }
+
     @Property
     void aRequestThatMustNotBeRetriedIsNotSentAfterItMayHaveRun(
             @ForAll final List<AttemptEnd> ends) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -2,10 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.Optional;
+import java.util.Queue;
 import org.fennelstage.attempt.AttemptEnd;
 import org.fennelstage.attempt.BaselineFailureRate;
 import org.fennelstage.attempt.Inactivity;
@@ -101,6 +104,7 @@
     private boolean endsWithConnection;
     private boolean flowing;
     private boolean brokenReported;
+    private Optional<Queue<Runnable>> aside = Optional.empty();
     private boolean ended;
 
     Attempt(
@@ -188,6 +192,34 @@
         }
     }
 
+    /**
+     * Sets the attempt aside: from now on it neither acts nor reads, and what arrives nevertheless
+     * waits for {@link #takeUp}.
+     */
+    void setAside() {
+        aside = Optional.of(new ArrayDeque<>());
+        pause(true);
+    }
+
+    /** Continues after {@link #setAside} with what has arrived meanwhile. */
+    void takeUp() {
+        final Queue<Runnable> arrived = aside.orElseThrow();
+        aside = Optional.empty();
+        pause(false);
+        arrived.forEach(Runnable::run);
+    }
+
+    /** Cancels the attempt because a larger model has taken the request after it responded. */
+    void drop() {
+        recordHealth(false);
+        cancel();
+    }
+
+    @Override
+    public Optional<Duration> sinceWritten() {
+        return call.sinceWritten();
+    }
+
     @Override
     public void pause(final boolean pause) {
         call.pause(pause);
@@ -231,8 +263,11 @@
         if (decoded.isSuccess()) {
             observation.onFirstByte();
         }
-        if (decoded.isSuccess() && execution.dropResponse(decoded)) {
-            recordHealth(false);
+        if (decoded.trust() == ResponseHead.Trust.SIGNED && decoded.isSuccess()) {
+            execution.onTaken();
+        }
+        if (decoded.isSuccess()) {
+            execution.onResponse(this, decoded);
         }
     }
 
@@ -256,6 +291,18 @@
             return;
         }
         onByte();
+        if (aside.isPresent()) {
+            final byte[] bytes = ByteBufUtil.getBytes(content);
+            aside.get().add(() -> onBytes(Unpooled.wrappedBuffer(bytes)));
+        } else {
+            onBytes(content);
+        }
+    }
+
+    private void onBytes(final ByteBuf content) {
+        if (ended) {
+            return;
+        }
         if (!takeMemory(content.readableBytes())) {
             onTooLarge();
         } else if (isStreaming()) {
@@ -287,6 +334,10 @@
 
     @Override
     public void onEnd() {
+        if (aside.isPresent()) {
+            aside.get().add(this::onEnd);
+            return;
+        }
         final ResponseHead response = head.orElseThrow();
         switch (response.trust()) {
             case REJECTED -> onRejected(response);
@@ -297,6 +348,10 @@
 
     @Override
     public void onFailure(final CallFailure failure) {
+        if (aside.isPresent()) {
+            aside.get().add(() -> onFailure(failure));
+            return;
+        }
         if (failure.notSent()) {
             // A backend server that rejects a connection is healthy and at its connection limit.
             if (failure.phase() == CallFailure.Phase.NOT_SENT) {
@@ -359,7 +414,7 @@
      * called several times a second. The timeout differs before and after the head of the response.
      */
     void checkInactivity() {
-        if (ended || isPaused()) {
+        if (ended || isPaused() || aside.isPresent()) {
             return;
         }
         if (server.isSuperseded() && now() - lastByteMillis >= RESTART_GRACE_MILLIS) {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
@@ -93,6 +93,11 @@
         }
     }
 
+    @Override
+    public Optional<Duration> sinceWritten() {
+        return call.sinceWritten();
+    }
+
     @Override
     public void pause(final boolean pause) {
         call.pause(pause);
@@ -111,6 +116,9 @@
         if (!notReached) {
             peers.onSuccess(peer);
         }
+        if (decoded.trust() == ResponseHead.Trust.SIGNED && decoded.isSuccess()) {
+            execution.onTaken();
+        }
     }
 
     @Override
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -33,8 +33,8 @@
  * Executes one request from its arrival to its end.
  *
  * <p>Invariants: the caller receives exactly one response or a broken connection; at most one
- * attempt is open; {@link AttemptLog} alone decides whether another attempt may be made and whether
- * "not run" may be reported.
+ * attempt is open, and beside it one may be set aside; {@link AttemptLog} alone decides whether
+ * another attempt may be made and whether "not run" may be reported.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -64,6 +64,7 @@
     private final long deadlineMillis;
     private final CallerResponse response;
     private Optional<OpenAttempt> openAttempt = Optional.empty();
+    private Optional<KeptAttempt> kept = Optional.empty();
     private Optional<Takeover> takeover = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private ServiceName service;
@@ -221,7 +222,10 @@
         if (ended || response.started() || fingerprints.all().noneMatch(quarantined::equals)) {
             return;
         }
-        abandonOpenAttempt(AttemptEnd.UNKNOWN);
+        dropKept();
+        if (openAttempt.isPresent()) {
+            abandonOpenAttempt(AttemptEnd.UNKNOWN);
+        }
         log.attemptFailed(AttemptEnd.UNKNOWN, "request quarantined", elapsedMillis());
         giveUp();
     }
@@ -317,7 +321,7 @@
         }
         if (mayRetry.test(end)) {
             startAttempt();
-        } else {
+        } else if (!takeUpKept()) {
             fallback.run();
         }
     }
@@ -329,6 +333,7 @@
         openAttempt = Optional.of(attempt);
         log.forwarded(service, attempt.peer(), notSent, remaining());
         attempt.send(remaining(), response.lastEventId().or(request::lastEventId), servers);
+        checkOverlap(attempt);
     }
 
     /** Handles a complete response of a backend server that another VM passed on. */
@@ -382,12 +387,12 @@
     }
 
     /**
-     * Decides whether to drop a response that has started and try a larger model.
+     * Decides whether to set a response that has started aside and try a larger model.
      *
-     * @param head the head of the response
-     * @return true if it was dropped
+     * @param attempt the open attempt
+     * @param head the head of its response
      */
-    boolean dropResponse(final ResponseHead head) {
+    void onResponse(final Attempt attempt, final ResponseHead head) {
         final Optional<ModelId> nextModel =
                 models.nextModel(head.confidence(), this::canMeetDeadline);
         final boolean keep =
@@ -396,15 +401,76 @@
                         || attempts.sent() >= route.maxServers()
                         || !gateway.state().retryBudget(service).tryRetry();
         if (keep) {
-            return false;
+            return;
         }
-        abandonOpenAttempt(AttemptEnd.DROPPED);
         log.responseDropped(modelName(), head.confidence(), nextModel.get(), elapsedMillis());
+        setAside(attempt, AttemptEnd.DROPPED, "larger model " + nextModel.get() + " asked");
         models.escalate(nextModel.get());
         startAttempt();
+    }
+
+    /** Keeps the open attempt beside the next one until that one is taken. */
+    private void setAside(final Attempt attempt, final AttemptEnd end, final String detail) {
+        dropKept();
+        attempts.setAside();
+        openAttempt = Optional.empty();
+        kept = Optional.of(new KeptAttempt(attempt, end, detail, models.model()));
+        attempt.setAside();
+    }
+
+    /** Handles the head of a response with which a backend server has taken the request. */
+    void onTaken() {
+        dropKept();
+    }
+
+    /** Ends the attempt that was set aside, if there is one. */
+    private void dropKept() {
+        if (kept.isEmpty()) {
+            return;
+        }
+        final KeptAttempt dropped = kept.get();
+        kept = Optional.empty();
+        attempts.endAside(dropped.end());
+        if (dropped.end() == AttemptEnd.DROPPED) {
+            dropped.attempt().drop();
+        } else {
+            dropped.attempt().cancel();
+            log.attemptFailed(dropped.end(), dropped.detail(), elapsedMillis());
+        }
+    }
+
+    /** Takes up the attempt that was set aside, and returns whether there was one. */
+    private boolean takeUpKept() {
+        if (kept.isEmpty()) {
+            return false;
+        }
+        final KeptAttempt taken = kept.get();
+        kept = Optional.empty();
+        attempts.takeUp();
+        openAttempt = Optional.of(taken.attempt());
+        taken.model().ifPresent(models::escalate);
+        log.attemptKept(Takeover.KeptBecause.NOT_TAKEN, taken.detail(), elapsedMillis());
+        taken.attempt().takeUp();
         return true;
     }
 
+    /**
+     * Ends the attempt that was set aside once the request has been at another backend server for
+     * long enough to be rejected.
+     */
+    private void checkOverlap(final OpenAttempt other) {
+        if (kept.isEmpty() || !openAttempt.filter(open -> open == other).isPresent()) {
+            return;
+        }
+        final Duration overlap = other.sinceWritten().orElse(Duration.ZERO);
+        final Duration left = KeptAttempt.MAX_OVERLAP.minus(overlap);
+        if (left.isNegative() || left.isZero()) {
+            dropKept();
+        } else {
+            schedule(() -> checkOverlap(other), left.toMillis() + 1);
+        }
+    }
+
     /**
      * Searches another backend server for a request whose open attempt exceeded its inactivity
      * timeout.
@@ -454,16 +520,23 @@
         return waitEstimator.job(service, models.model());
     }
 
-    /** Ends the open attempt and sends the request to another backend server. */
-    void move(final TrackedServer server, final Job job, final Permit permit, final String detail) {
-        abandonOpenAttempt(AttemptEnd.UNKNOWN);
-        log.attemptFailed(AttemptEnd.UNKNOWN, detail, elapsedMillis());
+    /** Sets the open attempt aside and sends the request to another backend server. */
+    void move(
+            final Attempt silent,
+            final TrackedServer server,
+            final Job job,
+            final Permit permit,
+            final String detail) {
+        setAside(silent, AttemptEnd.UNKNOWN, detail);
         testsLoad = false;
         send(server, job, candidates().size(), permit);
     }
 
     /** Ends the request with the error that follows from its attempts. */
     void giveUp() {
+        if (takeUpKept()) {
+            return;
+        }
         if (response.started()) {
             abortResponse("stream_broken");
         } else if (attempts.mayHaveRun()) {
@@ -492,7 +565,7 @@
         if (rejectedAsQuarantined()) {
             return;
         }
-        final List<TrackedServer> candidates = candidates();
+        final List<TrackedServer> candidates = candidatesForAttempt();
         if (forwarding.start(candidates, notSent)) {
             gateway.recoveryProbe().probeDue(candidates);
             return;
@@ -519,6 +592,14 @@
         }
     }
 
+    /** A request that is kept at a silent backend server goes only to those it was not sent to. */
+    private List<TrackedServer> candidatesForAttempt() {
+        final List<TrackedServer> all = candidates();
+        return kept.filter(k -> k.end() == AttemptEnd.UNKNOWN).isEmpty()
+                ? all
+                : all.stream().filter(s -> !attempts.tried(s.entry().id())).toList();
+    }
+
     private boolean isExcluded(final TrackedServer server) {
         return attempts.tried(server.entry().id()) || permits.isDenied(server);
     }
@@ -587,6 +668,7 @@
                 new Attempt(this, server, latencyEstimator(), job.readMillis(), permit);
         openAttempt = Optional.of(attempt);
         attempt.send(metadata);
+        checkOverlap(attempt);
     }
 
     private VersionChoice loggedChoice() {
@@ -658,6 +740,7 @@
     }
 
     private void cancelOpenAttempt() {
+        dropKept();
         openAttempt.ifPresent(OpenAttempt::cancel);
         openAttempt = Optional.empty();
     }
@@ -681,6 +764,7 @@
             return;
         }
         ended = true;
+        dropKept();
         if (attempts.sent() == 0) {
             gateway.crashes().returnTrial(trialOf);
         }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
@@ -16,7 +16,7 @@
  *
  * <p>A silent server may still respond, and a stream that has started cannot be rejected any more.
  * So the silent attempt stays open until the other server has accepted a connection and, where one
- * is needed, there is a permit for it.
+ * is needed, there is a permit for it, and is set aside until that server has taken the request.
  *
  * <p>Invariants: one search for another server runs at a time; a search ends by {@link
  * RequestExecution#move}, or the attempt stays open. Not thread-safe; confined to the event loop.
@@ -36,7 +36,9 @@
         /** The other backend server does not accept connections. */
         NOT_ACCEPTED,
         /** The retries of the fleet are used up. */
-        NO_RETRY_BUDGET
+        NO_RETRY_BUDGET,
+        /** The other backend server accepted a connection and did not take the request. */
+        NOT_TAKEN
     }
 
     /** Time after a failed search before the next one; milliseconds. */
@@ -165,7 +167,7 @@
                 end(KeptBecause.NO_RETRY_BUDGET);
             } else {
                 searching = false;
-                execution.move(server, job, permit, detail);
+                execution.move(silent, server, job, permit, detail);
             }
         }
 
