A VM of fennelstage run that is told to end while it starts stops gracefully

Its shutdown hook was registered after the start had returned, while the VM already accepted callers: a signal in between ended the process without a stop (seen by reading; the platform's VM had the same fault, shown by VmProcessTest). The hook is registered first and waits for the start.

--- a/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/Main.java
@@ -103,8 +103,10 @@
 
     private static int runVm(final Settings settings) throws IOException {
         LogSetup.apply(settings.log().json(), settings.log().level());
-        final RouterVm vm = RouterVm.start(settings, RouterVm.Environment.standard());
-        Runtime.getRuntime().addShutdownHook(new Thread(vm::stop, "graceful-stop"));
+        GracefulStop.start(
+                () -> RouterVm.start(settings, RouterVm.Environment.standard()),
+                RouterVm::stop,
+                Runtime.getRuntime()::addShutdownHook);
         return SUCCESS;
     }
 
