A signal that arrives during the start is logged

Without it the test of SIGHUP passed by chance when the signal was handled after the start had returned: its guard still passed in one run under load.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
@@ -107,7 +107,7 @@
             stopDue = true;
             running = vm;
         }
-        running.ifPresent(VmProcess::stop);
+        running.ifPresentOrElse(VmProcess::stop, () -> logDeferred("TERM"));
     }
 
     private static void stop(final GatewayVm running) {
@@ -126,7 +126,11 @@
             reloadDue = true;
             running = vm;
         }
-        running.ifPresent(this::reload);
+        running.ifPresentOrElse(this::reload, () -> logDeferred("HUP"));
+    }
+
+    private static void logDeferred(final String signal) {
+        EventLog.write(Event.SIGNAL_DEFERRED, "signal", signal);
     }
 
     private void reload(final GatewayVm running) {
