A stream goes on at the new version when its rollout completes

Callers saw: streams that ended in their middle, many at one moment, when a rollout completed.

Cause: at completion the operator stops the old servers at once, before VMs read the completion. The version was chosen once a request, so the stream was tried at other servers of the old version only, which had stopped too, and broken off while the new version was up. It is now chosen for each attempt: the choice of a session changes once over a rollout, so that a later attempt follows it.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -565,6 +565,9 @@
         if (rejectedAsQuarantined()) {
             return;
         }
+        // Since the attempt before, a rollout may have moved all traffic, and the servers of the
+        // former version may have stopped.
+        version = canary().choose(request.session(), request.id());
         final List<TrackedServer> candidates = candidatesForAttempt();
         if (forwarding.start(candidates, notSent)) {
             gateway.recoveryProbe().probeDue(candidates);
