Bytes that arrive while no response is due never become part of one

What callers saw: a 200 with the server's signature and body where the server had answered 404, on a kept connection on which it had written the beginning of another response's head ("HTTP/1.1 200 ") after the one before.

Cause: Netty's decoder decodes whatever arrives. A part of a head that came on an idle connection gave no message, so that nobody closed the connection, and the next response continued that head. Whole lines behind a response were taken in too, and not seen as bytes left over, since the decoder keeps them itself. Class: bytes given to a response by their place, not by what was asked for. Now the decoder decodes only from the request to the last content of its response; other bytes are skipped and close the connection.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ResponseHandler.java
@@ -117,6 +117,8 @@
         if (responseEnded) {
             responseEnded = false;
             returnOrClose(context);
+        } else if (listener == null && decoder(context).hasExcessBytes()) {
+            context.close();
         }
         context.fireChannelReadComplete();
     }
@@ -206,7 +208,7 @@
             listener.onContent(content.content());
         }
         if (last && listener != null) {
-            if (context.pipeline().get(StrictResponseDecoder.class).isConnectionLost()) {
+            if (decoder(context).isConnectionLost()) {
                 fail("connection lost in a response without a length");
             } else {
                 finish(context);
@@ -214,7 +216,12 @@
         }
     }
 
+    private static StrictResponseDecoder decoder(final ChannelHandlerContext context) {
+        return context.pipeline().get(StrictResponseDecoder.class);
+    }
+
     private void finish(final ChannelHandlerContext context) {
+        decoder(context).onResponseEnded();
         final ResponseListener ended = listener;
         final Call endedCall = call;
         listener = null;
@@ -233,9 +240,7 @@
      * second response in the same read would go unnoticed and be treated as the next one.
      */
     private void returnOrClose(final ChannelHandlerContext context) {
-        final boolean excessBytes =
-                context.pipeline().get(StrictResponseDecoder.class).hasExcessBytes();
-        if (reusable && requestWritten && !excessBytes) {
+        if (reusable && requestWritten && !decoder(context).hasExcessBytes()) {
             returnToPool.accept(keepAlive);
         } else {
             context.close();
--- a/fennelstage-http/src/main/java/org/fennelstage/http/StrictResponseDecoder.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/StrictResponseDecoder.java
@@ -1,16 +1,20 @@
 package org.fennelstage.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /**
- * Netty's response decoder, which also reports bytes left over after a response, and whether a
- * connection was lost.
+ * Netty's response decoder, which decodes only while a response is due, and reports other bytes and
+ * whether a connection was lost.
  *
- * <p>A faulty server may send more than one response to a request. On a reused connection the extra
- * one would be treated as the response to the next request and could reach another caller.
+ * <p>A faulty server may send more than one response to a request, or a part of one. On a reused
+ * connection it would be treated as the response to the next request, or as the beginning of its
+ * head, and could reach another caller. Invariant: bytes that arrive while no response is due never
+ * become part of one.
  *
  * <p>A body without a length ends with its connection. The decoder ends it whatever closed the
  * connection; only if the server has closed its side is the body complete. Requires {@link
@@ -21,12 +25,36 @@
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
     private boolean headRequested;
+    private boolean due;
+    private boolean excessBytes;
     private boolean inputEnded;
     private boolean connectionLost;
 
-    /** Sets whether the next response is to a HEAD request and so has no body. */
+    /**
+     * Starts to decode a response.
+     *
+     * @param headRequest whether it is to a HEAD request and so has no body
+     */
     void expect(final boolean headRequest) {
         headRequested = headRequest;
+        due = true;
+    }
+
+    /** Ends the decoding; to be called at the last content of the response that was due. */
+    void onResponseEnded() {
+        due = false;
+    }
+
+    @Override
+    protected void decode(
+            final ChannelHandlerContext context, final ByteBuf in, final List<Object> out)
+            throws Exception {
+        if (due) {
+            super.decode(context, in, out);
+        } else {
+            excessBytes = true;
+            in.skipBytes(in.readableBytes());
+        }
     }
 
     @Override
@@ -54,7 +82,8 @@
         return connectionLost;
     }
 
+    /** Returns whether bytes have arrived while no response was due. */
     boolean hasExcessBytes() {
-        return actualReadableBytes() > 0;
+        return excessBytes;
     }
 }
