A head that was cut never becomes the beginning of the next one

What callers saw: a 200 with the signature and body of a response that the server had given as 404. The server had sent a part of another response late, after the next request had arrived on the kept connection.

A head that follows another response on its connection and holds a status line in its reason phrase or in the value of a header is malformed now (a status line as a header's name always was): the call fails and the connection is closed. Limit: on a connection used before, a header whose value holds a status line ('HTTP/1.1 200') fails its response.

Before, with the new cases: AFTER_THE_REQUEST failed in both tests (status 200 instead of 404, first at 'HTTP/1.1 200 '). CutResponseTest, HttpClientTest and ConnectionOrdersTest pass now.

--- a/fennelstage-http/src/main/java/org/fennelstage/http/StrictResponseDecoder.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/StrictResponseDecoder.java
@@ -4,8 +4,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * Netty's response decoder, which decodes only while a response is due, and reports other bytes and
@@ -14,7 +16,7 @@
  * <p>A faulty server may send more than one response to a request, or a part of one. On a reused
  * connection it would be treated as the response to the next request, or as the beginning of its
  * head, and could reach another caller. Invariant: bytes that arrive while no response is due never
- * become part of one.
+ * become part of one, and a head that was cut never becomes the beginning of another one.
  *
  * <p>A body without a length ends with its connection. The decoder ends it whatever closed the
  * connection; only if the server has closed its side is the body complete. Requires {@link
@@ -24,8 +26,13 @@
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
+    /** Begins a head; within one, it begins the head of another response. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
     private boolean headRequested;
     private boolean due;
+    private boolean usedBefore;
+    private boolean followsAnother;
     private boolean excessBytes;
     private boolean inputEnded;
     private boolean connectionLost;
@@ -38,6 +45,8 @@
     void expect(final boolean headRequest) {
         headRequested = headRequest;
         due = true;
+        followsAnother = usedBefore;
+        usedBefore = true;
     }
 
     /** Ends the decoding; to be called at the last content of the response that was due. */
@@ -57,11 +66,25 @@
         }
     }
 
+    /** Called once the head is read; an exception makes the response malformed. */
     @Override
     protected boolean isContentAlwaysEmpty(final HttpMessage message) {
+        if (followsAnother && containsStatusLine((HttpResponse) message)) {
+            throw new IllegalArgumentException("a head that was cut before another one");
+        }
         return headRequested || super.isContentAlwaysEmpty(message);
     }
 
+    /**
+     * Returns whether a head contains the status line of another one. Its own then belongs to a
+     * response to an earlier request, which was cut and arrived late.
+     */
+    private static boolean containsStatusLine(final HttpResponse response) {
+        return STATUS_LINE.matcher(response.status().reasonPhrase()).find()
+                || response.headers().entries().stream()
+                        .anyMatch(header -> STATUS_LINE.matcher(header.getValue()).find());
+    }
+
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event)
             throws Exception {
--- a/fennelstage-http/src/test/java/org/fennelstage/http/CutResponseTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/CutResponseTest.java
@@ -337,7 +337,8 @@
     /** When the bytes of another response arrive on a kept connection. */
     private enum Arrival {
         WITH_THE_RESPONSE_BEFORE,
-        WHILE_IDLE
+        WHILE_IDLE,
+        AFTER_THE_REQUEST
     }
 
     private static final String EXTRA =
@@ -415,6 +416,9 @@
             }
             final CompletableFuture<Object> call = send(HttpMethod.GET, 0, TIMEOUT);
             try (Socket socket = connectionOf(kept)) {
+                if (arrival == Arrival.AFTER_THE_REQUEST) {
+                    write(socket, extra);
+                }
                 write(socket, DUE);
                 socket.shutdownOutput();
                 if (ended(call) instanceof Responses.FullResponse response) {
