A prompt of negative length is refused, and no sum of lengths overflows

What callers saw: a request with Fennelstage-Token-Usage -500,5 was sent to a backend server and answered 200, and from then on the time per token of its service was infinite (a division by -500 + 500), with lengths below that or near 2^31 negative. The time after which a backend server counts as silent and the expected wait of every later request of the service follow from it.

Cause: the codec checked only that the values are numbers; the estimator added the length to a constant as int.

--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
@@ -52,7 +52,7 @@
      * @param promptTokens the length of the prompt; zero for a plain service
      */
     public void onFirstByte(final long millis, final int promptTokens) {
-        final double observed = millis / (double) (promptTokens + FIXED_TOKENS);
+        final double observed = millis / ((double) promptTokens + FIXED_TOKENS);
         millisPerToken += WEIGHT * (observed - millisPerToken);
         samples++;
         final double weight = observed < prefillMillisPerToken ? WEIGHT_BELOW : WEIGHT_ABOVE;
@@ -108,7 +108,7 @@
      */
     public long firstByteTimeoutMillis(final int promptTokens) {
         return MIN_TIMEOUT_MILLIS
-                + (long) (TIMEOUT_FACTOR * millisPerToken * (promptTokens + FIXED_TOKENS));
+                + (long) (TIMEOUT_FACTOR * millisPerToken * ((double) promptTokens + FIXED_TOKENS));
     }
 
     /**
--- a/fennelstage-core/src/main/java/org/fennelstage/placement/Prompt.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/placement/Prompt.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 
 /**
- * The prompt of a request to a model. Immutable and thread-safe.
+ * The prompt of a request to a model.
+ *
+ * <p>Invariant: no number of tokens is negative. Immutable and thread-safe.
  *
  * @param parts the parts of the prompt in order; the last is the request's own
  * @param promptTokens the length of the whole prompt; tokens
@@ -12,7 +14,16 @@
  */
 public record Prompt(List<PromptPart> parts, int promptTokens, int maxOutputTokens) {
 
+    /**
+     * Creates a prompt.
+     *
+     * @throws IllegalArgumentException if a number of tokens is negative
+     */
     public Prompt {
+        if (promptTokens < 0 || maxOutputTokens < 0) {
+            throw new IllegalArgumentException(
+                    "negative number of tokens: " + promptTokens + "," + maxOutputTokens);
+        }
         parts = List.copyOf(parts);
     }
 
@@ -30,8 +41,8 @@
      *
      * @return tokens
      */
-    public int sharedTokens() {
-        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+    public long sharedTokens() {
+        return sharedParts().stream().mapToLong(PromptPart::tokens).sum();
     }
 
     /**
--- a/fennelstage-core/src/test/java/org/fennelstage/attempt/LatencyEstimatorTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/attempt/LatencyEstimatorTest.java
@@ -59,4 +59,19 @@
         }
         assertThat(estimator.responseMillis()).isBetween(39.0, 41.0);
     }
+
+    /**
+     * Guards against a sum that overflows: the usual time of a token becomes negative, and then
+     * each backend server counts as silent at once.
+     */
+    @Test
+    void anExtremeLengthOfAPromptMakesNoEstimateNegative() {
+        for (int i = 0; i < 20; i++) {
+            estimator.onFirstByte(60_000, Integer.MAX_VALUE);
+        }
+        assertThat(estimator.prefillMillisPerToken()).isPositive();
+        assertThat(estimator.firstByteTimeoutMillis(500)).isPositive();
+        assertThat(estimator.firstByteTimeoutMillis(Integer.MAX_VALUE))
+                .isGreaterThanOrEqualTo(estimator.firstByteTimeoutMillis(500));
+    }
 }
