A datagram of many short words is parsed on the stack of a VM's threads

What others saw: of a message between VMs with some hundreds of short words ("loads v a a a ...", 1,400 bytes) the reader got a StackOverflowError on its event loop, whose stack has 256 KB as deployed; FS1010 for each and the message lost. The reader itself went on (Netty calls exceptionCaught).

Cause: in java.util.regex a repeated group of varying length takes frames of the stack for each repetition. Possessive repetitions are loops, and nothing follows these groups that would need to step back into them.

Failed before: aMessageOfManyShortWordsIsParsedOnAStackOfUsualSize (StackOverflowError).

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/EvidenceMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/EvidenceMessage.java
@@ -33,7 +33,7 @@
     private static final Pattern MEASURE_TOTALS =
             Pattern.compile(
                     "([A-Z_]{1,20})(?:/([A-Za-z0-9._-]{1,95}))?:([0-9]{1,9}):([0-9]{1,12})"
-                            + "((?::[A-Za-z0-9][A-Za-z0-9._-]{0,95},[0-9]{1,12})*)");
+                            + "((?::[A-Za-z0-9][A-Za-z0-9._-]{0,95},[0-9]{1,12})*+)");
 
     /** Names of routes and servers that can be sent; what is seen of others stays with each VM. */
     private static final Pattern SENDABLE_SCOPE = Pattern.compile("[A-Za-z0-9._-]{1,95}");
@@ -42,7 +42,7 @@
     private static final Pattern MESSAGE =
             Pattern.compile(
                     "evidence ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([^ ]{1,95}) ([0-9]{1,18})"
-                            + " ([0-9]{1,18}) ([0-9]{1,18})((?: [^ ]+)+)");
+                            + " ([0-9]{1,18}) ([0-9]{1,18})((?: [^ ]++)++)");
 
     /** Backend servers with bad responses that are sent for each measure, the worst ones. */
     static final int MAX_SERVERS = 8;
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PeerMessage.java
@@ -33,6 +33,9 @@
  *
  * <p>Invariant: {@code parse(m.text())} equals {@code m}, and text that is no message parses to
  * empty. Implementations are immutable and thread-safe.
+ *
+ * <p>Repeated groups are possessive: others take a part of the stack for each repetition, and a
+ * datagram holds more words than the stack of the event loop.
  */
 sealed interface PeerMessage
         permits PeerMessage.Unreachable,
@@ -85,11 +88,11 @@
                             + " (-|[0-9]{1,9}(?:\\.[0-9]{1,20})?(?:E-?[0-9]{1,3})?)");
 
     /** Sending VM and any number of loads. */
-    Pattern LOADS = Pattern.compile("loads ([A-Za-z0-9][A-Za-z0-9._-]{0,95})((?: [^ ]+)*)");
+    Pattern LOADS = Pattern.compile("loads ([A-Za-z0-9][A-Za-z0-9._-]{0,95})((?: [^ ]++)*+)");
 
     /** Sending VM, number of the part, and any number of loads. */
     Pattern LOAD_SUMS =
-            Pattern.compile("sums ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,4})((?: [^ ]+)*)");
+            Pattern.compile("sums ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,4})((?: [^ ]++)*+)");
 
     /**
      * Id of a backend server, its requests, and milliseconds of unread prompts; then, if there are
@@ -117,13 +120,13 @@
     Pattern CRASH =
             Pattern.compile(
                     "crash ([A-Za-z0-9][A-Za-z0-9._-]{0,95}) ([0-9]{1,18})"
-                            + "((?: [0-9a-f]{16}(?:,[0-9a-f]{16})*)+)");
+                            + "((?: [0-9a-f]{16}(?:,[0-9a-f]{16})*+)++)");
 
     /** Fingerprint of 16 hexadecimal digits, and ids and start times of backend servers. */
     Pattern CRASHES_CLEARED =
             Pattern.compile(
                     "answered ([0-9a-f]{16})"
-                            + "((?: [A-Za-z0-9][A-Za-z0-9._-]{0,95},[0-9]{1,18})+)");
+                            + "((?: [A-Za-z0-9][A-Za-z0-9._-]{0,95},[0-9]{1,18})++)");
 
     /**
      * A backend server could not be reached.
