An error that no check foresaw ends one request, and its caller learns of it

What callers saw: an exception in the handling of a request or of a response (here by a codec that fails as an odd value would make it) left a request without an end. Decoding or sending failed as a task of the event loop, which Netty logs and forgets: the connection ended without a response. In the move of a stream to another server the deadline's own handling failed too (an attempt without a call): the caller's stream was open for as long as it was watched, 60 and more than 150 s, with a deadline of 4 s.

Now each step of a request, whoever calls it (the caller's task, timers, responses of servers and VMs, permits, the check of inactivity), is contained at that request: 500 if nothing was sent, 502 if it may have run, a stream is broken off, FS4037 says where it was thrown, and the count of requests in flight falls. An attempt that fails in checkInactivity no longer keeps the periodic tasks after it from running.

Not contained: the callbacks of Takeover.Search (probe and permit).

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -169,7 +169,7 @@
                                 Sockets.address(server.entry().address()),
                                 codec().encode(execution.request(), metadata),
                                 options,
-                                this);
+                                new StepListener(execution, this));
         lastByteMillis = sentMillis;
         execution.gateway().attempts().add(this);
     }
@@ -187,7 +187,7 @@
 
     @Override
     public void cancel() {
-        if (release(false)) {
+        if (release(false) && call != null) {
             call.cancel();
         }
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
@@ -83,12 +83,16 @@
                         remaining.plus(DEADLINE_MARGIN),
                         CONNECTIONS,
                         headers -> codec().matchesRequest(headers, execution.request().id()));
-        call = execution.gateway().peerClient().send(peer, request, options, this);
+        call =
+                execution
+                        .gateway()
+                        .peerClient()
+                        .send(peer, request, options, new StepListener(execution, this));
     }
 
     @Override
     public void cancel() {
-        if (release()) {
+        if (release() && call != null) {
             call.cancel();
         }
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -215,7 +215,30 @@
         handle(exchange, OptionalInt.empty());
     }
 
+    /** An unexpected error would be lost with the task, and the caller would wait for ever. */
     private void handle(final ServerExchange exchange, final OptionalInt forwardedServers) {
+        try {
+            decodeAndStart(exchange, forwardedServers);
+        } catch (final RuntimeException | StackOverflowError e) {
+            logError("", e);
+            respond(exchange, "", GatewayError.INTERNAL);
+        }
+    }
+
+    /** Logs an unexpected error and where it was thrown. */
+    static void logError(final String requestId, final Throwable error) {
+        final StackTraceElement[] trace = error.getStackTrace();
+        EventLog.write(
+                Event.REQUEST_ERROR,
+                "request",
+                requestId,
+                "error",
+                error,
+                "at",
+                trace.length == 0 ? "" : trace[0]);
+    }
+
+    private void decodeAndStart(final ServerExchange exchange, final OptionalInt forwardedServers) {
         final CallerRequest request;
         try {
             request = codec.decode(exchange);
@@ -339,7 +362,9 @@
         // What delays all responses has to be known before those of a new version are judged.
         attempts.stream().filter(a -> !a.isOfNewVersion()).forEach(Attempt::checkDuration);
         attempts.stream().filter(Attempt::isOfNewVersion).forEach(Attempt::checkDuration);
-        List.copyOf(attempts).forEach(Attempt::checkInactivity);
+        for (final Attempt attempt : List.copyOf(attempts)) {
+            attempt.execution().step(attempt::checkInactivity);
+        }
         unreachableReports.sendDue();
     }
 
@@ -358,7 +383,8 @@
      */
     private void onQuarantined(final Fingerprint fingerprint) {
         for (final Attempt attempt : List.copyOf(attempts)) {
-            attempt.execution().cancelIfQuarantined(fingerprint);
+            final RequestExecution execution = attempt.execution();
+            execution.step(() -> execution.cancelIfQuarantined(fingerprint));
         }
     }
 
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayError.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/GatewayError.java
@@ -37,6 +37,8 @@
     STOPPING(503, "stopping", Optional.of(Duration.ofMillis(100))),
     /** The deadline passed before any backend server accepted the request; it was not run. */
     TIMEOUT_NOT_RUN(503, "timeout_not_run", Optional.of(Duration.ofMillis(200))),
+    /** This VM failed to handle the request; nothing was sent to a backend server. */
+    INTERNAL(500, "internal_error", Optional.empty()),
     /** A backend server received the request but returned no complete response; it may have run. */
     OUTCOME_UNKNOWN(502, "outcome_unknown", Optional.empty()),
     /** The deadline passed while a backend server had the request; it may have run. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -136,11 +136,50 @@
 
     void start() {
         gateway.onRequestStarted();
-        exchange.onClosed(this::onCallerDisconnected);
+        step(this::begin);
+    }
+
+    /**
+     * Runs a step of this request. An unexpected error, as by a value of a caller or a backend
+     * server that no check foresaw, ends this request alone, and its caller learns of it.
+     */
+    void step(final Runnable step) {
+        try {
+            step.run();
+        } catch (final RuntimeException | StackOverflowError e) {
+            Gateway.logError(request.id(), e);
+            endAfter(e);
+        }
+    }
+
+    private void endAfter(final Throwable error) {
+        if (ended) {
+            return;
+        }
+        final boolean mayHaveRun = attempts.mayHaveRun();
+        try {
+            cancelOpenAttempt();
+            if (response.started()) {
+                exchange.abort();
+            } else {
+                errors.respond(
+                        mayHaveRun ? GatewayError.OUTCOME_UNKNOWN : GatewayError.INTERNAL,
+                        Optional.empty());
+            }
+        } catch (final RuntimeException e) {
+            error.addSuppressed(e);
+            exchange.abort();
+        } finally {
+            finish("internal_error", 0);
+        }
+    }
+
+    private void begin() {
+        exchange.onClosed(() -> step(this::onCallerDisconnected));
         if (ended) {
             return;
         }
-        exchange.onWritable(() -> openAttempt.ifPresent(a -> a.pause(false)));
+        exchange.onWritable(() -> step(() -> openAttempt.ifPresent(a -> a.pause(false))));
         if (rejectedAsQuarantined()) {
             return;
         }
@@ -589,7 +628,8 @@
         } else if (permits.isExhausted(server.get())) {
             rejectAsSaturated();
         } else if (permits.isNeeded(server.get(), job)) {
-            permits.request(server.get(), remaining(), p -> onPermit(server.get(), job, p));
+            permits.request(
+                    server.get(), remaining(), p -> step(() -> onPermit(server.get(), job, p)));
         } else {
             send(server.get(), job, candidates.size(), Permit.NONE);
         }
@@ -786,7 +826,7 @@
     }
 
     ScheduledFuture<?> schedule(final Runnable task, final long millis) {
-        return exchange.eventLoop().schedule(task, millis, TimeUnit.MILLISECONDS);
+        return exchange.eventLoop().schedule(() -> step(task), millis, TimeUnit.MILLISECONDS);
     }
 
     private long now() {
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -89,6 +89,7 @@
     ANSWER_DROPPED(4015, Level.INFO, "answer discarded; request goes to a larger model"),
     SERVER_REPORTED_UNREACHABLE(
             4016, Level.INFO, "another VM reported that it could not reach a backend server"),
+    REQUEST_ERROR(4037, Level.ERROR, "unexpected error; request ended"),
     SERVER_REJECTING(4021, Level.INFO, "backend server rejects requests from this VM for a time"),
     SERVER_LIMITED(4022, Level.INFO, "backend server limits the requests per second of all VMs"),
     SERVER_LIMIT_ENDED(4023, Level.INFO, "backend server no longer limits the requests per second"),
