--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CallerResponse.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/CallerResponse.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.fennelstage.http.ServerExchange;
 
 /**
@@ -17,6 +18,9 @@
  */
 final class CallerResponse {
 
+    /** Control characters, which a header cannot carry. */
+    private static final Pattern UNSENDABLE = Pattern.compile("[\\x00-\\x08\\x0a-\\x1f\\x7f]");
+
     private final ServerExchange exchange;
     private final Runnable onFirstByte;
     private boolean started;
@@ -39,6 +43,14 @@
         return lastEventId;
     }
 
+    /**
+     * Returns whether another backend server can continue the response: nothing has been sent, or
+     * the id of the last event can be sent to it.
+     */
+    boolean mayContinue() {
+        return lastEventId.filter(id -> UNSENDABLE.matcher(id).find()).isEmpty();
+    }
+
     /**
      * Sends one event.
      *
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/EventSplitter.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/EventSplitter.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.regex.Pattern;
 
 /**
  * Splits a byte stream into whole server-sent events.
@@ -22,6 +23,7 @@
     private static final byte NEWLINE = '\n';
     private static final byte RETURN = '\r';
     private static final String ID_FIELD = "id:";
+    private static final Pattern LINE_END = Pattern.compile("\\r\\n|\\r|\\n");
 
     private final BiConsumer<byte[], Optional<String>> onEvent;
     private byte[] pending = new byte[1024];
@@ -82,9 +84,13 @@
         onEvent.accept(event, id(event));
     }
 
+    /**
+     * Returns the id of an event, one character for each byte: so it is sent in a header as the
+     * bytes that were received. A carriage return ends a line, as everywhere in events.
+     */
     private static Optional<String> id(final byte[] event) {
-        final String text = new String(event, StandardCharsets.UTF_8);
-        for (final String line : text.split("\\r?\\n")) {
+        final String text = new String(event, StandardCharsets.ISO_8859_1);
+        for (final String line : LINE_END.split(text)) {
             if (line.startsWith(ID_FIELD)) {
                 return Optional.of(line.substring(ID_FIELD.length()).strip());
             }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -399,7 +399,7 @@
     /** Another VM that did not send the request says nothing about this VM's own connections. */
     private boolean mayRetryAfterForwarding(final AttemptEnd end) {
         return end == AttemptEnd.NOT_SENT
-                ? attempts.maySend() && !remaining().isNegative()
+                ? attempts.maySend() && !remaining().isNegative() && response.mayContinue()
                 : mayRetry(end);
     }
 
@@ -526,7 +526,7 @@
 
     /** Returns why the request may not be sent to another backend server, empty if it may. */
     Optional<Takeover.KeptBecause> obstacleToMove() {
-        if (!route.retryable() || attempts.remaining() == 0) {
+        if (!route.retryable() || attempts.remaining() == 0 || !response.mayContinue()) {
             return Optional.of(Takeover.KeptBecause.NO_FURTHER_ATTEMPT);
         }
         return gateway.crashes().rejectionTime(fingerprints).isPresent()
@@ -593,6 +593,9 @@
         if (!attempts.maySend() || remaining().isNegative() || remaining().isZero()) {
             return false;
         }
+        if (!response.mayContinue()) {
+            return false;
+        }
         if (end == AttemptEnd.NOT_SENT) {
             notSent++;
             return notSent < MAX_NOT_SENT;
