The grace period counts from the arrival of SIGTERM, and a VM that was never ready accepts nobody in a stop

Callers saw: a stream whose VM was killed at the end of the grace period, since the VM counted it from the moment at which its start let it handle the signal.

The signal handler notes the time, and the balancer, which never saw the VM ready, need not be waited for. DrainTest, PauseMonitorTest and HttpServerTest pass.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/Drain.java
@@ -29,17 +29,21 @@
     private final long startMillis;
     private final long listeningStartMillis;
     private final long earliestStartMillis;
+    private final boolean wasReady;
     private final long graceMillis;
 
     private Drain(
             final MonotonicClock clock,
             final MonotonicClock listening,
+            final long startMillis,
             final long earliestStartMillis,
+            final boolean wasReady,
             final long graceMillis) {
         this.clock = clock;
+        this.wasReady = wasReady;
         this.listening = listening;
         this.earliestStartMillis = earliestStartMillis;
-        this.startMillis = clock.millis();
+        this.startMillis = startMillis;
         this.listeningStartMillis = listening.millis();
         this.graceMillis = graceMillis;
     }
@@ -49,17 +53,22 @@
      *
      * @param clock the clock
      * @param listening the clock that leaves out pauses of the process
-     * @param earliestStartMillis when the signal to stop was sent at the earliest, by the clock
+     * @param startMillis when the signal to stop arrived, by the clock
+     * @param earliestStartMillis when it was sent at the earliest, by the clock
+     * @param wasReady whether the health check passed until now
      * @param grace the time from the signal until the process is killed
      */
     static Drain of(
             final MonotonicClock clock,
             final MonotonicClock listening,
+            final long startMillis,
             final long earliestStartMillis,
+            final boolean wasReady,
             final Duration grace) {
         Objects.requireNonNull(clock, "clock is null");
         Objects.requireNonNull(listening, "listening is null");
-        return new Drain(clock, listening, earliestStartMillis, grace.toMillis());
+        return new Drain(
+                clock, listening, startMillis, earliestStartMillis, wasReady, grace.toMillis());
     }
 
     /**
@@ -68,7 +77,7 @@
      * period.
      */
     boolean isBalancerInformed() {
-        return listening.millis() - listeningStartMillis >= BALANCER_DELAY_MILLIS;
+        return !wasReady || listening.millis() - listeningStartMillis >= BALANCER_DELAY_MILLIS;
     }
 
     /** Returns the time that is left in any case before the process exits or is killed. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.fennelstage.canary.RolloutOrder;
 import org.fennelstage.copy.CopyCollector;
@@ -449,7 +450,17 @@
      * @param whenStopped runs at the end, on the event loop
      */
     public void stop(final Runnable whenStopped) {
-        loop.execute(() -> beginStop(whenStopped));
+        stop(() -> Duration.ZERO, whenStopped);
+    }
+
+    /**
+     * Stops gracefully after a signal that came earlier.
+     *
+     * @param sinceSignal supplies the time since the signal, from which the grace period counts
+     * @param whenStopped runs at the end, on the event loop
+     */
+    public void stop(final Supplier<Duration> sinceSignal, final Runnable whenStopped) {
+        loop.execute(() -> beginStop(sinceSignal.get(), whenStopped));
     }
 
     /**
@@ -487,11 +498,12 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 
-    private void beginStop(final Runnable whenStopped) {
+    private void beginStop(final Duration sinceSignal, final Runnable whenStopped) {
         if (stopping) {
             return;
         }
         stopping = true;
+        final boolean wasReady = readiness.isReady();
         readiness.onStopping();
         gateway.stopAcceptingForwarded();
         callerListener.closeAfterResponses();
@@ -503,11 +515,14 @@
                 gateway.inFlight(),
                 "connections",
                 callerListener.openConnections());
+        final long signalMillis = state.clock().millis() - sinceSignal.toMillis();
         final Drain drain =
                 Drain.of(
                         state.clock(),
                         pauses.listening(),
-                        pauses.earliestSignalMillis(),
+                        signalMillis,
+                        Math.min(signalMillis, pauses.earliestSignalMillis()),
+                        wasReady,
                         settings.bounds().grace());
         gateway.exitAfter(drain::certainlyLeft);
         awaitDrained(drain, false, whenStopped);
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmProcess.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.log.LogSetup;
@@ -53,7 +55,7 @@
     private final Path file;
     private final SettingsReader reader;
     private Optional<GatewayVm> vm = Optional.empty();
-    private boolean stopDue;
+    private OptionalLong stopSignalNanos = OptionalLong.empty();
     private boolean reloadDue;
 
     private VmProcess(final Path file, final SettingsReader reader) {
@@ -76,7 +78,7 @@
         final VmProcess process = new VmProcess(file, reader);
         // A VM accepts callers before its start has returned. Without a handler, the signals end
         // the process.
-        Signal.handle(new Signal("TERM"), signal -> process.stop());
+        Signal.handle(new Signal("TERM"), signal -> process.stop(System.nanoTime()));
         Signal.handle(new Signal("HUP"), signal -> process.reload());
         final GatewayVm vm = starter.start(reader.read(file));
         vm.whenEventLoopEnds(VmProcess::onEventLoopEnded);
@@ -87,31 +89,32 @@
     /** Applies the signals that arrived during the start. */
     private void onStarted(final GatewayVm started) {
         final boolean reloads;
-        final boolean stops;
+        final OptionalLong stops;
         synchronized (this) {
             vm = Optional.of(started);
             reloads = reloadDue;
-            stops = stopDue;
+            stops = stopSignalNanos;
         }
         if (reloads) {
             reload(started);
         }
-        if (stops) {
-            stop(started);
+        if (stops.isPresent()) {
+            stop(started, stops.getAsLong());
         }
     }
 
-    private void stop() {
+    private void stop(final long signalNanos) {
         final Optional<GatewayVm> running;
         synchronized (this) {
-            stopDue = true;
+            stopSignalNanos = OptionalLong.of(signalNanos);
             running = vm;
         }
-        running.ifPresentOrElse(VmProcess::stop, () -> logDeferred("TERM"));
+        running.ifPresentOrElse(vm -> stop(vm, signalNanos), () -> logDeferred("TERM"));
     }
 
-    private static void stop(final GatewayVm running) {
-        running.stop(() -> exit(STOPPED));
+    /** The grace period counts from the arrival of the signal, which may precede the start. */
+    private static void stop(final GatewayVm running, final long signalNanos) {
+        running.stop(() -> Duration.ofNanos(System.nanoTime() - signalNanos), () -> exit(STOPPED));
     }
 
     /** Without its event loop, the process would listen and serve nothing. */
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/DrainTest.java
@@ -14,7 +14,9 @@
             Drain.of(
                     now::get,
                     () -> now.get() - pausedMillis.get(),
+                    now.get(),
                     now.get() - 3_000,
+                    true,
                     Duration.ofSeconds(8));
 
     /**
@@ -66,6 +68,31 @@
         assertThat(drain.mayExit(true, 0)).isTrue();
     }
 
+    /** Guards against requests that a VM accepts in a stop that begins before it was ready. */
+    @Test
+    void theBalancerSendsNobodyToAVmThatWasNeverReady() {
+        final Drain neverReady =
+                Drain.of(now::get, now::get, now.get(), now.get(), false, Duration.ofSeconds(8));
+        assertThat(neverReady.isBalancerInformed()).isTrue();
+    }
+
+    /** Guards against being killed because the grace period counts from the end of a slow start. */
+    @Test
+    void theGracePeriodCountsFromTheArrivalOfTheSignal() {
+        final Drain delayed =
+                Drain.of(
+                        now::get,
+                        now::get,
+                        now.get() - 1_000,
+                        now.get() - 1_000,
+                        true,
+                        Duration.ofSeconds(8));
+        now.addAndGet(6_500);
+        assertThat(delayed.mayExit(true, 1)).isFalse();
+        now.addAndGet(100);
+        assertThat(delayed.mayExit(true, 1)).isTrue();
+    }
+
     @Test
     void requestsInFlightDelayExitUntilEndOfGrace() {
         now.addAndGet(7_000);
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -5,7 +5,6 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.BufferedReader;
-import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
