A later entry of a server does not end a request that is at work there

A request that had been silent for 0.5 s at a backend server whose id had registered with a later start time was cancelled, though its connection was open: a stream was cut, and a request that may not be retried got 502, also if the entry was wrong or the former process still at work. It is now taken for silent: it moves to the new incarnation or to another server once that one has taken it, and stays otherwise. A request that may not be retried ends by its connection or its time.

ServerEntryPathTest.aStreamAtAServerThatRegisteredAgainGoesOnIfNoOtherTakesIt failed before ("chunked transfer encoding, state: READING_LENGTH") and passes now. StreamPathTest has a test of a move for which a permit is denied, which held before. A guard for each.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -58,9 +58,9 @@
     private static final Duration DEADLINE_MARGIN = Duration.ofMillis(500);
 
     /**
-     * Inactivity after which an attempt at a restarted backend server fails; milliseconds. Longer
-     * than a response of the new incarnation takes to start: the restart becomes known some 250 ms
-     * late, and the attempt may have reached the new incarnation.
+     * Inactivity after which an attempt at a restarted backend server is silent; milliseconds.
+     * Longer than a response of the new incarnation takes to start: the restart becomes known some
+     * 250 ms late, and the attempt may have reached the new incarnation.
      */
     private static final long RESTART_GRACE_MILLIS = 500;
 
@@ -417,8 +417,8 @@
         if (ended || isPaused() || aside.isPresent()) {
             return;
         }
-        if (server.isSuperseded() && now() - lastByteMillis >= RESTART_GRACE_MILLIS) {
-            failAfterRestart();
+        if (isSilentAfterRestart()) {
+            execution.onInactive(this, server.entry().id() + " restarted");
             return;
         }
         final Inactivity inactivity = inactivity();
@@ -448,13 +448,18 @@
 
     /** Returns whether the attempt is open and has exceeded its inactivity timeout. */
     boolean isSilent() {
-        return !ended && !isPaused() && inactivity().exceeds(inactivityTimeoutMillis());
+        return !ended
+                && !isPaused()
+                && (isSilentAfterRestart() || inactivity().exceeds(inactivityTimeoutMillis()));
     }
 
-    /** The request may have run in the previous incarnation; no response will arrive. */
-    private void failAfterRestart() {
-        call.cancel();
-        fail(AttemptEnd.UNKNOWN, "server restarted");
+    /**
+     * Returns whether a later incarnation of the backend server has registered, and no response
+     * will probably arrive. That is no reason to end the attempt while its connection is open: the
+     * entry may be wrong, or the former process still be at work.
+     */
+    private boolean isSilentAfterRestart() {
+        return server.isSuperseded() && now() - lastByteMillis >= RESTART_GRACE_MILLIS;
     }
 
     private boolean usesStallDetection() {
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -17,6 +18,7 @@
 import org.fennelstage.canary.VersionChoice;
 import org.fennelstage.crash.Fingerprint;
 import org.fennelstage.crash.RequestFingerprints;
+import org.fennelstage.fleet.Incarnation;
 import org.fennelstage.fleet.TrackedServer;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ModelId;
@@ -64,6 +66,7 @@
     private final long deadlineMillis;
     private final CallerResponse response;
     private Optional<OpenAttempt> openAttempt = Optional.empty();
+    private final Set<Incarnation> asked = new HashSet<>();
     private Optional<KeptAttempt> kept = Optional.empty();
     private Optional<Takeover> takeover = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
@@ -537,7 +540,9 @@
     /** Chooses a backend server that the request was not sent to. */
     Optional<TrackedServer> chooseOther(final Job job) {
         final List<TrackedServer> others =
-                candidates().stream().filter(s -> !attempts.tried(s.entry().id())).toList();
+                candidates().stream()
+                        .filter(s -> !asked.contains(s.entry().incarnation()))
+                        .toList();
         return gateway.placement().choose(others, job, false, permits::isDenied);
     }
 
@@ -643,7 +648,7 @@
         final List<TrackedServer> all = candidates();
         return kept.filter(k -> k.end() == AttemptEnd.UNKNOWN).isEmpty()
                 ? all
-                : all.stream().filter(s -> !attempts.tried(s.entry().id())).toList();
+                : all.stream().filter(s -> !asked.contains(s.entry().incarnation())).toList();
     }
 
     private boolean isExcluded(final TrackedServer server) {
@@ -697,6 +702,7 @@
     private void send(
             final TrackedServer server, final Job job, final int candidates, final Permit permit) {
         attempts.begin(server.entry().id());
+        asked.add(server.entry().incarnation());
         final AttemptMetadata metadata =
                 new AttemptMetadata(
                         server.entry(),
