--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/ServerFeed.java
@@ -15,7 +15,6 @@
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.store.Follower;
-import org.fennelstage.store.StoreKind;
 import org.fennelstage.store.StoredValue;
 
 /**
@@ -124,13 +123,11 @@
         id(value.name()).ifPresent(servers::removeInvalid);
     }
 
-    /** Returns the id in a name, empty if the name is invalid. */
+    /** Returns the id in a name, empty if the name is invalid and thus that of no server. */
     private static Optional<BackendServerId> id(final String name) {
         try {
             return Optional.of(BackendServerId.of(name));
         } catch (final IllegalArgumentException e) {
-            EventLog.write(
-                    Event.OBJECT_MALFORMED, "kind", StoreKind.SERVERS, "problem", e.getMessage());
             return Optional.empty();
         }
     }
--- a/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
+++ b/fennelstage-gateway/src/test/java/org/fennelstage/vm/ServerFeedTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -17,6 +20,7 @@
 import org.fennelstage.id.ServiceName;
 import org.fennelstage.store.StoredValue;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 
 class ServerFeedTest {
 
@@ -128,4 +132,21 @@
         feed.removeExpired();
         assertThat(usable()).containsExactly("i-2");
     }
+
+    /** Guards against a line at each list from an object whose name is that of no server. */
+    @Test
+    void anObjectWithTheNameOfNoServerIsNotLoggedHere() {
+        final ListAppender<ILoggingEvent> log = new ListAppender<>();
+        log.start();
+        final Logger logger = (Logger) LoggerFactory.getLogger("fennelstage");
+        logger.addAppender(log);
+        try {
+            feed.onMalformed(
+                    new StoredValue<>(
+                            "no name!", Position.of(0, 1), Optional.empty(), Optional.of("odd")));
+        } finally {
+            logger.detachAppender(log);
+        }
+        assertThat(log.list).isEmpty();
+    }
 }
