A stream whose continuation is refused ends with its connection

What callers saw: a stream that had begun neither went on nor ended. Its server broke off, and the server that was to go on at Last-Event-Id answered with a signed 404.

Cause: Attempt handed that response to the caller as a whole one; the exchange of a stream that has begun takes none, and the request counted as answered, so that its timer was cancelled. Failures of a server (5xx) and responses of another VM were told apart before, other signed responses were not. Class: a response given to an exchange that cannot send it. The other places that respond (quarantine, permits, deadline, other VMs) look at started() first.

Before: aStreamWhoseContinuationIsRefusedEndsWithItsConnection got nothing for 10 s (route timeout 5 s). Passes now, with StreamPathTest and RequestPathTest.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -501,7 +501,8 @@
         if (endsWithConnection && isSuspectOfCrash()) {
             execution.gateway().crashes().onEndedWithConnection(server, execution.fingerprints());
         }
-        if (failed) {
+        // A stream that has begun has the head of another response, and can only go on or break.
+        if (failed || (execution.response().started() && !isStreaming())) {
             final byte[] content = body.toByteArray();
             fail(
                     AttemptEnd.FAILED,
