One odd object of the object API neither hides the others nor ends the watch

What was seen: a declaration whose profile is named "-1" made decodeAll throw IllegalArgumentException, so that no declaration of the table was used; the class promises that malformed ones are skipped. A list with a null entry, an invalid key or a negative revision, and a revision header that is no number, threw in the HTTP client's callback: the future of that call never completed, and ConfigurationWatcher, which schedules its next step from it, stopped for the rest of the process.

ConfigurationWatcher itself has no new test.

--- a/fennelstage-objects/src/main/java/org/fennelstage/objects/Declarations.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/Declarations.java
@@ -1,6 +1,5 @@
 package org.fennelstage.objects;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -85,9 +84,7 @@
         try {
             final JsonNode node = Json.mapper().readTree(object.value().get()).path(VALUE);
             return Optional.of(Json.mapper().treeToValue(node, kind.get().type()));
-        } catch (final JsonProcessingException e) {
-            throw new MalformedValueException(object.key().path(), e);
-        } catch (final IOException e) {
+        } catch (final IOException | RuntimeException e) {
             throw new MalformedValueException(object.key().path(), e);
         }
     }
--- a/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiClient.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiClient.java
@@ -1,5 +1,7 @@
 package org.fennelstage.objects;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -8,6 +10,7 @@
 import io.netty.handler.codec.http.QueryStringEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -29,6 +32,7 @@
  */
 public final class ObjectApiClient implements ObjectStore {
 
+    private static final System.Logger LOG = System.getLogger(ObjectApiClient.class.getName());
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
@@ -147,7 +151,23 @@
                                         address,
                                         request,
                                         CallOptions.of(CONNECT_TIMEOUT, inactivityTimeout, false),
-                                        Responses.collecting(onResponse, onFailure)));
+                                        Responses.collecting(
+                                                response -> read(response, onResponse, onFailure),
+                                                onFailure)));
+    }
+
+    /** Reads a response; one that cannot be read is a failure, since callers wait for a result. */
+    private static void read(
+            final Responses.FullResponse response,
+            final Consumer<Responses.FullResponse> onResponse,
+            final Consumer<CallFailure> onFailure) {
+        try {
+            onResponse.accept(response);
+        } catch (final RuntimeException | StackOverflowError e) {
+            onFailure.accept(
+                    new CallFailure(
+                            CallFailure.Phase.RESPONDING, false, "unreadable response: " + e));
+        }
     }
 
     private static FullHttpRequest request(
@@ -188,16 +208,30 @@
             return new ChangesResult.Unavailable("object API returned status " + response.status());
         }
         try {
-            final ObjectApiProtocol.WireChanges changes =
-                    Json.read(response.body(), ObjectApiProtocol.WireChanges.class);
-            final List<StoredObject> objects =
-                    changes.objects().stream().map(ObjectApiClient::toObject).toList();
-            return new ChangesResult.Changed(objects, Revision.of(changes.revision()));
+            final JsonNode changes = Json.read(response.body(), JsonNode.class);
+            final JsonNode revision = changes.path("revision");
+            if (!revision.canConvertToLong() || !changes.path("objects").isArray()) {
+                return new ChangesResult.Unavailable("no list of changes");
+            }
+            final List<StoredObject> objects = new ArrayList<>();
+            changes.path("objects").forEach(node -> toObject(node).ifPresent(objects::add));
+            return new ChangesResult.Changed(objects, Revision.of(revision.asLong()));
         } catch (final MalformedValueException e) {
             return new ChangesResult.Unavailable(e.getMessage());
         }
     }
 
+    /** Returns an object of a list, empty if it is malformed: it must not hide the others. */
+    private static Optional<StoredObject> toObject(final JsonNode node) {
+        try {
+            return Optional.of(
+                    toObject(Json.mapper().treeToValue(node, ObjectApiProtocol.WireObject.class)));
+        } catch (final JsonProcessingException | RuntimeException e) {
+            LOG.log(System.Logger.Level.WARNING, "malformed object " + node.path("key"), e);
+            return Optional.empty();
+        }
+    }
+
     private static StoredObject toObject(final ObjectApiProtocol.WireObject wire) {
         return new StoredObject(
                 new ObjectKey(wire.key()),
--- a/fennelstage-router/src/main/java/org/fennelstage/control/ConfigurationWatcher.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/control/ConfigurationWatcher.java
@@ -96,7 +96,20 @@
         }
         final Duration wait = since.equals(Revision.NONE) ? Duration.ZERO : LONG_POLL;
         store.changes(Keys.CONFIGURATION, since, wait, CallPriority.NORMAL)
-                .thenAcceptAsync(this::onResult, timer);
+                .whenCompleteAsync(this::onResult, timer);
+    }
+
+    /** Schedules the next step in any case; without it this VM follows no further change. */
+    private void onResult(final ChangesResult result, final Throwable failure) {
+        try {
+            if (failure != null) {
+                throw new IllegalStateException(failure);
+            }
+            onResult(result);
+        } catch (final RuntimeException e) {
+            EventLog.write(Event.INTERNAL_ERROR, "task", "configuration watch", "error", e);
+            schedule(backoff.nextWait());
+        }
     }
 
     private void onResult(final ChangesResult result) {
