fennelctl reads logs with bytes that are no text and times out of range

What operators saw: one byte that is no UTF-8, as at the end of a log whose process ended while it wrote, ended fennelctl report with MalformedInputException (from a file; not from the standard input). A line with the largest or smallest time ended it with ArithmeticException: long overflow.

Now such bytes are replaced in both cases, and lines with a time before 1970 or after 9999 are counted as skipped.

Not covered: the HTML report.

--- a/fennelstage-ctl/src/main/java/org/fennelstage/report/LogReader.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/report/LogReader.java
@@ -28,6 +28,9 @@
     /** Codes of the events of a request: rejected, sent, failed, finished, answer dropped. */
     private static final Pattern REQUEST_EVENT = Pattern.compile("FS401[1-5]");
 
+    /** Latest time of an event; differences of times up to it do not overflow. */
+    private static final Instant LATEST = Instant.parse("9999-12-31T23:59:59Z");
+
     /** Fields that the logger adds to each line. */
     private static final Set<String> LOGGER_FIELDS =
             Set.of(
@@ -89,6 +92,10 @@
                 return;
             }
             final Instant at = Instant.parse(node.path("@timestamp").asText(""));
+            if (at.isBefore(Instant.EPOCH) || at.isAfter(LATEST)) {
+                skipped++;
+                return;
+            }
             if (!REQUEST_EVENT.matcher(code).matches()) {
                 return;
             }
--- a/fennelstage-ctl/src/main/java/org/fennelstage/report/ReportCommand.java
+++ b/fennelstage-ctl/src/main/java/org/fennelstage/report/ReportCommand.java
@@ -48,17 +48,21 @@
             throws IOException {
         final ReportCommand command = new ReportCommand(out);
         if (files.isEmpty()) {
-            command.reader.read(
-                    new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8)), "stdin");
+            command.reader.read(lines(in), "stdin");
         }
         for (final Path file : files) {
-            try (BufferedReader lines = Files.newBufferedReader(file)) {
+            try (BufferedReader lines = lines(Files.newInputStream(file))) {
                 command.reader.read(lines, file.getFileName().toString());
             }
         }
         return command;
     }
 
+    /** Replaces bytes that are no UTF-8, as of a process that ended while it wrote. */
+    private static BufferedReader lines(final InputStream in) {
+        return new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
+    }
+
     /**
      * Prints the report.
      *
