--- a/spec/guards/run.py
+++ b/spec/guards/run.py
@@ -30,7 +30,7 @@
             return "code of the guard not found once in " + guard["file"]
         source.write_text(text.replace(guard["code"], guard["replacement"]))
         done = subprocess.run(
-            ["mvn", "-q", "-B", "-o", "test", "-Dspotless.check.skip", "-pl", "fennelstage-core,fennelstage-http,fennelstage-log,fennelstage-gateway,platform,fennelstage-objects,fennelstage-peer,fennelstage-standin,fennelstage-router",
+            ["mvn", "-q", "-B", "-o", "test", "-Dspotless.check.skip", "-pl", "fennelstage-core,fennelstage-http,fennelstage-log,fennelstage-gateway,platform,fennelstage-objects,fennelstage-peer,fennelstage-standin,fennelstage-router,fennelstage-ctl",
              "-Dtest=" + ",".join(guard["tests"]), "-Dsurefire.failIfNoSpecifiedTests=false"],
             cwd=copy, capture_output=True, text=True)
         output = done.stdout + done.stderr
