One odd part of a message between VMs neither hides the others nor ends the probing

Found by reading, in fennelstage-peer: a member record with a port over 65535 is taken into the table and passed on by every VM. Where its address is used, InetSocketAddress throws; in the periodic probe that cancels the task, so that this VM probes no other for the rest of its process. A record with an empty id, an object with an invalid key or a negative revision, a negative number of a state or signal threw out of the handler of the whole message and closed the connection.

Now a Member has a valid port, members, objects and halts are decoded one by one with malformed ones logged and left out, numbers of states and signals are bounded on both sides, and an error in one probe does not cancel the next.

--- a/fennelstage-core/src/main/java/org/fennelstage/member/Member.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/member/Member.java
@@ -20,6 +20,8 @@
 public record Member(
         VmId id, DataCentreId dataCentre, String host, int port, long incarnation, State state) {
 
+    private static final int MAX_PORT = 65_535;
+
     /** The state of a VM, from best to worst. */
     public enum State {
         ALIVE,
@@ -30,11 +32,19 @@
         DEAD
     }
 
+    /**
+     * Creates a record.
+     *
+     * @throws IllegalArgumentException if the address cannot be one: it would fail where it is used
+     */
     public Member {
         Objects.requireNonNull(id, "id is null");
         Objects.requireNonNull(dataCentre, "dataCentre is null");
         Objects.requireNonNull(host, "host is null");
         Objects.requireNonNull(state, "state is null");
+        if (port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port " + port + " of " + id);
+        }
     }
 
     /**
--- a/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerCodec.java
+++ b/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerCodec.java
@@ -1,9 +1,11 @@
 package org.fennelstage.peer;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.fennelstage.configuration.ObjectKey;
 import org.fennelstage.configuration.Revision;
 import org.fennelstage.configuration.StoredObject;
@@ -22,6 +24,7 @@
 /** Converts core types to and from peer messages. Stateless and thread-safe. */
 final class PeerCodec {
 
+    private static final System.Logger LOG = System.getLogger(PeerCodec.class.getName());
     private static final Member.State[] MEMBER_STATES = Member.State.values();
     private static final Signal[] SIGNALS = Signal.values();
 
@@ -38,14 +41,36 @@
                 .build();
     }
 
-    static Member decode(final MemberInfo info) {
+    /** Returns the members, without malformed ones: one of them must not hide the others. */
+    static List<Member> decode(final List<MemberInfo> infos) {
+        return wellFormed(infos, PeerCodec::decode);
+    }
+
+    private static <T, R> List<R> wellFormed(final List<T> messages, final Function<T, R> decode) {
+        final List<R> decoded = new ArrayList<>();
+        for (final T message : messages) {
+            try {
+                decoded.add(decode.apply(message));
+            } catch (final IllegalArgumentException e) {
+                LOG.log(System.Logger.Level.WARNING, "malformed part of a peer message", e);
+            }
+        }
+        return List.copyOf(decoded);
+    }
+
+    /** Returns an entry by its number; newer versions of this program may have more entries. */
+    private static <T> T entry(final T[] entries, final int number) {
+        return entries[Math.max(0, Math.min(number, entries.length - 1))];
+    }
+
+    private static Member decode(final MemberInfo info) {
         return new Member(
                 VmId.of(info.getId()),
                 DataCentreId.of(info.getDataCentre()),
                 info.getHost(),
                 info.getPort(),
                 info.getIncarnation(),
-                MEMBER_STATES[Math.min(info.getState(), MEMBER_STATES.length - 1)]);
+                entry(MEMBER_STATES, info.getState()));
     }
 
     static Objects encode(final Collection<StoredObject> objects) {
@@ -65,7 +90,7 @@
     }
 
     static List<StoredObject> decode(final Objects message) {
-        return message.getObjectsList().stream().map(PeerCodec::decode).toList();
+        return wellFormed(message.getObjectsList(), PeerCodec::decode);
     }
 
     static Halts encode(final HaltTable table) {
@@ -83,8 +108,10 @@
     static boolean merge(final Halts message, final HaltTable table) {
         boolean changed = false;
         for (final Halt halt : message.getHaltsList()) {
-            final Signal signal = SIGNALS[Math.min(halt.getSignal(), SIGNALS.length - 1)];
-            changed |= table.add(RolloutId.of(halt.getRollout()), signal);
+            final Signal signal = entry(SIGNALS, halt.getSignal());
+            for (final RolloutId rollout : wellFormed(List.of(halt.getRollout()), RolloutId::of)) {
+                changed |= table.add(rollout, signal);
+            }
         }
         return changed;
     }
--- a/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerGroup.java
+++ b/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerGroup.java
@@ -41,6 +41,8 @@
  */
 public final class PeerGroup implements AutoCloseable {
 
+    private static final System.Logger LOG = System.getLogger(PeerGroup.class.getName());
+
     private static final int INDIRECT_PROBERS = 2;
     private static final int MAX_OBJECTS_PER_PUSH = 200;
 
@@ -122,7 +124,7 @@
         join();
         final long period = timing.period().toMillis();
         loop.scheduleWithFixedDelay(
-                this::probeNext, random.nextLong(period) + 1, period, TimeUnit.MILLISECONDS);
+                this::runPeriod, random.nextLong(period) + 1, period, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -198,6 +200,15 @@
                 .thenAccept(r -> r.ifPresent(e -> mergeProbe(seed, e.getProbe())));
     }
 
+    /** An error would cancel the periodic task, and this VM would probe no other any more. */
+    private void runPeriod() {
+        try {
+            probeNext();
+        } catch (final RuntimeException e) {
+            LOG.log(System.Logger.Level.WARNING, "probe failed", e);
+        }
+    }
+
     private void probeNext() {
         if (closed) {
             return;
@@ -320,8 +331,7 @@
     }
 
     private void mergeMembers(final Probe probe) {
-        final List<Member> received =
-                probe.getMembersList().stream().map(PeerCodec::decode).toList();
+        final List<Member> received = PeerCodec.decode(probe.getMembersList());
         members.merge(received).forEach(listener::onMember);
     }
 
