An error in the search for another server ends one request

Its callbacks were the last steps of a request outside of RequestExecution.step: an error there kept the request at its silent server until its deadline.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
@@ -119,7 +119,10 @@
 
         private void begin() {
             if (permits.isNeeded(server, job)) {
-                permits.request(server, execution.remaining(), this::onPermit);
+                permits.request(
+                        server,
+                        execution.remaining(),
+                        reply -> execution.step(() -> onPermit(reply)));
             } else {
                 connect();
             }
@@ -132,7 +135,7 @@
                             Attempt.MAX_IDLE_RETRYABLE,
                             execution.maxIdleConnections(),
                             Attempt.FIRST_USE_DELAY);
-            probe.run(server, policy, this::onProbed);
+            probe.run(server, policy, result -> execution.step(() -> onProbed(result)));
         }
 
         private void onPermit(final Permit reply) {
