--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -244,15 +244,21 @@
             socket.getOutputStream().write(REQUEST);
             final ServerExchange exchange = running.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
             server.closeAfterResponses();
+            final CountDownLatch blocked = new CountDownLatch(1);
             final CountDownLatch sent = new CountDownLatch(1);
             group.execute(
                     () -> {
+                        blocked.countDown();
                         awaitUninterruptibly(sent);
                         exchange.respond(200, Map.of(), body);
                     });
+            // The event loop must not read the second request before it responds to the first one.
+            blocked.await();
             socket.getOutputStream().write(REQUEST);
             sent.countDown();
+            final long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
             while (server.openConnections() > 0) {
+                assertThat(System.nanoTime()).isLessThan(end);
                 group.submit(() -> {}).get();
             }
             assertThat(socket.getInputStream().readAllBytes().length).isGreaterThan(body.length);
