--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -206,7 +206,10 @@
         final Queue<Runnable> arrived = aside.orElseThrow();
         aside = Optional.empty();
         pause(false);
-        arrived.forEach(Runnable::run);
+        while (!arrived.isEmpty() && aside.isEmpty()) {
+            arrived.remove().run();
+        }
+        aside.ifPresent(later -> later.addAll(arrived));
     }
 
     /** Cancels the attempt because a larger model has taken the request after it responded. */
@@ -250,6 +253,10 @@
 
     @Override
     public void onHead(final int status, final HttpHeaders headers) {
+        if (aside.isPresent()) {
+            aside.get().add(() -> onHead(status, headers));
+            return;
+        }
         onByte();
         markPromptRead();
         latencyEstimator.onFirstByte(now() - sentMillis, promptTokens());
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -35,7 +35,7 @@
 public final class HttpServer implements AutoCloseable {
 
     /** Connections that are accepted at a time, before open ones are read again. */
-    private static final int MAX_ACCEPTED = 16;
+    static final int MAX_ACCEPTED = 16;
 
     /** Bounds the reads of one connection in a row, so that it does not delay the others. */
     private static final int MAX_CONSECUTIVE_READS = 16;
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpServerTest.java
@@ -289,4 +289,37 @@
             }
         }
     }
+
+    /**
+     * Guards against a queue that counts as full after exactly as many as are accepted at a time.
+     */
+    @Test
+    void noConnectionWaitsAfterTheLastOfAFullBatch() throws Exception {
+        try (HttpServer server = start(exchange -> exchange.respond(200, "text/plain", "ok"))) {
+            final CountDownLatch blocked = new CountDownLatch(1);
+            final CountDownLatch connected = new CountDownLatch(1);
+            group.execute(
+                    () -> {
+                        blocked.countDown();
+                        awaitUninterruptibly(connected);
+                    });
+            blocked.await();
+            final List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < HttpServer.MAX_ACCEPTED; i++) {
+                sockets.add(send(server));
+            }
+            connected.countDown();
+            for (final Socket socket : sockets) {
+                assertThat(socket.getInputStream().read()).isEqualTo('H');
+            }
+            final long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+            while (server.hasWaitingConnections()) {
+                assertThat(System.nanoTime()).isLessThan(end);
+                Thread.onSpinWait();
+            }
+            for (final Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
 }
