--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/PauseMonitor.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/PauseMonitor.java
@@ -32,6 +32,7 @@
         this.listening = listening;
         this.periodMillis = clock.millis();
         this.beforePauseMillis = periodMillis;
+        // So long ago that no signal is taken for one sent in a pause.
         this.afterPauseMillis = periodMillis - EventLoopPause.MIN_DELAY.toMillis();
     }
 
