A stopping VM ends no request in silence

What callers saw: in a planned stop, unsafe requests that became whole late in the grace period were passed on and ended without a response at the exit; callers who had sent half a request got a closed connection.

Cause: the time until the exit was compared once, with the mean of the response times, which half of all requests exceed; a further attempt and a wait for a permit were not asked again; and at the exit nothing was said to those still open.

Change: Drain (now in the core) answers all open requests without a response 300 ms before the exit: as not run, or with an unknown outcome; parts of requests are refused as not run; streams go on until the exit. This part needs no estimate. Beside it a request is passed on, at any attempt and after any wait, only if it is likely to end before, by mean and deviation of the response times (RFC 6298). GracefulStop takes the end of a stopping VM out of GatewayVm; FS1015 counts last responses.

DrainTest keeps its cases; the time left is now that until the last responses, 300 ms less, and 'may exit' is asked of the step that Drain decides.

--- a/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/attempt/LatencyEstimator.java
@@ -38,12 +38,19 @@
     /** Estimate of the response time before the first response; milliseconds. */
     private static final double INITIAL_RESPONSE_MILLIS = 100;
 
+    /**
+     * Deviations above the mean within which most responses end, as in the retransmission timeout
+     * of TCP (RFC 6298).
+     */
+    private static final double LIKELY_DEVIATIONS = 4;
+
     private static final int MIN_SAMPLES = 10;
 
     private int samples;
     private double millisPerToken = INITIAL_MILLIS_PER_TOKEN;
     private double prefillMillisPerToken = INITIAL_MILLIS_PER_TOKEN;
     private double responseMillis = INITIAL_RESPONSE_MILLIS;
+    private double deviationMillis = INITIAL_RESPONSE_MILLIS / 2;
 
     /**
      * Adds the time to the first byte of a response.
@@ -79,7 +86,9 @@
      *     backend server; each of them takes as long as this one; zero if it did not wait
      */
     public void onEnd(final long millis, final double aheadPerSlot) {
-        responseMillis += WEIGHT * (millis / (1 + aheadPerSlot) - responseMillis);
+        final double difference = millis / (1 + aheadPerSlot) - responseMillis;
+        deviationMillis += WEIGHT * (Math.abs(difference) - deviationMillis);
+        responseMillis += WEIGHT * difference;
     }
 
     /**
@@ -100,6 +109,16 @@
         return responseMillis;
     }
 
+    /**
+     * Returns the time within which a request that occupies a slot is likely to end. About half of
+     * all requests take longer than {@link #responseMillis()}.
+     *
+     * @return the time; milliseconds
+     */
+    public double likelyResponseMillis() {
+        return responseMillis + LIKELY_DEVIATIONS * deviationMillis;
+    }
+
     /**
      * Returns how long to wait for the first byte before the backend server is treated as failed.
      *
--- a/fennelstage-core/src/test/java/org/fennelstage/stop/DrainTest.java
+++ b/fennelstage-core/src/test/java/org/fennelstage/stop/DrainTest.java
@@ -1,4 +1,4 @@
-package org.fennelstage.vm;
+package org.fennelstage.stop;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -26,9 +26,9 @@
     @Test
     void idleVmDoesNotExitBeforeBalancerIsInformed() {
         now.addAndGet(2_000);
-        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isFalse();
+        assertThat(mayExit(drain, drain.isBalancerInformed(), 0)).isFalse();
         now.addAndGet(500);
-        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isTrue();
+        assertThat(mayExit(drain, drain.isBalancerInformed(), 0)).isTrue();
     }
 
     /**
@@ -47,25 +47,25 @@
         now.addAndGet(5_000);
         pausedMillis.set(4_000);
         assertThat(drain.isBalancerInformed()).isFalse();
-        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isFalse();
+        assertThat(mayExit(drain, drain.isBalancerInformed(), 0)).isFalse();
         now.addAndGet(2_600);
-        assertThat(drain.mayExit(drain.isBalancerInformed(), 0)).isTrue();
+        assertThat(mayExit(drain, drain.isBalancerInformed(), 0)).isTrue();
     }
 
     @Test
     void theTimeLeftCountsFromTheEarliestSignalAndLeavesOutTheReserve() {
-        assertThat(drain.certainlyLeft()).isEqualTo(Duration.ofMillis(4_600));
+        assertThat(drain.untilLastResponses()).isEqualTo(Duration.ofMillis(4_300));
         now.addAndGet(5_000);
-        assertThat(drain.certainlyLeft()).isZero();
-        assertThat(drain.mayExit(drain.isBalancerInformed(), 1)).isFalse();
+        assertThat(drain.untilLastResponses()).isZero();
+        assertThat(mayExit(drain, drain.isBalancerInformed(), 1)).isFalse();
     }
 
     /** Guards against an exit that resets connections whose requests have just arrived. */
     @Test
     void idleVmDoesNotExitBeforeItHasClosedIdleConnections() {
         now.addAndGet(2_500);
-        assertThat(drain.mayExit(false, 0)).isFalse();
-        assertThat(drain.mayExit(true, 0)).isTrue();
+        assertThat(mayExit(drain, false, 0)).isFalse();
+        assertThat(mayExit(drain, true, 0)).isTrue();
     }
 
     /** Guards against requests that a VM accepts in a stop that begins before it was ready. */
@@ -88,16 +88,68 @@
                         true,
                         Duration.ofSeconds(8));
         now.addAndGet(6_500);
-        assertThat(delayed.mayExit(true, 1)).isFalse();
+        assertThat(mayExit(delayed, true, 1)).isFalse();
         now.addAndGet(100);
-        assertThat(delayed.mayExit(true, 1)).isTrue();
+        assertThat(mayExit(delayed, true, 1)).isTrue();
     }
 
     @Test
     void requestsInFlightDelayExitUntilEndOfGrace() {
         now.addAndGet(7_000);
-        assertThat(drain.mayExit(drain.isBalancerInformed(), 1)).isFalse();
+        assertThat(mayExit(drain, drain.isBalancerInformed(), 1)).isFalse();
         now.addAndGet(600);
-        assertThat(drain.mayExit(drain.isBalancerInformed(), 1)).isTrue();
+        assertThat(mayExit(drain, drain.isBalancerInformed(), 1)).isTrue();
+    }
+
+    /** Guards against requests whose connections the exit closes without a response. */
+    @Test
+    void openRequestsGetTheirLastResponsesBeforeTheExit() {
+        now.addAndGet(4_299);
+        assertThat(drain.next(progress(1, 0, 1))).isEqualTo(Drain.Step.CLOSE_IDLE);
+        now.addAndGet(1);
+        assertThat(drain.next(progress(1, 0, 1))).isEqualTo(Drain.Step.RESPOND);
+        assertThat(drain.next(progress(0, 0, 1))).isEqualTo(Drain.Step.CLOSE_IDLE);
+        assertThat(drain.next(progress(0, 0, 0))).isEqualTo(Drain.Step.EXIT);
+    }
+
+    /** Guards against a VM that wakes from a pause after its time and exits without responses. */
+    @Test
+    void theLastResponsesComeBeforeTheExitAfterAPauseToo() {
+        now.addAndGet(9_000);
+        assertThat(drain.next(progress(1, 0, 1))).isEqualTo(Drain.Step.RESPOND);
+        assertThat(drain.next(progress(1, 0, 1))).isEqualTo(Drain.Step.EXIT);
+    }
+
+    /** Guards against callers who send half a request and never learn that it does not run. */
+    @Test
+    void requestsOfWhichAPartWasReadAreAnsweredBeforeAnEarlyExit() {
+        now.addAndGet(2_500);
+        assertThat(drain.next(progress(0, 2, 2))).isEqualTo(Drain.Step.RESPOND);
+        assertThat(drain.next(progress(0, 0, 2))).isEqualTo(Drain.Step.CLOSE_IDLE);
+        now.addAndGet(300);
+        assertThat(drain.next(progress(0, 0, 2))).isEqualTo(Drain.Step.EXIT);
+    }
+
+    @Test
+    void aStreamGoesOnAfterTheLastResponses() {
+        now.addAndGet(7_300);
+        assertThat(drain.next(progress(1, 0, 1))).isEqualTo(Drain.Step.RESPOND);
+        now.addAndGet(299);
+        assertThat(drain.next(progress(1, 0, 1))).isEqualTo(Drain.Step.CLOSE_IDLE);
+        now.addAndGet(1);
+        assertThat(drain.next(progress(1, 0, 1))).isEqualTo(Drain.Step.EXIT);
+    }
+
+    private static Drain.Progress progress(
+            final int unfinished, final int partial, final int connections) {
+        return new Drain.Progress(true, unfinished, partial, connections);
+    }
+
+    /** Returns whether a VM may exit, if it has responded to what it may not wait for. */
+    private static boolean mayExit(
+            final Drain drain, final boolean idleClosed, final int unfinished) {
+        final Drain.Progress progress = new Drain.Progress(idleClosed, unfinished, 0, 0);
+        final Drain.Step step = drain.next(progress);
+        return (step == Drain.Step.RESPOND ? drain.next(progress) : step) == Drain.Step.EXIT;
     }
 }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -37,6 +37,7 @@
 import org.fennelstage.speed.SampleKind;
 import org.fennelstage.speed.ServerSpeeds;
 import org.fennelstage.startup.StartProgress;
+import org.fennelstage.stop.ExitAdmission;
 
 /**
  * Handles callers' requests: finds the route and the team, or responds with an error.
@@ -70,11 +71,11 @@
     private Supplier<List<InetSocketAddress>> peers = List::of;
     private final Map<ServiceName, ForwardingPeers> forwardingPeers = new HashMap<>();
     private boolean acceptsForwarded = true;
-    private Optional<Supplier<Duration>> untilExit = Optional.empty();
+    private ExitAdmission exitAdmission = ExitAdmission.ofRunningVm();
     private Optional<Supplier<Duration>> processAge = Optional.empty();
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private final ByteBudget responseMemory = ByteBudget.of(RESPONSE_MEMORY_BYTES);
-    private int inFlight;
+    private final OpenRequests openRequests = new OpenRequests();
 
     /**
      * Creates a gateway.
@@ -164,17 +165,29 @@
     }
 
     /**
-     * From now on rejects requests whose responses would not be whole when the process exits.
+     * From now on passes on only requests that are likely to end before the last responses.
      *
-     * @param remaining supplies the time until the exit
+     * @param remaining supplies the time until {@link #respondToOpenRequests}
      */
     public void exitAfter(final Supplier<Duration> remaining) {
-        untilExit = Optional.of(remaining);
+        exitAdmission = ExitAdmission.until(remaining);
     }
 
-    /** Returns whether the process exits before a response that takes some time is whole. */
-    boolean exitsWithin(final double responseMillis) {
-        return untilExit.isPresent() && responseMillis > untilExit.get().get().toMillis();
+    ExitAdmission exitAdmission() {
+        return exitAdmission;
+    }
+
+    /**
+     * Ends each open request whose response has not started: as not run if it certainly has not,
+     * else with an unknown outcome. To be called shortly before the exit.
+     */
+    public void respondToOpenRequests() {
+        openRequests.forEach(RequestExecution::respondBeforeExit);
+    }
+
+    /** Ends all open requests. To be called at the exit. */
+    public void abortOpenRequests() {
+        openRequests.forEach(RequestExecution::endAtExit);
     }
 
     /**
@@ -346,7 +359,7 @@
      * @return the count
      */
     public int inFlight() {
-        return inFlight;
+        return openRequests.size();
     }
 
     /** Returns the memory that responses share until they are whole. */
@@ -428,13 +441,13 @@
         return recoveryProbe;
     }
 
-    void onRequestStarted() {
-        inFlight++;
+    void onRequestStarted(final RequestExecution request) {
+        openRequests.add(request);
         metrics.begin();
     }
 
-    void onRequestEnded() {
-        inFlight--;
+    void onRequestEnded(final RequestExecution request) {
+        openRequests.remove(request);
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -138,7 +138,7 @@
     }
 
     void start() {
-        gateway.onRequestStarted();
+        gateway.onRequestStarted(this);
         step(this::begin);
     }
 
@@ -199,10 +199,6 @@
             rejectAsNotReached();
             return;
         }
-        if (gateway.exitsWithin(job().responseMillis())) {
-            reject(GatewayError.STOPPING);
-            return;
-        }
         final OptionalDouble excessiveWait =
                 waitEstimator.excessiveWaitMillis(service, candidates, models.model(), remaining());
         if (excessiveWait.isPresent()) {
@@ -221,6 +217,23 @@
         }
     }
 
+    /** Returns whether an attempt that begins after a wait is likely to end before the exit. */
+    private boolean endsBeforeExit(final double waitMillis) {
+        return gateway.exitAdmission()
+                .admits(waitMillis + latencyEstimator().likelyResponseMillis());
+    }
+
+    /** Rejects a request that this VM does not pass on any more, if nothing has run. */
+    private void rejectAsStopping() {
+        if (response.started() || attempts.mayHaveRun()) {
+            giveUp();
+        } else if (forwarded) {
+            rejectAsNotReached();
+        } else {
+            reject(GatewayError.STOPPING);
+        }
+    }
+
     /** Rejects a forwarded request as not sent, so that the other VM tries another one. */
     private void rejectAsNotReached() {
         errors.notReached();
@@ -532,6 +545,9 @@
         if (!route.retryable() || attempts.remaining() == 0 || !response.mayContinue()) {
             return Optional.of(Takeover.KeptBecause.NO_FURTHER_ATTEMPT);
         }
+        if (!endsBeforeExit(0)) {
+            return Optional.of(Takeover.KeptBecause.STOPPING);
+        }
         return gateway.crashes().rejectionTime(fingerprints).isPresent()
                 ? Optional.of(Takeover.KeptBecause.QUARANTINED)
                 : Optional.empty();
@@ -612,6 +628,10 @@
         if (rejectedAsQuarantined()) {
             return;
         }
+        if (!endsBeforeExit(0)) {
+            rejectAsStopping();
+            return;
+        }
         // Since the attempt before, a rollout may have moved all traffic, and the servers of the
         // former version may have stopped.
         version = canary().choose(request.session(), request.id());
@@ -639,7 +659,7 @@
             permits.request(
                     server.get(), remaining(), p -> step(() -> onPermit(server.get(), job, p)));
         } else {
-            send(server.get(), job, candidates.size(), Permit.NONE);
+            passOn(server.get(), job, candidates.size(), Permit.NONE);
         }
     }
 
@@ -688,14 +708,30 @@
         final List<TrackedServer> candidates = ended ? List.of() : candidates();
         final boolean mayUse = candidates.contains(server) && !(permit instanceof Permit.Denied);
         if (mayUse) {
-            send(server, job, candidates.size(), permit);
+            passOn(server, job, candidates.size(), permit);
             return;
         }
+        giveBack(permit);
+        if (!ended) {
+            startAttempt();
+        }
+    }
+
+    private static void giveBack(final Permit permit) {
         if (permit instanceof Permit.Granted granted) {
             granted.giveBack().run(Optional.empty());
         }
-        if (!ended) {
-            startAttempt();
+    }
+
+    /** Sends the request unless its wait at the backend server would last until the exit. */
+    private void passOn(
+            final TrackedServer server, final Job job, final int candidates, final Permit permit) {
+        final double waitMillis = gateway.placement().waitMillis(server, job) - job.readMillis();
+        if (endsBeforeExit(Math.max(0, waitMillis))) {
+            send(server, job, candidates, permit);
+        } else {
+            giveBack(permit);
+            rejectAsStopping();
         }
     }
 
@@ -774,6 +810,29 @@
         }
     }
 
+    /** Ends the request, unless its response has started, with what is known of it. */
+    void respondBeforeExit() {
+        if (ended || response.started()) {
+            return;
+        }
+        final boolean mayHaveRun = attempts.mayHaveRun();
+        cancelOpenAttempt();
+        if (mayHaveRun) {
+            reject(GatewayError.OUTCOME_UNKNOWN);
+        } else {
+            rejectAsStopping();
+        }
+    }
+
+    /** Ends the request; a response that has started is broken off. */
+    void endAtExit() {
+        respondBeforeExit();
+        if (!ended) {
+            cancelOpenAttempt();
+            abortResponse("stopped_in_stream");
+        }
+    }
+
     private void onCallerDisconnected() {
         if (ended) {
             return;
@@ -821,7 +880,7 @@
             gateway.crashes().returnTrial(trialOf);
         }
         timer.ifPresent(t -> t.cancel(false));
-        gateway.onRequestEnded();
+        gateway.onRequestEnded(this);
         gateway.metrics().end(route.name(), outcome, elapsedMillis());
         log.finished(outcome, status, modelName(), confidence, elapsedMillis());
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Takeover.java
@@ -27,6 +27,8 @@
     enum KeptBecause {
         /** The request may not run more than once, or not at more backend servers. */
         NO_FURTHER_ATTEMPT,
+        /** This VM exits before another backend server would probably have responded. */
+        STOPPING,
         /** Requests of its content are rejected, since they crash backend servers. */
         QUARANTINED,
         /** There is no other reachable backend server. */
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -44,6 +44,7 @@
 import org.fennelstage.speed.ServerSpeeds;
 import org.fennelstage.startup.CopyAnnouncements;
 import org.fennelstage.startup.CopyRequests;
+import org.fennelstage.stop.Drain;
 import org.fennelstage.store.CoalescedStore;
 import org.fennelstage.store.EraTracker;
 import org.fennelstage.store.FallbackStore;
@@ -505,16 +506,6 @@
         stopping = true;
         final boolean wasReady = readiness.isReady();
         readiness.onStopping();
-        gateway.stopAcceptingForwarded();
-        callerListener.closeAfterResponses();
-        EventLog.write(
-                Event.DRAINING,
-                "vm",
-                settings.vm(),
-                "in_flight",
-                gateway.inFlight(),
-                "connections",
-                callerListener.openConnections());
         final long signalMillis = state.clock().millis() - sinceSignal.toMillis();
         final Drain drain =
                 Drain.of(
@@ -524,37 +515,15 @@
                         Math.min(signalMillis, pauses.earliestSignalMillis()),
                         wasReady,
                         settings.bounds().grace());
-        gateway.exitAfter(drain::certainlyLeft);
-        awaitDrained(drain, false, whenStopped);
-    }
-
-    private void awaitDrained(
-            final Drain drain, final boolean idleClosed, final Runnable whenStopped) {
-        final int unwritten =
-                callerListener.unwrittenResponses() + peerListener.unwrittenResponses();
-        final int notAccepted = callerListener.hasWaitingConnections() ? 1 : 0;
-        final int unfinished = gateway.inFlight() + unwritten + notAccepted;
-        if (drain.mayExit(idleClosed, unfinished)) {
-            EventLog.write(
-                    unfinished == 0 ? Event.STOPPED : Event.DRAIN_TIMED_OUT,
-                    "vm",
-                    settings.vm(),
-                    "in_flight",
-                    gateway.inFlight(),
-                    "unwritten",
-                    unwritten,
-                    "log_lines_dropped",
-                    LogSetup.dropped());
-            whenStopped.run();
-            return;
-        }
-        final boolean closesIdle = drain.isBalancerInformed();
-        if (closesIdle) {
-            callerListener.closeIdle();
-        }
-        schedule(
-                () -> awaitDrained(drain, closesIdle, whenStopped),
-                Duration.ofMillis(PERIODIC_TASK_MILLIS));
+        new GracefulStop(
+                        settings.vm(),
+                        gateway,
+                        callerListener,
+                        peerListener,
+                        this::schedule,
+                        drain,
+                        whenStopped)
+                .begin();
     }
 
     private void checkOverload() {
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -259,8 +259,7 @@
 
     private static void closeUnlessBusy(final Channel connection) {
         final ConnectionHandler handler = connection.pipeline().get(ConnectionHandler.class);
-        final HeaderTimeout headerTimeout = connection.pipeline().get(HeaderTimeout.class);
-        final boolean busy = handler == null || handler.isBusy() || headerTimeout.isReading();
+        final boolean busy = handler == null || handler.isBusy() || isReading(connection);
         if (!busy) {
             connection.close();
         } else if (handler != null) {
@@ -268,6 +267,38 @@
         }
     }
 
+    /**
+     * Returns the number of connections on which a part of a request has been read and no response
+     * is due. To be called on the event loop of all connections.
+     *
+     * @return the number of connections
+     */
+    public int partialRequests() {
+        return (int) connections.stream().filter(HttpServer::isPartialAlone).count();
+    }
+
+    private static boolean isPartialAlone(final Channel connection) {
+        final ConnectionHandler handler = connection.pipeline().get(ConnectionHandler.class);
+        return handler != null && !handler.isBusy() && isReading(connection);
+    }
+
+    private static boolean isReading(final Channel connection) {
+        final HeaderTimeout headerTimeout = connection.pipeline().get(HeaderTimeout.class);
+        return headerTimeout != null && headerTimeout.isReading();
+    }
+
+    /**
+     * Refuses the requests of which a part has been read, as not run, in the order of requests. To
+     * be called on the event loop of all connections.
+     */
+    public void refusePartialRequests() {
+        for (final Channel connection : connections) {
+            if (isReading(connection)) {
+                connection.pipeline().fireUserEventTriggered(Refusal.STOPPING);
+            }
+        }
+    }
+
     /** Stops accepting connections; open ones stay open. */
     public void stopAccepting() {
         listener.close().awaitUninterruptibly();
--- a/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
+++ b/fennelstage-log/src/main/java/org/fennelstage/log/Event.java
@@ -21,6 +21,7 @@
     LOG_LINES_DROPPED(1012, Level.WARNING, "log lines were dropped; the reader of the log is slow"),
     PROCESS_FAILED(1013, Level.ERROR, "process cannot go on; it ends"),
     SIGNAL_DEFERRED(1014, Level.INFO, "signal arrived while the VM starts; applied once it runs"),
+    LAST_RESPONSES(1015, Level.INFO, "VM exits soon; open requests got their last responses"),
     TLS_RELOADED(1006, Level.INFO, "TLS keys reloaded"),
     TLS_UNREADABLE(1007, Level.ERROR, "cannot read TLS keys; the previous keys stay in use"),
 
