Bytes of remote ends share one memory, each with a limit

What callers saw, by the operators' report: a remote end that sent without end made a VM run out of memory, and the requests of other callers ended with it. Workers held already; the store did not: responses to the VM's own calls were collected without a limit (lists, watches, relays, copies, the object API, ratings), and bodies of forwarded requests were kept outside the memory for responses.

Change: HttpClient.collect replaces Responses.collecting, so that no response can be collected without a limit: 8 MB each, and all share RemoteMemory, of which responses to callers and bodies of requests may take parts; what is left is the store's. BufferedBytes counts for direct and forwarded attempts alike.

ForwardingPathTest: two new cases fail on (the whole of 96 MB is kept and passed on) and pass. CollectedResponseTest, BodyMemoryTest, ByteBudgetTest. Responses.collecting in tests became HttpClient.collect; their assertions are as they were.

--- a/fennelstage-bench/src/main/java/org/fennelstage/bench/LoadMain.java
+++ b/fennelstage-bench/src/main/java/org/fennelstage/bench/LoadMain.java
@@ -25,7 +25,6 @@
 import org.apache.commons.cli.ParseException;
 import org.fennelstage.http.CallOptions;
 import org.fennelstage.http.HttpClient;
-import org.fennelstage.http.Responses;
 import org.fennelstage.ini.IniFile;
 import org.fennelstage.log.LogSetup;
 import org.fennelstage.objects.Json;
@@ -167,11 +166,12 @@
     }
 
     private void requestStatus(final HttpClient client, final InetSocketAddress admin) {
-        client.send(
+        client.collect(
                 admin,
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/status"),
                 CallOptions.DEFAULT,
-                Responses.collecting(response -> onStatus(admin, response.body()), failure -> {}));
+                response -> onStatus(admin, response.body()),
+                failure -> {});
     }
 
     private void onStatus(final InetSocketAddress admin, final byte[] body) {
--- a/fennelstage-core/src/main/java/org/fennelstage/limit/ByteBudget.java
+++ b/fennelstage-core/src/main/java/org/fennelstage/limit/ByteBudget.java
@@ -1,18 +1,29 @@
 package org.fennelstage.limit;
 
+import java.util.Optional;
+
 /**
- * Memory that the responses being received share, so that backend servers which send without end
- * cannot use up the heap, however many they are.
+ * Memory that the bytes of remote ends share, so that those which send without end cannot use up
+ * the heap, however many they are.
+ *
+ * <p>A budget may have parts, each with a limit of its own: what is taken from a part is taken from
+ * the whole too, so that one kind of remote ends leaves room for the others.
  *
- * <p>Invariant: the bytes taken and not given back never exceed the total. Not thread-safe.
+ * <p>Invariant: the bytes taken and not given back never exceed the total, nor the limit of a part.
+ * Not thread-safe.
  */
 public final class ByteBudget {
 
     private final long total;
+    private final Optional<ByteBudget> whole;
     private long taken;
 
-    private ByteBudget(final long total) {
+    private ByteBudget(final long total, final Optional<ByteBudget> whole) {
+        if (total <= 0) {
+            throw new IllegalArgumentException("total is " + total);
+        }
         this.total = total;
+        this.whole = whole;
     }
 
     /**
@@ -22,10 +33,17 @@
      * @return the budget
      */
     public static ByteBudget of(final long total) {
-        if (total <= 0) {
-            throw new IllegalArgumentException("total is " + total);
-        }
-        return new ByteBudget(total);
+        return new ByteBudget(total, Optional.empty());
+    }
+
+    /**
+     * Returns a part of this budget.
+     *
+     * @param limit the largest size that may be taken from the part; bytes
+     * @return the part, of which nothing is taken
+     */
+    public ByteBudget part(final long limit) {
+        return new ByteBudget(limit, Optional.of(this));
     }
 
     /**
@@ -35,7 +53,7 @@
      * @return false if not enough is left; nothing is taken then
      */
     public boolean tryTake(final long bytes) {
-        if (bytes > total - taken) {
+        if (bytes > total - taken || !whole.map(w -> w.tryTake(bytes)).orElse(true)) {
             return false;
         }
         taken += bytes;
@@ -48,7 +66,9 @@
      * @param bytes the size
      */
     public void giveBack(final long bytes) {
-        taken = Math.max(0, taken - bytes);
+        final long given = Math.min(taken, bytes);
+        taken -= given;
+        whole.ifPresent(w -> w.giveBack(given));
     }
 
     @Override
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Attempt.java
@@ -74,12 +74,6 @@
      */
     static final Duration FIRST_USE_DELAY = Duration.ofMillis(5);
 
-    /**
-     * Largest response that is not a stream, and largest event of a stream; bytes. Both are kept
-     * until they are whole, and a backend server in trouble may send bytes without end.
-     */
-    private static final long MAX_BUFFERED_BYTES = 8L << 20;
-
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private final RequestExecution execution;
@@ -99,7 +93,7 @@
     private long lastByteMillis;
     private long headMillis;
     private int eventCount;
-    private long takenBytes;
+    private final BufferedBytes buffered;
     private boolean promptRead;
     private boolean endsWithConnection;
     private boolean flowing;
@@ -122,6 +116,7 @@
         this.eventTimer =
                 execution.gateway().usesSpeeds() ? Optional.of(new EventTimer()) : Optional.empty();
         this.observation = observe();
+        this.buffered = new BufferedBytes(execution.gateway().memory().responses());
     }
 
     private ResponseObservation observe() {
@@ -310,33 +305,22 @@
         if (ended) {
             return;
         }
-        if (!takeMemory(content.readableBytes())) {
+        if (!buffered.tryAdd(content.readableBytes())) {
             onTooLarge();
         } else if (isStreaming()) {
             events.feed(content);
-            giveBackMemory(takenBytes - events.pendingBytes());
+            buffered.keep(ended ? 0 : events.pendingBytes());
         } else {
             body.writeBytes(ByteBufUtil.getBytes(content));
         }
     }
 
-    private boolean takeMemory(final int bytes) {
-        final boolean taken =
-                takenBytes + bytes <= MAX_BUFFERED_BYTES
-                        && execution.gateway().responseMemory().tryTake(bytes);
-        takenBytes += taken ? bytes : 0;
-        return taken;
-    }
-
-    private void giveBackMemory(final long bytes) {
-        execution.gateway().responseMemory().giveBack(bytes);
-        takenBytes -= bytes;
-    }
-
     private void onTooLarge() {
         call.cancel();
         recordHealth(true);
-        fail(AttemptEnd.UNKNOWN, "response or event too large, over " + takenBytes + " bytes");
+        fail(
+                AttemptEnd.UNKNOWN,
+                "response or event too large, over " + buffered.count() + " bytes");
     }
 
     @Override
@@ -592,7 +576,7 @@
         }
         ended = true;
         observation.close();
-        giveBackMemory(takenBytes);
+        buffered.keep(0);
         setFlowing(false);
         execution.gateway().attempts().remove(this);
         markPromptRead();
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/ForwardedAttempt.java
@@ -42,6 +42,7 @@
     private final ForwardingPeers peers;
     private final InetSocketAddress peer;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BufferedBytes buffered;
     private final EventSplitter events = new EventSplitter(this::onEvent);
     private Optional<ResponseHead> head = Optional.empty();
     private boolean notReached;
@@ -57,6 +58,7 @@
         this.execution = Objects.requireNonNull(execution, "execution is null");
         this.peers = Objects.requireNonNull(peers, "peers is null");
         this.peer = Objects.requireNonNull(peer, "peer is null");
+        this.buffered = new BufferedBytes(execution.gateway().memory().responses());
     }
 
     /** Returns the address of the other VM. */
@@ -130,8 +132,12 @@
         if (ended) {
             return;
         }
-        if (isStreaming()) {
+        if (!buffered.tryAdd(content.readableBytes())) {
+            call.cancel();
+            fail(AttemptEnd.UNKNOWN, "response or event too large", execution::giveUp);
+        } else if (isStreaming()) {
             events.feed(content);
+            buffered.keep(ended ? 0 : events.pendingBytes());
         } else {
             body.writeBytes(ByteBufUtil.getBytes(content));
         }
@@ -218,6 +224,7 @@
             return false;
         }
         ended = true;
+        buffered.keep(0);
         peers.onEnd(peer);
         return true;
     }
--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/Gateway.java
@@ -25,7 +25,6 @@
 import org.fennelstage.http.RequestHandler;
 import org.fennelstage.http.ServerExchange;
 import org.fennelstage.id.ServiceName;
-import org.fennelstage.limit.ByteBudget;
 import org.fennelstage.log.Event;
 import org.fennelstage.log.EventLog;
 import org.fennelstage.placement.LoadTest;
@@ -46,10 +45,6 @@
  * servers run.
  */
 public final class Gateway implements RequestHandler {
-
-    /** Part of a VM's heap of 96 MB; a buffer may take twice its content while it grows. */
-    private static final long RESPONSE_MEMORY_BYTES = 16L << 20;
-
     private final GatewayState state;
     private final WireCodec codec;
     private final HttpClient client;
@@ -74,7 +69,7 @@
     private ExitAdmission exitAdmission = ExitAdmission.ofRunningVm();
     private Optional<Supplier<Duration>> processAge = Optional.empty();
     private final Set<Attempt> attempts = new LinkedHashSet<>();
-    private final ByteBudget responseMemory = ByteBudget.of(RESPONSE_MEMORY_BYTES);
+    private final RemoteMemory memory;
     private final OpenRequests openRequests = new OpenRequests();
 
     /**
@@ -86,6 +81,7 @@
      * @param placement chooses backend servers
      * @param random source of randomness for the choice of services and for jitter
      * @param metrics the metrics
+     * @param memory the memory for responses
      * @param policy the mechanisms in use
      */
     public Gateway(
@@ -95,6 +91,7 @@
             final Placement placement,
             final RandomGenerator random,
             final GatewayMetrics metrics,
+            final RemoteMemory memory,
             final Policy policy) {
         this.state = Objects.requireNonNull(state, "state is null");
         this.codec = Objects.requireNonNull(codec, "codec is null");
@@ -103,6 +100,7 @@
         this.loadTest = LoadTest.of(placement, random);
         this.random = Objects.requireNonNull(random, "random is null");
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+        this.memory = Objects.requireNonNull(memory, "memory is null");
         this.policy = Objects.requireNonNull(policy, "policy is null");
         this.crashes = new CrashDetector(state.clock(), client, state.servers()::reachesMost);
         this.unreachableReports =
@@ -362,9 +360,8 @@
         return openRequests.size();
     }
 
-    /** Returns the memory that responses share until they are whole. */
-    ByteBudget responseMemory() {
-        return responseMemory;
+    RemoteMemory memory() {
+        return memory;
     }
 
     /**
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -25,6 +25,7 @@
 import org.fennelstage.gateway.Gateway;
 import org.fennelstage.gateway.GatewayMetrics;
 import org.fennelstage.gateway.GatewayState;
+import org.fennelstage.gateway.RemoteMemory;
 import org.fennelstage.gateway.Sockets;
 import org.fennelstage.gateway.WireCodec;
 import org.fennelstage.http.EventLoopPause;
@@ -115,7 +116,8 @@
         this.droppedLines = new DroppedLinesReport(LogSetup::dropped, clock);
         this.state = new GatewayState(clock, pauses.listening(), settings.bounds());
         final HttpClient serverClient = new HttpClient(loop);
-        final HttpClient storeClient = new HttpClient(loop);
+        final RemoteMemory memory = new RemoteMemory();
+        final HttpClient storeClient = new HttpClient(loop, memory.ofOwnCalls());
         final Peers peers =
                 new Peers(
                         ownEntry(settings),
@@ -133,6 +135,7 @@
                         Placement.of(settings.dataCentre(), random, loadBoard),
                         random,
                         metrics,
+                        memory,
                         settings.policy());
         if (settings.policy().uses(Mechanism.SERVER_SPEEDS)) {
             gateway.useSpeeds(speeds);
@@ -166,14 +169,20 @@
         gateway.crashes().onQuarantined(quarantineFeed::writeDue);
         this.evacuationFeed = new EvacuationFeed(state, readiness::onEvacuationsListed);
         this.callerListener =
-                HttpServer.start(group, settings.callers(), this::limits, Optional::empty, gateway);
+                HttpServer.start(
+                        group,
+                        settings.callers(),
+                        this::limits,
+                        Optional::empty,
+                        memory.ofRequests(),
+                        gateway);
         this.overload =
                 new OverloadDetector(
                         Duration.ofMillis(PERIODIC_TASK_MILLIS),
                         callerListener::acceptDelay,
                         clock);
         callerListener.refuseConnectionsWhile(overload::isOverloaded);
-        this.peerListener = startInternalListeners(storeClient, store, serverClient);
+        this.peerListener = startInternalListeners(storeClient, store, serverClient, memory);
         final PeerMessenger messenger =
                 PeerMessenger.start(
                         loop,
@@ -313,7 +322,10 @@
 
     /** Returns the listener for other VMs. */
     private HttpServer startInternalListeners(
-            final HttpClient storeClient, final FallbackStore store, final HttpClient serverClient)
+            final HttpClient storeClient,
+            final FallbackStore store,
+            final HttpClient serverClient,
+            final RemoteMemory memory)
             throws IOException {
         HttpServer.start(group, settings.readiness(), ServerLimits.DEFAULT, readiness);
         final StoreRelay relay =
@@ -327,7 +339,9 @@
                 HttpServer.start(
                         group,
                         settings.peers(),
-                        ServerLimits.DEFAULT,
+                        () -> ServerLimits.DEFAULT,
+                        Optional::empty,
+                        memory.ofRequests(),
                         exchange -> handlePeer(exchange, relay));
         if (settings.metrics().isPresent()) {
             final VmMetrics vmMetrics =
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/StoreRelay.java
@@ -123,13 +123,12 @@
         }
         final String uri = exchange.uri();
         call.onAbandoned(() -> onAbandoned(uri, call));
-        return http.send(
+        return http.collect(
                 store,
                 request,
                 CallOptions.of(CONNECT_TIMEOUT, INACTIVITY_TIMEOUT, false),
-                Responses.collecting(
-                        whole -> onResponse(uri, call, whole),
-                        failure -> onFailure(uri, call, failure)));
+                whole -> onResponse(uri, call, whole),
+                failure -> onFailure(uri, call, failure));
     }
 
     private void onResponse(
--- a/fennelstage-http/src/main/java/org/fennelstage/http/Call.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/Call.java
@@ -16,6 +16,7 @@
 
     private Channel channel;
     private Optional<Long> writtenNanos = Optional.empty();
+    private Runnable onCancelled = () -> {};
     private boolean cancelled;
     private boolean paused;
 
@@ -24,6 +25,7 @@
     /** Cancels the call and closes its connection, from which the server sees that it may stop. */
     public void cancel() {
         cancelled = true;
+        onCancelled.run();
         if (channel != null) {
             channel.close();
         }
@@ -50,6 +52,11 @@
         return writtenNanos.map(written -> Duration.ofNanos(System.nanoTime() - written));
     }
 
+    /** Sets what runs when the call is cancelled, as often as that happens. */
+    void onCancelled(final Runnable action) {
+        onCancelled = action;
+    }
+
     void onWritten() {
         writtenNanos = Optional.of(System.nanoTime());
     }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/ConnectionHandler.java
@@ -172,10 +172,20 @@
             start(context, request);
             request.release();
         } else {
+            giveMemoryBack(context);
             refusal.ifPresent(r -> writeRefusal(context, r));
         }
     }
 
+    /** A part of the next request may have been read; it is given back with that request. */
+    private static void giveMemoryBack(final ChannelHandlerContext context) {
+        final HeaderTimeout reading = context.pipeline().get(HeaderTimeout.class);
+        final BodyMemory bodies = context.pipeline().get(BodyMemory.class);
+        if (bodies != null && !(reading != null && reading.isReading())) {
+            bodies.giveBack();
+        }
+    }
+
     private static HttpResponseStatus statusFor(final Throwable cause) {
         return cause instanceof TooLongHttpHeaderException
                 ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpClient.java
@@ -53,6 +53,7 @@
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT);
 
     private final EventLoop loop;
+    private final SharedMemory memory;
     private final ConnectionPool pool = new ConnectionPool();
     private long connectionsOpened;
 
@@ -62,7 +63,18 @@
      * @param loop the event loop that runs it
      */
     public HttpClient(final EventLoop loop) {
+        this(loop, SharedMemory.UNSHARED);
+    }
+
+    /**
+     * Creates a client whose collected responses share memory with others.
+     *
+     * @param loop the event loop that runs it
+     * @param memory the memory
+     */
+    public HttpClient(final EventLoop loop, final SharedMemory memory) {
         this.loop = Objects.requireNonNull(loop, "loop is null");
+        this.memory = Objects.requireNonNull(memory, "memory is null");
     }
 
     public EventLoop eventLoop() {
@@ -102,6 +114,41 @@
             final FullHttpRequest request,
             final CallOptions options,
             final ResponseListener listener) {
+        final Call call = new Call();
+        send(address, request, options, call, listener);
+        return call;
+    }
+
+    /**
+     * Sends a request and keeps its response until it is whole. A response that is too large to be
+     * kept is a failure of the call and closes its connection.
+     *
+     * @param address the server's address
+     * @param request the request; ownership passes to this method
+     * @param options the options of this call
+     * @param onResponse receives the response
+     * @param onFailure receives the failure
+     * @return the call, to cancel it
+     */
+    public Call collect(
+            final InetSocketAddress address,
+            final FullHttpRequest request,
+            final CallOptions options,
+            final Consumer<Responses.FullResponse> onResponse,
+            final Consumer<CallFailure> onFailure) {
+        final Call call = new Call();
+        final CollectedResponse collected =
+                new CollectedResponse(call, memory, onResponse, onFailure);
+        send(address, request, options, call, collected);
+        return call;
+    }
+
+    private void send(
+            final InetSocketAddress address,
+            final FullHttpRequest request,
+            final CallOptions options,
+            final Call call,
+            final ResponseListener listener) {
         if (!request.headers().contains(HttpHeaderNames.HOST)) {
             request.headers()
                     .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
@@ -110,7 +157,6 @@
         if (length > 0 || !METHODS_WITHOUT_BODY.contains(request.method())) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
-        final Call call = new Call();
         final Optional<Channel> pooled =
                 options.connection().maxIdleTime().isZero()
                         ? Optional.empty()
@@ -118,7 +164,6 @@
         pooled.ifPresentOrElse(
                 channel -> write(channel, address, request, options, call, listener),
                 () -> connect(address, request, options, call, listener));
-        return call;
     }
 
     /**
--- a/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/HttpServer.java
@@ -93,6 +93,27 @@
         return start(group, address, () -> limits, Optional::empty, handler);
     }
 
+    /**
+     * Starts a server whose connections do not share memory.
+     *
+     * @param group the event loops
+     * @param address the address to listen on; port 0 selects a free port
+     * @param limits the limits per connection; called for each new connection
+     * @param tls called for each new connection, so that renewed keys need no restart
+     * @param handler handles the requests
+     * @return the running server
+     * @throws IOException if the address cannot be bound
+     */
+    public static HttpServer start(
+            final EventLoopGroup group,
+            final InetSocketAddress address,
+            final Supplier<ServerLimits> limits,
+            final Supplier<Optional<SslContext>> tls,
+            final RequestHandler handler)
+            throws IOException {
+        return start(group, address, limits, tls, SharedMemory.UNSHARED, handler);
+    }
+
     /**
      * Starts a server.
      *
@@ -100,6 +121,7 @@
      * @param address the address to listen on; port 0 selects a free port
      * @param limits the limits per connection; called for each new connection
      * @param tls called for each new connection, so that renewed keys need no restart
+     * @param bodies the memory for the bodies of requests that have no complete response yet
      * @param handler handles the requests
      * @return the running server
      * @throws IOException if the address cannot be bound
@@ -109,6 +131,7 @@
             final InetSocketAddress address,
             final Supplier<ServerLimits> limits,
             final Supplier<Optional<SslContext>> tls,
+            final SharedMemory bodies,
             final RequestHandler handler)
             throws IOException {
         Objects.requireNonNull(handler, "handler is null");
@@ -144,7 +167,12 @@
                                         final ConnectionHandler connection =
                                                 new ConnectionHandler(
                                                         handler, closing::get, unwrittenResponses);
-                                        initPipeline(channel, limits.get(), tls.get(), connection);
+                                        initPipeline(
+                                                channel,
+                                                limits.get(),
+                                                tls.get(),
+                                                bodies,
+                                                connection);
                                     }
                                 });
         final var bound = bootstrap.bind(address).awaitUninterruptibly();
@@ -325,6 +353,7 @@
             final SocketChannel channel,
             final ServerLimits limits,
             final Optional<SslContext> tls,
+            final SharedMemory bodies,
             final ConnectionHandler handler) {
         final StrictRequestDecoder decoder = new StrictRequestDecoder(limits);
         final HeaderTimeout headerTimeout =
@@ -336,6 +365,7 @@
                 .addLast(decoder)
                 .addLast(headerTimeout.headListener())
                 .addLast(new HttpResponseEncoder())
+                .addLast(new BodyMemory(bodies))
                 .addLast(new BodyAggregator(limits.maxBodyBytes()))
                 .addLast(handler);
     }
--- a/fennelstage-http/src/main/java/org/fennelstage/http/Refusal.java
+++ b/fennelstage-http/src/main/java/org/fennelstage/http/Refusal.java
@@ -39,6 +39,13 @@
                     ErrorBodies.body("overloaded", "too many new connections"),
                     Optional.of("0"));
 
+    /** The bodies of requests take all memory that is for them; another server may have some. */
+    static final Refusal NO_MEMORY =
+            new Refusal(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    ErrorBodies.body("overloaded", "no memory for the body of the request"),
+                    Optional.of("0"));
+
     Refusal {
         Objects.requireNonNull(status, "status is null");
         Objects.requireNonNull(body, "body is null");
--- a/fennelstage-http/src/test/java/org/fennelstage/http/ConnectionOrdersTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/ConnectionOrdersTest.java
@@ -267,12 +267,13 @@
             final ServerSocket listener,
             final byte[] body,
             final CompletableFuture<Object> end) {
-        client.send(
+        client.collect(
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort()),
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.wrappedBuffer(body)),
                 CallOptions.of(TIMEOUT, TIMEOUT, true),
-                Responses.collecting(end::complete, end::complete));
+                end::complete,
+                end::complete);
     }
 
     /**
--- a/fennelstage-http/src/test/java/org/fennelstage/http/CutResponseTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/CutResponseTest.java
@@ -190,7 +190,7 @@
         client.eventLoop()
                 .execute(
                         () ->
-                                client.send(
+                                client.collect(
                                         new InetSocketAddress(
                                                 InetAddress.getLoopbackAddress(),
                                                 server.getLocalPort()),
@@ -204,7 +204,8 @@
                                                 inactivity,
                                                 policy,
                                                 headers -> "r2".equals(headers.get(ID))),
-                                        Responses.collecting(end::complete, end::complete)));
+                                        end::complete,
+                                        end::complete));
         return end;
     }
 
--- a/fennelstage-http/src/test/java/org/fennelstage/http/EarlyResponseTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/EarlyResponseTest.java
@@ -64,13 +64,14 @@
         client.eventLoop()
                 .execute(
                         () ->
-                                client.send(
+                                client.collect(
                                         new InetSocketAddress(
                                                 InetAddress.getLoopbackAddress(),
                                                 server.getLocalPort()),
                                         request,
                                         CallOptions.of(TIMEOUT, TIMEOUT, true),
-                                        Responses.collecting(end::complete, end::complete)));
+                                        end::complete,
+                                        end::complete));
         return end;
     }
 
--- a/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
+++ b/fennelstage-http/src/test/java/org/fennelstage/http/HttpClientTest.java
@@ -68,14 +68,15 @@
         client.eventLoop()
                 .execute(
                         () ->
-                                client.send(
+                                client.collect(
                                         new InetSocketAddress(
                                                 InetAddress.getLoopbackAddress(),
                                                 server.getLocalPort()),
                                         new DefaultFullHttpRequest(
                                                 HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
                                         options,
-                                        Responses.collecting(end::complete, end::complete)));
+                                        end::complete,
+                                        end::complete));
         return end;
     }
 
@@ -308,15 +309,17 @@
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
         final AtomicReference<Call> call = new AtomicReference<>();
         final long sentNanos = System.nanoTime();
-        final ResponseListener listener =
-                Responses.collecting(
+        call.set(
+                client.collect(
+                        address,
+                        request,
+                        options,
                         whole -> {
                             final Duration sinceWritten = call.get().sinceWritten().orElseThrow();
                             final Duration total = Duration.ofNanos(System.nanoTime() - sentNanos);
                             result.complete(total.minus(sinceWritten));
                         },
-                        failure -> result.completeExceptionally(new IOException("" + failure)));
-        call.set(client.send(address, request, options, listener));
+                        failure -> result.completeExceptionally(new IOException("" + failure))));
     }
 
     /** Guards against taking the time to open a connection for time at the server. */
@@ -357,11 +360,12 @@
     }
 
     private void send(final DefaultFullHttpRequest request, final CompletableFuture<Object> end) {
-        client.send(
+        client.collect(
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
                 request,
                 CallOptions.of(TIMEOUT, TIMEOUT, true),
-                Responses.collecting(end::complete, end::complete));
+                end::complete,
+                end::complete);
     }
 
     @Test
--- a/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiClient.java
+++ b/fennelstage-objects/src/main/java/org/fennelstage/objects/ObjectApiClient.java
@@ -147,13 +147,12 @@
         http.eventLoop()
                 .execute(
                         () ->
-                                http.send(
+                                http.collect(
                                         address,
                                         request,
                                         CallOptions.of(CONNECT_TIMEOUT, inactivityTimeout, false),
-                                        Responses.collecting(
-                                                response -> read(response, onResponse, onFailure),
-                                                onFailure)));
+                                        response -> read(response, onResponse, onFailure),
+                                        onFailure));
     }
 
     /** Reads a response; one that cannot be read is a failure, since callers wait for a result. */
--- a/fennelstage-router/src/main/java/org/fennelstage/route/RatingClient.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/RatingClient.java
@@ -47,7 +47,7 @@
         if (address.isEmpty() || sampleFraction(request) >= sampleShare) {
             return;
         }
-        client.send(
+        client.collect(
                 address.get(),
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -55,7 +55,8 @@
                         "/v1/ratings",
                         Unpooled.copiedBuffer(answer, StandardCharsets.UTF_8)),
                 CallOptions.DEFAULT,
-                Responses.collecting(response -> onResponse(response, onRating), failure -> {}));
+                response -> onResponse(response, onRating),
+                failure -> {});
     }
 
     /** Returns a hash of the key as a number in [0, 1). */
