The router's own stop ends no request in silence either

Each open request now ends with its outcome (not run, unknown, or failed after it ran; a stream with its last event), and the VM waits up to 300 ms until the responses are written. The deadline of a request and the stop share one method.

VmStop is the new name of the gateway's GracefulStop, since the router has a type of that name.

--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/GatewayVm.java
@@ -529,7 +529,7 @@
                         Math.min(signalMillis, pauses.earliestSignalMillis()),
                         wasReady,
                         settings.bounds().grace());
-        new GracefulStop(
+        new VmStop(
                         settings.vm(),
                         gateway,
                         callerListener,
--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/GracefulStop.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmStop.java
@@ -16,7 +16,7 @@
  *
  * <p>Invariant: the action at the end runs once. Not thread-safe; confined to the event loop.
  */
-final class GracefulStop {
+final class VmStop {
 
     private static final Duration PERIOD = Duration.ofMillis(100);
 
@@ -45,7 +45,7 @@
      * @param drain decides
      * @param whenStopped runs at the end
      */
-    GracefulStop(
+    VmStop(
             final VmId vm,
             final Gateway gateway,
             final HttpServer callers,
--- a/fennelstage-router/src/main/java/org/fennelstage/main/RouterVm.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/main/RouterVm.java
@@ -62,6 +62,10 @@
 
     private static final Duration PEER_CONFIGURATION_WAIT = Duration.ofMillis(400);
     private static final Duration STOP_POLL_PERIOD = Duration.ofMillis(20);
+
+    /** Longest time for which callers are given the last responses. */
+    private static final Duration LAST_RESPONSES = Duration.ofMillis(300);
+
     private static final Duration TLS_CHECK_PERIOD = Duration.ofSeconds(5);
 
     private final Settings settings;
@@ -287,8 +291,8 @@
 
     /**
      * Stops gracefully: rejects new requests, waits for requests in flight for at most the drain
-     * time in the settings, writes its bills to the store or hands them over to another VM, and
-     * closes.
+     * time in the settings, ends those that are still open, writes its bills to the store or hands
+     * them over to another VM, and closes.
      */
     public void stop() {
         EventLog.write(Event.DRAINING, "vm", settings.vm().id(), "in_flight", router.inFlight());
@@ -300,6 +304,10 @@
         awaitUntil(drainDeadline, () -> router.inFlight() == 0);
         if (router.inFlight() > 0) {
             EventLog.write(Event.DRAIN_TIMED_OUT, "in_flight", router.inFlight());
+            router.endOpenRequests();
+            awaitUntil(
+                    System.nanoTime() + LAST_RESPONSES.toNanos(),
+                    () -> router.inFlight() == 0 && callerServer.unwrittenResponses() == 0);
         }
         final long billsDeadline = System.nanoTime() + Duration.ofSeconds(3).toNanos();
         awaitUntil(
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatExecution.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatExecution.java
@@ -58,6 +58,7 @@
     private final Attempts attempts;
     private final ChatResponse response;
     private final Duration deadline;
+    private final Runnable ending = this::endBeforeExit;
     private ScheduledFuture<?> deadlineTimer;
     private ModelVersion version;
     private Optional<Rollout> activeRollout = Optional.empty();
@@ -100,6 +101,7 @@
     /** Starts the execution of a request that has been admitted. */
     void start() {
         components.metrics().begin();
+        loopContext.onStarted(ending);
         deadlineTimer =
                 exchange.eventLoop()
                         .schedule(this::onDeadline, deadline.toMillis(), TimeUnit.MILLISECONDS);
@@ -289,23 +291,25 @@
     }
 
     private void onDeadline() {
+        endEarly(Reason.DEADLINE, "the deadline passed");
+    }
+
+    private void endBeforeExit() {
+        endEarly(Reason.SHUTTING_DOWN, "this VM stopped");
+    }
+
+    private void endEarly(final Reason reason, final String cause) {
         if (ended) {
             return;
         }
         attempts.cancel();
-        end(
-                attempts.mayHaveRun()
-                        ? deadlineOutcomeAfterSending()
-                        : Outcome.notRun(
-                                Reason.DEADLINE,
-                                "the deadline passed before the request ran",
-                                RETRY_AFTER));
-    }
-
-    private Outcome deadlineOutcomeAfterSending() {
-        return response.hasStarted()
-                ? new Outcome.FailedAfterRun("the deadline passed during the response")
-                : new Outcome.Unknown("the deadline passed before a response arrived");
+        if (!attempts.mayHaveRun()) {
+            end(Outcome.notRun(reason, cause + " before the request ran", RETRY_AFTER));
+        } else if (response.hasStarted()) {
+            end(new Outcome.FailedAfterRun(cause + " during the response"));
+        } else {
+            end(new Outcome.Unknown(cause + " before a response arrived"));
+        }
     }
 
     private void onCallerDisconnected() {
@@ -500,6 +504,7 @@
             return;
         }
         ended = true;
+        loopContext.onEnded(ending);
         deadlineTimer.cancel(false);
         components.admission().end(team);
         components.metrics().end(profile.id(), team.id(), outcome, elapsedSeconds());
--- a/fennelstage-router/src/main/java/org/fennelstage/route/EventLoopContext.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/EventLoopContext.java
@@ -1,7 +1,10 @@
 package org.fennelstage.route;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.fennelstage.backend.ServerSelector;
 import org.fennelstage.configuration.Configuration;
@@ -23,6 +26,7 @@
     private final ServerSelector serviceSelector;
     private final Map<VersionId, ServerPool> poolsByVersion = new HashMap<>();
     private final Map<ServiceName, ServerPool> poolsByService = new HashMap<>();
+    private final Set<Runnable> endings = new LinkedHashSet<>();
     private Configuration cachedConfiguration = Configuration.empty();
 
     EventLoopContext(
@@ -61,6 +65,21 @@
                 service, s -> ServerPool.of(configuration.servers(s), dataCentre, serverStates));
     }
 
+    /** Records that a request has started, and what ends it before the VM exits. */
+    void onStarted(final Runnable ending) {
+        endings.add(ending);
+    }
+
+    /** Records that the request with an ending has ended. */
+    void onEnded(final Runnable ending) {
+        endings.remove(ending);
+    }
+
+    /** Ends all open requests. */
+    void endOpenRequests() {
+        List.copyOf(endings).forEach(Runnable::run);
+    }
+
     private void refresh(final Configuration configuration) {
         if (configuration != cachedConfiguration) {
             cachedConfiguration = configuration;
--- a/fennelstage-router/src/main/java/org/fennelstage/route/Router.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/Router.java
@@ -116,6 +116,11 @@
         draining = true;
     }
 
+    /** Ends all open requests, whose callers learn what is known of them. */
+    public void endOpenRequests() {
+        loopContexts.forEach((eventLoop, open) -> eventLoop.execute(open::endOpenRequests));
+    }
+
     /**
      * Returns the number of requests in flight.
      *
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ServiceExecution.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ServiceExecution.java
@@ -52,6 +52,7 @@
     private final RequestId id;
     private final Attempts attempts;
     private final boolean idempotent;
+    private final Runnable ending = this::endBeforeExit;
     private boolean claimed;
     private boolean started;
     private boolean ended;
@@ -80,6 +81,7 @@
     }
 
     void start() {
+        loopContext.onStarted(ending);
         exchange.onClosed(this::onCallerDisconnected);
         if (ended) {
             return;
@@ -167,11 +169,23 @@
         end(new Outcome.Unknown("the caller closed the connection"));
     }
 
+    private void endBeforeExit() {
+        attempts.cancel();
+        end(
+                attempts.mayHaveRun()
+                        ? new Outcome.Unknown("this VM stopped before the response was complete")
+                        : Outcome.notRun(
+                                Reason.SHUTTING_DOWN,
+                                "this VM stopped before the request ran",
+                                RETRY_AFTER));
+    }
+
     private void end(final Outcome outcome) {
         if (ended) {
             return;
         }
         ended = true;
+        loopContext.onEnded(ending);
         components.admission().end(team);
         if (claimed && outcome instanceof Outcome.NotRun) {
             components.claims().release(claimKey(), id);
