Answers of model servers and messages of peers have a limit

Found by the table of all places that keep bytes of a remote end: the product's own interface kept the text of an answer without a limit until the deadline, and a peer connection kept a message of any announced length.

--- a/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerNetwork.java
+++ b/fennelstage-peer/src/main/java/org/fennelstage/peer/PeerNetwork.java
@@ -16,7 +16,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -237,7 +236,7 @@
     private void initPipeline(final SocketChannel channel, final Optional<SslContext> context) {
         context.ifPresent(c -> channel.pipeline().addLast(c.newHandler(channel.alloc())));
         channel.pipeline()
-                .addLast(new ProtobufVarint32FrameDecoder())
+                .addLast(new LimitedFrameDecoder())
                 .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
                 .addLast(new ProtobufVarint32LengthFieldPrepender())
                 .addLast(new ProtobufEncoder())
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatExecution.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatExecution.java
@@ -441,6 +441,10 @@
             onFirstToken();
         }
         response.addChunk(chunk);
+        if (response.isTooLong()) {
+            attempts.cancel();
+            end(new Outcome.FailedAfterRun("the answer is longer than a VM keeps"));
+        }
     }
 
     /** Stops reading from the backend server while the caller's connection is not writable. */
--- a/fennelstage-router/src/main/java/org/fennelstage/route/ChatResponse.java
+++ b/fennelstage-router/src/main/java/org/fennelstage/route/ChatResponse.java
@@ -27,6 +27,9 @@
     private static final String EXPLAIN_HEADER = "x-explain";
     private static final double DEFAULT_CONFIDENCE = 0.5;
 
+    /** Longest answer that is kept; a model server in trouble may send without end. */
+    private static final int MAX_CHARACTERS = 4 << 20;
+
     private final ServerExchange exchange;
     private final RequestId request;
     private final ProfileId profile;
@@ -106,6 +109,11 @@
         return text.toString();
     }
 
+    /** Returns whether the answer is longer than what is kept. */
+    boolean isTooLong() {
+        return text.length() > MAX_CHARACTERS;
+    }
+
     boolean isTruncated() {
         return finishReason.equals("length");
     }
