The check against the exit is a type of its own

ExitCheck asks ExitAdmission for one request, at an idle server or after the wait that is expected at one; RequestExecution keeps only what follows from it. No change of behaviour.

PlannedStopTest, VmLifecyclePathTest, StreamPathTest, RequestPathTest and LargerModelPathTest pass (47 cases).

--- a/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/gateway/RequestExecution.java
@@ -59,6 +59,7 @@
     private final ModelChoice models;
     private final WaitEstimator waitEstimator;
     private final PermitCheck permits;
+    private final ExitCheck exit;
     private final Forwarding forwarding;
     private final boolean forwarded;
     private final ErrorResponder errors;
@@ -119,6 +120,7 @@
         this.models = ModelChoice.of(route, gateway);
         this.waitEstimator = new WaitEstimator(gateway, request);
         this.permits = new PermitCheck(gateway, route, log, traffic());
+        this.exit = new ExitCheck(gateway, this::latencyEstimator);
         this.forwarding = new Forwarding(this, !forwarded);
         this.errors = new ErrorResponder(gateway, exchange, request.id(), waitEstimator, log);
         this.arrivedMillis = now();
@@ -217,12 +219,6 @@
         }
     }
 
-    /** Returns whether an attempt that begins after a wait is likely to end before the exit. */
-    private boolean endsBeforeExit(final double waitMillis) {
-        return gateway.exitAdmission()
-                .admits(waitMillis + latencyEstimator().likelyResponseMillis());
-    }
-
     /** Rejects a request that this VM does not pass on any more, if nothing has run. */
     private void rejectAsStopping() {
         if (response.started() || attempts.mayHaveRun()) {
@@ -545,7 +541,7 @@
         if (!route.retryable() || attempts.remaining() == 0 || !response.mayContinue()) {
             return Optional.of(Takeover.KeptBecause.NO_FURTHER_ATTEMPT);
         }
-        if (!endsBeforeExit(0)) {
+        if (!exit.passes()) {
             return Optional.of(Takeover.KeptBecause.STOPPING);
         }
         return gateway.crashes().rejectionTime(fingerprints).isPresent()
@@ -628,7 +624,7 @@
         if (rejectedAsQuarantined()) {
             return;
         }
-        if (!endsBeforeExit(0)) {
+        if (!exit.passes()) {
             rejectAsStopping();
             return;
         }
@@ -723,11 +719,10 @@
         }
     }
 
-    /** Sends the request unless its wait at the backend server would last until the exit. */
+    /** Sends the request, unless it would probably not end before the exit. */
     private void passOn(
             final TrackedServer server, final Job job, final int candidates, final Permit permit) {
-        final double waitMillis = gateway.placement().waitMillis(server, job) - job.readMillis();
-        if (endsBeforeExit(Math.max(0, waitMillis))) {
+        if (exit.passesAt(server, job)) {
             send(server, job, candidates, permit);
         } else {
             giveBack(permit);
