--- a/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmStop.java
+++ b/fennelstage-gateway/src/main/java/org/fennelstage/vm/VmStop.java
@@ -20,7 +20,7 @@
 
     private static final Duration PERIOD = Duration.ofMillis(100);
 
-    /** Time between two looks at whether the last responses have been read. */
+    /** Period of the checks whether callers have read the last responses. */
     private static final Duration LAST_PERIOD = Duration.ofMillis(20);
 
     private final VmId vm;
